Route by the load reports that come with workers' answers

A call that ended badly, followed through lines added for the purpose:

It was written at once and waited at its worker. Attempts out at each of the 40 workers at 4 s, all schedulers together: 91, 76, 64, 57, 41, 38, 29 ... and at the other half 1 to 9. Of those 607 that were called off at their end, 341 were at three workers. The workers say so, too; an answer reads

{"attrs":{"rep":"busy_reqs:14.545;cpu_share:0.481;x1:1.814"},"content":...

but AgentCodec::read dropped `rep`, Core::end_attempt gave the module `report: vec![]`, and the module looked at its own calls alone (Balancer::busy). One of a hundred schedulers has 0 or 1 call at a worker, so all looked idle, and rarely called functions (nearly all, seen by one of a hundred) went to their first hash worker whatever stood there.

Ruled out: the network (written within 1 ms, answers on in 0.4 ms), failed connects (35 in the stretch), load orders (25 in all), capacity (the mean is under 10 attempts a worker).

The codec now reads `rep`, the core hands it on in the settings' order, and the module adds what other front ends have in flight to its own, fading. What holds far more than the mean is passed by like a worker that is shunned, so a bronze home gives way down the order, as it did when our own calls filled it.

--- a/src/backend/agent.rs
+++ b/src/backend/agent.rs
@@ -37,6 +37,13 @@
     }
 }
 
+/// A load report, as in `inflight:7;util:0.61`. What cannot be read of it is left out: the answer counts.
+fn read_load(text: &str) -> Vec<(String, f32)> {
+    let pairs = text.split(';').filter_map(|pair| pair.split_once(':'));
+    let read = pairs.filter_map(|(name, value)| Some((name.trim().to_owned(), value.trim().parse().ok()?)));
+    read.filter(|(_, value): &(String, f32)| value.is_finite() && *value >= 0.0).collect()
+}
+
 impl Codec for AgentCodec {
     fn go(&self, work: &Work, now: Time, deadline: Time) -> Vec<u8> {
         let ttl = super::left_ms(now, deadline);
@@ -87,7 +94,8 @@
             _ => return Err(bad("unknown verb")),
         };
         let copies = parsed.attrs.get("replicas").and_then(word).and_then(|text| text.parse().ok());
-        Ok(Said::Answer { rid, reply, copies })
+        let load = parsed.attrs.get("rep").and_then(Value::as_str).map(read_load).unwrap_or_default();
+        Ok(Said::Answer { rid, reply, copies, load })
     }
 }
 
@@ -97,12 +105,18 @@
 
     #[test]
     fn lines_are_read() {
-        let answer = |rid: &str, reply, copies| Ok(Said::Answer { rid: rid.into(), reply, copies });
+        let loaded =
+            |rid: &str, reply, copies, load| Ok(Said::Answer { rid: rid.into(), reply, copies, load });
+        let answer = |rid: &str, reply, copies| loaded(rid, reply, copies, vec![]);
         let bad = |rid: Option<&str>, cause| Err(Unreadable { rid: rid.map(str::to_owned), cause });
         let cases: Vec<(&str, Result<Said, Unreadable>)> = vec![
             (r#"{"verb":"200","rid":"a1","content":"aGk="}"#, answer("a1", Reply::Ok(b"hi".into()), None)),
             (r#"{"verb":200,"rid":"a1"}"#, answer("a1", Reply::Ok(vec![]), None)),
             (r#"{"verb":"200","rid":7,"attrs":{"replicas":"2"}}"#, answer("7", Reply::Ok(vec![]), Some(2))),
+            (
+                r#"{"verb":"200","rid":"a","attrs":{"rep":"inflight:7;util: 0.5;x1:NaN;x1;x1:-1;x1:"}}"#,
+                loaded("a", Reply::Ok(vec![]), None, vec![("inflight".into(), 7.0), ("util".into(), 0.5)]),
+            ),
             (r#"{"verb":"503","rid":"l","attrs":{"replicas":1}}"#, answer("l", Reply::Full, Some(1))),
             (r#"{"verb":"404","rid":"a"}"#, answer("a", Reply::Miss, None)),
             (r#"{"verb":"500","rid":"a","attrs":null}"#, answer("a", Reply::Error, None)),
--- a/src/backend/jsonrpc.rs
+++ b/src/backend/jsonrpc.rs
@@ -87,7 +87,7 @@
                     }
                     _ => return Err(bad("no body")),
                 };
-                Ok(Said::Answer { rid, reply: Reply::Ok(body), copies })
+                Ok(Said::Answer { rid, reply: Reply::Ok(body), copies, load: vec![] })
             }
             (None, Some(error)) => {
                 let reply = match error.get("code").and_then(Value::as_i64) {
@@ -98,7 +98,7 @@
                     None => return Err(bad("an error without a code")),
                 };
                 let copies = error.pointer("/data/copies").and_then(Value::as_u64).map(|n| n as u32);
-                Ok(Said::Answer { rid, reply, copies })
+                Ok(Said::Answer { rid, reply, copies, load: vec![] })
             }
             _ => Err(bad("neither a result nor an error")),
         }
@@ -136,7 +136,7 @@
 
     #[test]
     fn answers_are_read() {
-        let answer = |reply, copies| Ok(Said::Answer { rid: "a".into(), reply, copies });
+        let answer = |reply, copies| Ok(Said::Answer { rid: "a".into(), reply, copies, load: vec![] });
         let bad = |rid: Option<&str>, cause| Err(Unreadable { rid: rid.map(str::to_owned), cause });
         let cases: Vec<(&str, Result<Said, Unreadable>)> = vec![
             (r#"{"jsonrpc":"2.0","id":"a","result":{"body":"aGk="}}"#, answer(Reply::Ok(b"hi".into()), None)),
--- a/src/backend/mod.rs
+++ b/src/backend/mod.rs
@@ -67,6 +67,8 @@
         reply: Reply,
         /// Copies that stand, where told.
         copies: Option<u32>,
+        /// The load report: its values by name, where there is one.
+        load: Vec<(String, f32)>,
     },
     /// The answer to a probe.
     Alive {
@@ -232,7 +234,7 @@
 
     fn line(&mut self, line: &[u8], hub: &mut Hub) -> Flow {
         self.silent = false;
-        let (rid, reply, copies) = match self.codec.read(line) {
+        let (rid, reply, copies, load) = match self.codec.read(line) {
             Ok(Said::Alive { rid }) => {
                 if let Some(Open::Probe(probe)) = self.open.get(&rid) {
                     let probe = *probe;
@@ -242,7 +244,7 @@
                 }
                 return Flow::Go;
             }
-            Ok(Said::Answer { rid, reply, copies }) => (rid, Ok(reply), copies),
+            Ok(Said::Answer { rid, reply, copies, load }) => (rid, Ok(reply), copies, load),
             Err(Unreadable { rid, cause }) => {
                 hub.core.counters().unreadable += 1;
                 if let Some(Open::Attempt(attempt)) = rid.as_ref().and_then(|rid| self.open.remove(rid)) {
@@ -261,6 +263,7 @@
             Some(Open::Attempt(attempt)) => {
                 self.attempts -= 1;
                 self.names.remove(&attempt);
+                hub.core.load_told(attempt, &load);
                 hub.core.attempt_ended(hub.now, attempt, reply);
             }
             Some(Open::Order(order)) => {
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1,7 +1,5 @@
-//! Every decision of a front end. Its types, events, actions and settings are in `src/interface.rs`.
-//!
-//! Parts, in order: constants; state; events in; ranking; placement; gates (the only ways out); answers
-//! (belief and health); holds; cold starts. `docs/design.md` says what of the published design is kept.
+//! Every decision of a front end. Its types, events, actions and settings are in `src/interface.rs`. Parts:
+//! constants; state; events in; ranking; placement; gates; answers; holds; cold starts.
 
 use crate::interface::*;
 use rand_core::{RngCore, SeedableRng};
@@ -50,7 +48,7 @@
 /// Weight of a new latency in a worker's slowness and strain; bounds of the former, against peers.
 const SLOW_GAIN: f64 = 0.15;
 const SLOW_RANGE: (f64, f64) = (0.5, 12.0);
-/// Time in which unrefreshed slowness halves.
+/// Time in which unrefreshed slowness and told calls halve.
 const SLOW_HALF: Span = Span::millis(4000);
 /// Weight of a new latency in a class's usual one.
 const CLASS_GAIN: f64 = 0.02;
@@ -74,8 +72,7 @@
 const HOPE: f64 = 0.4;
 /// How long a client whose call was given up is asked to stay away.
 const COOLDOWN: Span = Span::millis(250);
-/// Own calls of a function for each copy in a keep-alive below which a front end is blind: the common hash
-/// order then says more of where copies stand.
+/// Own calls for each copy in a keep-alive below which the common hash order says more of where copies stand.
 const BLIND_CALLS: f64 = 2.0;
 /// Workers of the hash order a call looks at, beyond twice those wanted.
 const NEAR: usize = 12;
@@ -83,6 +80,8 @@
 const BURST_ROOM: (f64, f64) = (3.0, 0.7);
 /// Weight of an attempt in our strain over all workers, and the strain from which calls are shed.
 const FELT: (f64, f64) = (0.1, 0.5);
+/// Calls a worker may hold before new ones pass it by: so many times the mean, and so many more.
+const CROWD: (f64, f64) = (2.0, 4.0);
 /// Part of the workers without room from which calls are shed.
 const CROWDED: f64 = 0.5;
 /// A keyed repeat must arrive this long before the group forgets.
@@ -150,6 +149,8 @@
     born: Time,
     pairs: BTreeMap<FunctionId, Pair>,
     in_flight: u32,
+    /// Calls of other front ends that its last load report tells of, fading.
+    others: f64,
     slow: f64,
     slow_at: Time,
     failures: u32,
@@ -476,8 +477,7 @@
         self.later(id, LOAD_PATIENCE);
     }
 
-    /// No copy has room. Waiting here keeps a jam from feeding itself in workers' queues. Where most workers
-    /// are full, what would end late is shed; else a load will help.
+    /// No copy has room: a wait here feeds no jam there. Where most are full, what would end late is shed.
     fn hold_back(&mut self, id: RequestId, out: &mut Actions) {
         self.look_for_room();
         let Some(request) = self.requests.get(&id) else { return };
@@ -507,9 +507,8 @@
         self.crowding = full as f64 / self.workers.len().max(1) as f64;
     }
 
-    /// Workers that a function's calls keep busy, all front ends together, with room for bursts; and whether
-    /// our own calls are too few to know. Two of those counted are chance. In a crowd more copies bring no
-    /// more work done: they only push others out of memory.
+    /// Workers that a function's calls keep busy, all front ends together, with room for bursts; in a crowd
+    /// more copies only push others out. And whether our own calls are too few to know; two are chance.
     fn wanted_copies(&self, key: FunctionId, class: usize) -> (usize, bool) {
         let Some(function) = self.functions.get(&key) else { return (1, false) };
         let window = (self.now - self.turned[BUCKETS - 1]).secs().max(RERANK.secs());
@@ -564,13 +563,13 @@
         orders.filter(|at| self.now - *at < LOAD_PATIENCE).count()
     }
 
-    /// How much stands before a new call at a worker: our calls in flight, weighed by its slowness.
+    /// How much stands before a new call at a worker: the calls in flight there, weighed by its slowness.
     fn busy(&self, worker: WorkerId) -> f64 {
         let Some(w) = self.workers.get(&worker) else { return f64::INFINITY };
         let faded = |since: Time| 0.5f64.powf((self.now - since).secs() / SLOW_HALF.secs());
         let slow = 1.0 + (w.slow - 1.0) * faded(w.slow_at);
         let cross = if w.member.zone == self.settings.zone { 0.0 } else { self.settings.prices.cross_zone };
-        (f64::from(w.in_flight) + 1.0) * slow + cross * CROSS_WEIGHT
+        (w.held() + 1.0) * slow + cross * CROSS_WEIGHT
     }
 
     /// The least busy of some workers, one with a free lane before one without; ties break randomly.
@@ -590,10 +589,11 @@
         two.get(1).filter(clearly).or(two.first()).copied()
     }
 
-    /// Leaves out the shunned, unless that would put out more than half.
+    /// Leaves out the shunned and the crowded, unless that would put out more than half.
     fn healthy(&self, order: Vec<WorkerId>) -> Vec<WorkerId> {
-        let well = |w: &WorkerId| self.workers[w].shun_until <= self.now;
-        let kept: Vec<WorkerId> = order.iter().copied().filter(well).collect();
+        let mean = self.workers.values().map(Worker::held).sum::<f64>() / self.workers.len().max(1) as f64;
+        let well = |w: &Worker| w.shun_until <= self.now && w.held() <= mean * CROWD.0 + CROWD.1;
+        let kept: Vec<WorkerId> = order.iter().copied().filter(|w| well(&self.workers[w])).collect();
         if kept.len() * 2 >= order.len() { kept } else { order }
     }
 
@@ -670,10 +670,8 @@
     }
 
     fn order_load(&mut self, worker: WorkerId, key: FunctionId, out: &mut Actions) {
-        if !self.may_load(worker, key) {
-            return;
-        }
-        let Some(w) = self.workers.get_mut(&worker) else { return };
+        let allowed = self.may_load(worker, key);
+        let Some(w) = self.workers.get_mut(&worker).filter(|_| allowed) else { return };
         w.pairs.entry(key).or_default().ordered = Some(self.now);
         self.orders.push_back(self.now);
         out.push(Action::Load { worker, function: key, copies: 1 });
@@ -715,11 +713,9 @@
         if matches!(outcome.status, Status::Miss | Status::Error | Status::Full) {
             request.missed.push(attempt.worker);
         }
-        if outcome.status == Status::Miss {
-            // Where a copy is wanted by what all call, the hold is given at once, while others are tried.
-            if self.wanted_copies(attempt.function, attempt.class).1 {
-                self.order_load(attempt.worker, attempt.function, out);
-            }
+        // Where a copy is wanted by what all call, the hold is given at once, while others are tried.
+        if outcome.status == Status::Miss && self.wanted_copies(attempt.function, attempt.class).1 {
+            self.order_load(attempt.worker, attempt.function, out);
         }
         let Some(request) = self.requests.get(&outcome.id) else { return };
         let unsafe_ran =
@@ -733,7 +729,6 @@
     /// What an outcome says of the worker and of the copy there.
     fn learn(&mut self, outcome: &Outcome, attempt: &Attempt) {
         let (now, keep) = (self.now, self.settings.loading.keep);
-        let aim = attempt.aim;
         let Some(w) = self.workers.get_mut(&attempt.worker) else { return };
         if attempt.place.since < w.born {
             return;
@@ -741,6 +736,10 @@
         if matches!(outcome.status, Status::Ok | Status::Error | Status::Full | Status::Miss) {
             (w.heard, w.unanswered) = (now, 0);
         }
+        let held = self.settings.gauges.iter().position(|gauge| *gauge == Gauge::InFlight);
+        if let Some(held) = held.and_then(|place| outcome.report.get(place)) {
+            w.others = (f64::from(*held) - f64::from(w.in_flight)).max(0.0);
+        }
         w.in_flight = w.in_flight.saturating_sub(1);
         let pair = w.pairs.entry(attempt.function).or_default();
         pair.in_flight = pair.in_flight.saturating_sub(1);
@@ -749,7 +748,7 @@
         }
         let took = match outcome.status {
             // A wait for a load says nothing of how full workers are, nor a call's second refusal.
-            Status::Ok if attempt.warm => (outcome.latency.secs() / aim.secs().max(0.001)).min(1.0),
+            Status::Ok if attempt.warm => (outcome.latency.secs() / attempt.aim.secs().max(0.001)).min(1.0),
             Status::Full if !attempt.warm || outcome.attempt > 0 => self.strain,
             Status::Full | Status::Timeout => 1.0,
             _ => self.strain,
@@ -797,8 +796,7 @@
                 w.shun_until = w.shun_until.max(now + FULL_PAUSE);
                 w.cut(now);
             }
-            // A connection may break by itself, with all that is open on it; a process that has died shows at
-            // the next try, which is refused.
+            // A connection may break by itself; a dead process shows at the next try, which is refused.
             Status::Reset => {
                 if now - w.resets.0 > RESETS.0 {
                     w.resets = (now, w.resets.1 + 1);
@@ -817,8 +815,7 @@
         }
     }
 
-    /// Probes workers that are silent though calls of ours are out: a machine that is cut off breaks no
-    /// connection, and each call sent there would be lost until its deadline.
+    /// Probes workers that are silent though calls are out: a machine that is cut off breaks no connection.
     fn suspect(&mut self, out: &mut Actions) {
         if !self.settings.limits.may_probe || !self.settings.limits.may_cancel {
             return;
@@ -834,8 +831,7 @@
         }
     }
 
-    /// A worker that answers no probe is lost: what is out there is called off and placed elsewhere, as far
-    /// as its class allows that it may have run.
+    /// A worker that answers no probe is lost: what is out there is placed elsewhere if its class allows.
     fn probed(&mut self, worker: WorkerId, status: Status, out: &mut Actions) {
         let now = self.now;
         let Some(w) = self.workers.get_mut(&worker) else { return };
@@ -912,8 +908,7 @@
                 if until > self.now + lead || w.shun_until > self.now {
                     continue;
                 }
-                // A renewal costs no load. A first hold does: one under way a worker and a function, so
-                // that neither a promotion nor a worker back cold floods the store or the worker.
+                // A first hold costs a load: one under way a worker and a function floods nothing.
                 let first = until <= self.now;
                 if first && (self.loads_under_way(w) > 0 || self.pending_loads(key) > 0) {
                     continue;
@@ -938,6 +933,7 @@
             while w.sends.front().is_some_and(|(at, _)| now - *at > fall) {
                 w.sends.pop_front();
             }
+            w.others *= 0.5f64.powf(HOLD_PACE.secs() / SLOW_HALF.secs());
         }
         self.done *= (-HOLD_PACE.secs() / RATE_SPAN.secs()).exp();
     }
@@ -959,9 +955,8 @@
         let budget = rules.fall_multiple * part * rate * rules.fall_span.secs() * COLD_MARGIN;
         let since = self.now - rules.fall_span;
         let spent: f64 = w.sends.iter().filter(|(at, _)| *at >= since).map(|(_, weight)| weight).sum();
-        // One call is more than the share of a front end of many: all would send nothing. So each call draws
-        // once for a worker, and the part of usual traffic that is let in follows its capacity; less under
-        // strain, when more than the usual comes.
+        // One call is more than the share of a front end of many: each draws once for a worker, and what of
+        // usual traffic is let in follows its capacity; less under strain, when more than the usual comes.
         let drawn = mix(w.member.worker.0 ^ mix(u64::from(id.0) << 32 | u64::from(self.settings.index)));
         let chance = rules.fall_multiple * part * COLD_CHANCE * (1.0 - self.strain);
         let let_in = drawn as f64 / (u64::MAX as f64) < chance;
@@ -988,6 +983,11 @@
 }
 
 impl Worker {
+    /// Calls in flight there: ours, and those of other front ends that it has told of.
+    fn held(&self) -> f64 {
+        f64::from(self.in_flight) + self.others
+    }
+
     /// It cannot be reached: nothing is believed to stand there.
     fn lost(&mut self, now: Time) {
         if self.shun_until <= now {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -238,6 +238,8 @@
     decided: Time,
     deadline: Time,
     written: Option<Time>,
+    /// The load report that came with its answer.
+    report: Vec<f32>,
 }
 
 struct Order {
@@ -475,6 +477,16 @@
         }
     }
 
+    /// What a worker tells of its load with the answer to this attempt, which comes next. A report that does not
+    /// give all the values that the settings name is left out: the module knows them by their places.
+    pub fn load_told(&mut self, attempt: AttemptId, told: &[(String, f32)]) {
+        let value = |name: &String| told.iter().find(|(told, _)| told == name).map(|(_, value)| *value);
+        let report = self.site.gauges.iter().map(value).collect::<Option<Vec<f32>>>();
+        if let (Some(entry), Some(report)) = (self.attempts.get_mut(&attempt), report) {
+            entry.report = report;
+        }
+    }
+
     /// An attempt has ended at its worker, or broke on the way.
     pub fn attempt_ended(&mut self, now: Time, id: AttemptId, end: Result<Reply, Broken>) {
         let Some(attempt) = self.attempts.get(&id) else { return };
@@ -664,7 +676,10 @@
                 taken.attempts += 1;
                 let deadline = (now + timeout).min(taken.deadline);
                 let work = taken.work.clone();
-                self.attempts.insert(attempt, Attempt { worker, decided: now, deadline, written: None });
+                self.attempts.insert(
+                    attempt,
+                    Attempt { worker, decided: now, deadline, written: None, report: vec![] },
+                );
                 self.due.insert((deadline, Due::Attempt(attempt)));
                 self.commands.push_back(Command::Send { attempt, worker, work, deadline });
             }
@@ -740,7 +755,7 @@
             finished,
             copy: CopyNote::Untold,
             company: 0,
-            report: vec![],
+            report: attempt.report,
         }));
     }
 
@@ -897,6 +912,32 @@
         }
     }
 
+    /// rennes-campus, case4356: reports got lost between the codec and the module, and a hundred schedulers went
+    /// on sending to a worker that told each of them of its queue.
+    #[test]
+    fn a_load_report_reaches_the_module_unless_a_value_is_missing() {
+        for (told, passed_by) in
+            [(vec![("util", 1.0), ("inflight", 90.0)], true), (vec![("util", 1.0)], false)]
+        {
+            let mut core = core();
+            core.site.gauges = vec!["inflight".into(), "util".into()];
+            core.site.settings.gauges = vec![Gauge::InFlight, Gauge::Busy];
+            core.balancer.configure(core.site.settings.clone());
+            core.members(
+                MS(0),
+                ListKind::Delta,
+                (3..6).map(|n| Member { worker: WorkerId(n), ..Member::default() }).collect(),
+            );
+            let (first, home) = sent(&call(&mut core, 1, "safe"));
+            core.written(MS(1), first);
+            let told: Vec<_> = told.into_iter().map(|(name, value)| (name.to_owned(), value)).collect();
+            core.load_told(first, &told);
+            core.attempt_ended(MS(2), first, Ok(Reply::Ok(vec![])));
+            let (_, next) = sent(&call(&mut core, 2, "safe"));
+            assert_eq!(next != home, passed_by, "{told:?}");
+        }
+    }
+
     /// What we held back ourselves says nothing of the worker: it must not be taken for one that refuses
     /// connections, which nothing goes to for a while.
     #[test]
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -54,6 +54,8 @@
     pub connect_limit: Span,
     /// An order to load that has no answer within this time is lost.
     pub load_wait: Span,
+    /// Names of the values of a load report, in the order of [`Settings::gauges`].
+    pub gauges: Vec<String>,
 }
 
 #[derive(Deserialize)]
@@ -179,6 +181,7 @@
     let (multiplex, max_open) = (text.bounds.multiplex.max(1), text.bounds.max_open);
     let (idle_close, connect_limit) = (Span(text.bounds.idle_close_ns), Span(text.bounds.connect_timeout_ns));
     let load_wait = Span(text.family_info.load_wait_ns);
+    let gauges = text.load_info.names.clone();
     Ok(Site {
         settings: read_text(text)?,
         classes: names,
@@ -189,6 +192,7 @@
         idle_close,
         connect_limit,
         load_wait,
+        gauges,
     })
 }
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -121,6 +121,11 @@
     }
 
     pub fn outcome(&mut self, id: RequestId, attempt: u16, status: Status) -> Vec<Action> {
+        self.told(id, attempt, status, vec![])
+    }
+
+    /// An outcome that brings a load report.
+    pub fn told(&mut self, id: RequestId, attempt: u16, status: Status, report: Vec<f32>) -> Vec<Action> {
         self.give(Event::Outcome(Outcome {
             id,
             attempt,
@@ -129,7 +134,7 @@
             finished: status == Status::Ok,
             copy: CopyNote::Untold,
             company: 0,
-            report: vec![],
+            report,
         }))
     }
 
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -498,3 +498,18 @@
     rig.give(Event::Probed(home, Status::Ok));
     assert_eq!(probes(&rig.pass(Span::millis(700))), 0, "it lives and is only slow");
 }
+
+/// rennes-campus, case4356: a hundred front ends of which each has one call at a home see it as idle, and what
+/// was called rarely at each of them piled up there, while its answers told of ninety calls.
+#[test]
+fn a_home_that_tells_of_a_crowd_is_passed_by_until_the_crowd_is_forgotten() {
+    let gauges = vec![Gauge::Busy, Gauge::InFlight];
+    let mut rig = Rig::new(Settings { gauges, fleet_size: 100, ..settings(OnMiss::Load) }, 6);
+    let home = sends(&rig.give(Event::Call(call(1, 7, 0))));
+    rig.told(R(1), 0, Status::Ok, vec![1.0, 90.0]);
+    let next = sends(&rig.give(Event::Call(call(2, 7, 0))));
+    assert!(next.len() == 1 && next != home, "{next:?} is not {home:?}");
+    rig.told(R(2), 0, Status::Ok, vec![0.1, 1.0]);
+    rig.pass(Span::millis(30_000));
+    assert_eq!(sends(&rig.give(Event::Call(call(3, 7, 0)))), home);
+}
