Share connections to a worker among the calls of a large fleet

The program knew of none: it counted no connect that failed. Of the 1,518 calls that came back `503`, 657 brought a load report, as a worker with full queues sends it, and 861 did not:

L {"attrs":{},"content":"","rid":...,"verb":"503"} closed id=... up=true open=0 ended=true

Exactly 861 connections were ended by a worker right after its first answer, nearly all of them between 13 and 20 s. So these were not full queues but full tables of connections: the call that a connection was opened for is turned away with it, and its worker is held to be full.

Pool opened a further connection as soon as one call was open on those it had (SHARED = 1), up to 9 for each worker on these limits (`spread`, from the descriptors of this scheduler alone). For three schedulers that is sound; a hundred of them together come to 900 on a worker, and a jam, in which calls stay out longer, makes it worse.

Ruled out: workers that are gone (all those that turned connections away were ready), the descriptor limit (79 of 384 held), the network (no connect timed out or was refused).

Now the connections over which calls are spread are bounded for all schedulers together, and each takes its part by the fleet's size that the settings tell: one of a hundred has one connection to a worker, one of three is held to 16 as before. A reset or a spoilt answer then takes the calls on that one connection with it, in a large fleet one or two. Beyond the multiplex limit another is opened as before.

--- a/src/backend/mod.rs
+++ b/src/backend/mod.rs
@@ -134,6 +134,8 @@
     pub multiplex: usize,
     /// Closed by us after so long without anything open: before the worker does, or a command could cross.
     pub idle: Span,
+    /// Schedulers that connect to the same workers.
+    pub fleet: usize,
 }
 
 /// A connection to a worker.
--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -11,6 +11,9 @@
 
 /// Connections to one worker at a time, those coming up included.
 const PER_WORKER: usize = 16;
+/// Connections to one worker that calls are spread over by all schedulers together. How many it takes is told
+/// nowhere, and one whose table is full turns away each further connection with the call on it.
+const ALL_TOGETHER: usize = 48;
 /// Calls on one connection from which another is opened, while descriptors last. One answer that cannot be
 /// read, or one reset, takes everything with it that is open on its connection.
 const SHARED: usize = 1;
@@ -138,7 +141,9 @@
         core: &mut Core,
     ) -> Option<u64> {
         // Clients may hold a third of the descriptors; what is left after them is for all workers alike.
-        self.spread = (self.budget * 2 / 3 / self.targets.len().max(1)).clamp(1, PER_WORKER);
+        let own =
+            (self.budget * 2 / 3 / self.targets.len().max(1)).min(ALL_TOGETHER / self.limits.fleet.max(1));
+        self.spread = own.clamp(1, PER_WORKER);
         let target = self.targets.get_mut(&worker)?;
         target.connections.retain(|id| reactor.look(*id, |_| ()).is_some());
         let load = |id: &u64| {
--- a/src/client.rs
+++ b/src/client.rs
@@ -101,7 +101,8 @@
     /// A scheduler without workers. The seed decides ties, and is to differ between clients.
     pub fn new(site: Site, seed: u64) -> io::Result<Client> {
         let reactor = Reactor::new(SystemClock::new())?;
-        let limits = Limits { multiplex: site.multiplex, idle: site.idle_close.times(0.8) };
+        let fleet = site.settings.fleet_size as usize;
+        let limits = Limits { multiplex: site.multiplex, idle: site.idle_close.times(0.8), fleet };
         let pool = Pool::new(limits, site.connect_limit, CONNECTIONS);
         let salt = (seed ^ seed >> 32) as u32 ^ std::process::id();
         Ok(Client { core: Core::new(site, seed), reactor, pool, next: 0, salt, answers: vec![] })
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -499,7 +499,8 @@
 fn worker_limits(config: &Config) -> (backend::Limits, Span, usize) {
     let site = &config.site;
     // Closed before the worker's own limit, or a command could cross its close.
-    let limits = backend::Limits { multiplex: site.multiplex, idle: site.idle_close.times(0.8) };
+    let fleet = site.settings.fleet_size as usize;
+    let limits = backend::Limits { multiplex: site.multiplex, idle: site.idle_close.times(0.8), fleet };
     // The platform allows connects 50 ms more than the simulator does.
     let connect = Span(site.connect_limit.0 + Span::millis(50).0);
     (limits, connect, config.sockets.saturating_sub(RESERVED))
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -457,3 +457,25 @@
     let held = std::fs::read_dir(format!("/proc/{}/fd", daemon.child.id())).unwrap().count();
     assert!(held <= 256, "{held} descriptors");
 }
+
+/// rennes-campus, case4356: a hundred schedulers that each opened a connection for each call at a time filled the
+/// workers' tables, and what came on one connection more was turned away with it.
+#[test]
+fn the_calls_of_a_large_fleet_share_their_connections_to_a_worker() {
+    for (fleet, connections) in [(3, 6), (100, 1)] {
+        let worker = Worker::agent();
+        let mut settings = settings();
+        settings["fleetSize"] = json!(fleet);
+        let daemon = Daemon::with(&[&worker], settings, None, |_| String::new());
+        let mut client = Frames::connect(&daemon);
+        let mut heard = Vec::new();
+        for n in 1..=6 {
+            client.send(&frame(0, n, &call("practice-check", &format!("{n:016x}"), 20_000, b"")));
+            heard.push(worker.next());
+        }
+        let used: std::collections::BTreeSet<usize> = heard.iter().map(|heard| heard.connection).collect();
+        assert_eq!(used.len(), connections, "{fleet} schedulers");
+        heard.iter_mut().for_each(|heard| heard.answer("200", ""));
+        (0..6).for_each(|_| assert_eq!(client.next().map(|(_, _, answer)| answer), Some(vec![79, 0])));
+    }
+}
