Learn from silence: lost workers and cut-off zones without probes

Calls that ended badly all look alike:

n38 63 send w= limit=1433, written 601 us; 1432 ms later: conclude Refused left=0, end Cancelled n56 54 send w= limit=1433, written 615 us; 1432 ms later: conclude Refused left=0, end Cancelled

Ends of attempts from 7 to 10 s by the zone of the worker, all schedulers:

zone 0: Ok 1668, Cancelled 19, Timeout 1 zone 1: Ok 0, Cancelled 755, Timeout 110, ConnectFailed 465 (none written, each after 300 ms)

One whole hall is silent to everybody, its own schedulers too; open connections take writes and say nothing. Ruled out: the workers' load (no answer at all, not even `full`), the bus (it tells of three of them at 10.2 s), the socket code (everything was written at once; what failed to connect was repeated elsewhere).

At fault in the module: Balancer::learn took nothing from an attempt that was called off at its call's end (`Status::Error | Status::Cancelled | Status::Moot => {}`), so the next call went to the same worker; Balancer::suspect returned at once where no probe may go, as here; and place() cut the hash order to the nearest workers before it left out the shunned, so that with many shunned ones healthy() gave them all back.

Now an attempt that had a whole aim at a worker that has said nothing since counts like a connection that could not be made. Where no probe may go, a zone of which nothing has come since calls went to three of its workers, each half its aim ago, is lost if another zone has answered since: its workers are shunned, and what is out there is called off and placed elsewhere where its class allows. When the pause is over one silent call is enough.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -33,6 +33,8 @@
 const RETRY: Span = Span::millis(40);
 /// A worker silent for this long while calls are out is probed; so many unanswered in a row make it lost.
 const SUSPECT: (Span, u32) = (Span::millis(800), 2);
+/// Part of the aim for which calls hear nothing, and at how many workers, before their zone is lost.
+const SILENT: (f64, usize) = (0.5, 3);
 /// Calls that break within this time broke with one connection; so many in a row make a worker lost.
 const RESETS: (Span, u32) = (Span::millis(30), 3);
 /// Weight of an outcome in a worker's failing part; the part from which it is left alone; what is left of it.
@@ -41,17 +43,13 @@
 const BACKOFF: (Span, u32) = (Span::millis(400), 4);
 /// A worker that turned a call away is left alone this long; cuts of a limit lie as far apart.
 const FULL_PAUSE: Span = Span::millis(150);
-/// Part of the cold budget used.
-const COLD_MARGIN: f64 = 0.7;
-/// What of the bearable part of usual traffic is let in by chance.
-const COLD_CHANCE: f64 = 0.12;
-/// Weight of a new latency in a worker's slowness and strain; bounds of the former, against peers.
-const SLOW_GAIN: f64 = 0.15;
+/// Part of the cold budget used, and what of the bearable part of usual traffic is let in by chance.
+const COLD: (f64, f64) = (0.7, 0.12);
+/// Weight of a new latency in a worker's slowness and strain and in a class's usual one; bounds of slowness.
+const GAIN: (f64, f64) = (0.15, 0.02);
 const SLOW_RANGE: (f64, f64) = (0.5, 12.0);
 /// Time in which unrefreshed slowness and told calls halve.
 const SLOW_HALF: Span = Span::millis(4000);
-/// Weight of a new latency in a class's usual one.
-const CLASS_GAIN: f64 = 0.02;
 const RATE_SPAN: Span = Span::millis(5000);
 /// In-flight calls that crossing a zone weighs as, times its price as a part of one.
 const CROSS_WEIGHT: f64 = 10.0;
@@ -64,12 +62,10 @@
 const LIMIT_STEP: (f64, f64) = (0.2, 0.85);
 /// Classes worth this multiple of another, for their work, get that much more room.
 const WORTHY: f64 = 1.5;
-/// Part of the aim that a call may wait here for room: with its work and a queue it would then end late.
-const QUEUE_PART: f64 = 0.2;
 /// Part of the aim after which a waiting call starts a load elsewhere, and of full workers that forbids it.
 const SPILL: (f64, f64) = (0.08, 0.34);
-/// Part of a call's whole time after which one that has found no room yet is given up.
-const HOPE: f64 = 0.4;
+/// Part of the aim that a call may wait for room in a crowd, and of its whole time that it may anywhere.
+const HOPE: (f64, f64) = (0.2, 0.4);
 /// How long a client whose call was given up is asked to stay away.
 const COOLDOWN: Span = Span::millis(250);
 /// Own calls for each copy in a keep-alive below which the common hash order says more of where copies stand.
@@ -267,12 +263,8 @@
         }
     }
 
-    // ---- Events in
-
     fn subscribe(&mut self, out: &mut Actions) {
-        if self.settings.discovery == Discovery::OnRequest {
-            out.push(Action::Subscribe);
-        }
+        out.extend((self.settings.discovery == Discovery::OnRequest).then_some(Action::Subscribe));
     }
 
     fn members(&mut self, kind: ListKind, members: Vec<Member>, out: &mut Actions) {
@@ -296,9 +288,7 @@
             }
             // A new process: nothing stands there, and what it was sent already counts as cold work.
             let mut fresh = Worker { member, born: self.now, slow: 1.0, limit: LIMIT.1, ..Worker::default() };
-            if let Some(old) = self.workers.remove(&member.worker) {
-                fresh.sends = old.sends;
-            }
+            fresh.sends = self.workers.remove(&member.worker).map(|old| old.sends).unwrap_or_default();
             self.workers.insert(member.worker, fresh);
         }
     }
@@ -331,13 +321,10 @@
     /// Nobody waits any more: what is out is called off, so that it takes no place that others want.
     fn client_gone(&mut self, id: RequestId, out: &mut Actions) {
         let attempt = self.requests.remove(&id).and_then(|request| request.out);
-        if let Some(attempt) = attempt.filter(|_| self.settings.limits.may_cancel) {
-            out.push(Action::Cancel { id, attempt });
-        }
+        let attempt = attempt.filter(|_| self.settings.limits.may_cancel);
+        out.extend(attempt.map(|attempt| Action::Cancel { id, attempt }));
     }
 
-    // ---- Ranking
-
     fn rerank(&mut self) {
         let counted: u32 = self.functions.values().map(|f| f.counts[0]).sum();
         if counted < BUCKET_CALLS || self.now - self.turned[0] < RERANK {
@@ -398,8 +385,6 @@
         function.order.clone()
     }
 
-    // ---- Placement
-
     fn place(&mut self, id: RequestId, out: &mut Actions) {
         let salt = self.rng.next_u64();
         let Some(request) = self.requests.get_mut(&id).filter(|r| r.out.is_none()) else { return };
@@ -414,7 +399,8 @@
         let (copies, blind) = self.wanted_copies(key, class);
         let near = if trust { usize::MAX } else { copies * 2 + NEAR };
         let able = self.hash_order(key).into_iter().filter(|w| self.may_send(id, *w));
-        let order = self.healthy(able.take(near).collect());
+        let mut order = self.healthy(able.collect());
+        order.truncate(near);
         let open = |w: &WorkerId| self.has_room(*w, class);
         if !order.iter().any(open) {
             return self.hold_back(id, out);
@@ -481,12 +467,10 @@
     fn hold_back(&mut self, id: RequestId, out: &mut Actions) {
         self.look_for_room();
         let Some(request) = self.requests.get(&id) else { return };
-        let crowded = self.crowding > CROWDED && self.now > request.came + request.aim.times(QUEUE_PART);
-        let effect = self.settings.classes[request.class].effect;
-        let closed = matches!((request.ran, effect), (Some(ran), Effect::Keyed { window, .. })
-            if self.now + KEY_MARGIN >= ran.since + window);
+        let crowded = self.crowding > CROWDED && self.now > request.came + request.aim.times(HOPE.0);
+        let closed = !self.may_repeat(request.class, request.ran);
         // Past this part of its time, or once no repeat is allowed, there is no hope: the client is told now.
-        if crowded || closed || self.now > request.came + (request.end - request.came).times(HOPE) {
+        if crowded || closed || self.now > request.came + (request.end - request.came).times(HOPE.1) {
             return self.give_up(id, out);
         }
         self.later(id, RETRY);
@@ -575,10 +559,8 @@
     /// The least busy of some workers, one with a free lane before one without; ties break randomly.
     fn least_busy(&self, key: FunctionId, among: &[WorkerId], salt: u64) -> Option<WorkerId> {
         let lanes = self.functions.get(&key).map_or(1, |f| f.lanes);
-        let cost = |w: WorkerId| {
-            let over = (self.lanes_taken(key, w) + 1).saturating_sub(lanes);
-            self.busy(w) + 2.0 * f64::from(over)
-        };
+        let over = |w: WorkerId| f64::from((self.lanes_taken(key, w) + 1).saturating_sub(lanes));
+        let cost = |w: WorkerId| self.busy(w) + 2.0 * over(w);
         let drawn = among.iter().map(|w| (cost(*w), mix(salt ^ w.0), *w));
         drawn.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1))).map(|(_, _, w)| w)
     }
@@ -597,8 +579,6 @@
         if kept.len() * 2 >= order.len() { kept } else { order }
     }
 
-    // ---- Gates: the only ways out
-
     /// Listed and ready, within the cold budget, attempts left, one at a time, and allowed by the effect.
     fn may_send(&self, id: RequestId, worker: WorkerId) -> bool {
         let (Some(request), Some(w)) = (self.requests.get(&id), self.workers.get(&worker)) else {
@@ -611,18 +591,20 @@
         {
             return false;
         }
-        let Some(ran) = request.ran else { return true };
-        match self.settings.classes[request.class].effect {
-            Effect::Safe => true,
-            Effect::Unsafe => false,
-            Effect::Keyed { group, window } => {
-                let same = match group {
-                    Group::All => true,
-                    Group::Zone => w.member.zone == ran.zone,
-                    Group::Cell => w.member.cell == ran.cell,
-                };
-                same && self.now < ran.since + window - KEY_MARGIN
-            }
+        let same = match (self.settings.classes[request.class].effect, request.ran) {
+            (Effect::Keyed { group: Group::Zone, .. }, Some(ran)) => w.member.zone == ran.zone,
+            (Effect::Keyed { group: Group::Cell, .. }, Some(ran)) => w.member.cell == ran.cell,
+            _ => true,
+        };
+        same && self.may_repeat(request.class, request.ran)
+    }
+
+    /// Whether the class allows a further attempt after one that may have run.
+    fn may_repeat(&self, class: usize, ran: Option<Ran>) -> bool {
+        match (self.settings.classes[class].effect, ran) {
+            (Effect::Safe, _) | (_, None) => true,
+            (Effect::Keyed { window, .. }, Some(ran)) => self.now + KEY_MARGIN < ran.since + window,
+            (Effect::Unsafe, Some(_)) => false,
         }
     }
 
@@ -680,9 +662,8 @@
     /// Ends a request unserved, at its end of time or before: refused where proven harmless, else failed.
     fn give_up(&mut self, id: RequestId, out: &mut Actions) {
         let Some(request) = self.requests.remove(&id) else { return };
-        if let Some(attempt) = request.out.filter(|_| self.settings.limits.may_cancel) {
-            out.push(Action::Cancel { id, attempt });
-        }
+        let attempt = request.out.filter(|_| self.settings.limits.may_cancel);
+        out.extend(attempt.map(|attempt| Action::Cancel { id, attempt }));
         let may_have_run = request.ran.is_some() || request.out.is_some();
         let harmless = match self.settings.classes[request.class].effect {
             Effect::Safe => true,
@@ -694,8 +675,6 @@
         out.push(if harmless { Action::Refuse { id, wait } } else { Action::Fail { id } });
     }
 
-    // ---- Answers
-
     fn outcome(&mut self, outcome: Outcome, out: &mut Actions) {
         let Some(attempt) = self.attempts.remove(&(outcome.id, outcome.attempt)) else { return };
         let now = self.now;
@@ -706,9 +685,7 @@
             return;
         }
         request.out = None;
-        if !outcome.status.never_ran() && request.ran.is_none() {
-            request.ran = Some(attempt.place);
-        }
+        request.ran = request.ran.or(Some(attempt.place).filter(|_| !outcome.status.never_ran()));
         // Where it failed it would most likely fail again, and at once.
         if matches!(outcome.status, Status::Miss | Status::Error | Status::Full) {
             request.missed.push(attempt.worker);
@@ -718,9 +695,8 @@
             self.order_load(attempt.worker, attempt.function, out);
         }
         let Some(request) = self.requests.get(&outcome.id) else { return };
-        let unsafe_ran =
-            request.ran.is_some() && self.settings.classes[request.class].effect == Effect::Unsafe;
-        if outcome.status == Status::Timeout || now >= request.end || unsafe_ran {
+        let closed = !self.may_repeat(request.class, request.ran);
+        if outcome.status == Status::Timeout || now >= request.end || closed {
             return self.give_up(outcome.id, out);
         }
         self.place(outcome.id, out);
@@ -729,6 +705,7 @@
     /// What an outcome says of the worker and of the copy there.
     fn learn(&mut self, outcome: &Outcome, attempt: &Attempt) {
         let (now, keep) = (self.now, self.settings.loading.keep);
+        let aim = self.settings.classes[attempt.class].aim;
         let Some(w) = self.workers.get_mut(&attempt.worker) else { return };
         if attempt.place.since < w.born {
             return;
@@ -736,9 +713,8 @@
         if matches!(outcome.status, Status::Ok | Status::Error | Status::Full | Status::Miss) {
             (w.heard, w.unanswered) = (now, 0);
         }
-        let held = self.settings.gauges.iter().position(|gauge| *gauge == Gauge::InFlight);
-        if let Some(held) = held.and_then(|place| outcome.report.get(place)) {
-            w.others = (f64::from(*held) - f64::from(w.in_flight)).max(0.0);
+        if let Some(held) = self.settings.gauge(Gauge::InFlight, &outcome.report) {
+            w.others = (held - f64::from(w.in_flight)).max(0.0);
         }
         w.in_flight = w.in_flight.saturating_sub(1);
         let pair = w.pairs.entry(attempt.function).or_default();
@@ -775,10 +751,10 @@
                 self.done += *usual;
                 if stood {
                     let ratio = (latency / *usual).clamp(0.0, SLOW_RANGE.1 * 2.0);
-                    *usual += (latency - *usual) * CLASS_GAIN;
-                    w.slow = (w.slow + (ratio - w.slow) * SLOW_GAIN).clamp(SLOW_RANGE.0, SLOW_RANGE.1);
+                    *usual += (latency - *usual) * GAIN.1;
+                    w.slow = (w.slow + (ratio - w.slow) * GAIN.0).clamp(SLOW_RANGE.0, SLOW_RANGE.1);
                     w.slow_at = now;
-                    w.strain += (took - w.strain) * SLOW_GAIN;
+                    w.strain += (took - w.strain) * GAIN.0;
                     // The mean lags behind: what is quick again is no sign of too much.
                     if w.strain > STRAIN && took > STRAIN {
                         w.cut(now);
@@ -807,6 +783,12 @@
                 }
             }
             Status::ConnectFailed => w.lost(now),
+            // A machine that is cut off breaks no connection: it had a whole aim and has said nothing since.
+            Status::Timeout | Status::Cancelled
+                if w.heard < attempt.place.since && outcome.latency >= aim =>
+            {
+                w.lost(now)
+            }
             Status::Timeout => {
                 w.slow = (w.slow * 1.3).min(SLOW_RANGE.1);
                 w.cut(now);
@@ -831,7 +813,7 @@
         }
     }
 
-    /// A worker that answers no probe is lost: what is out there is placed elsewhere if its class allows.
+    /// A worker that answers no probe is lost.
     fn probed(&mut self, worker: WorkerId, status: Status, out: &mut Actions) {
         let now = self.now;
         let Some(w) = self.workers.get_mut(&worker) else { return };
@@ -846,14 +828,37 @@
         }
         (w.heard, w.unanswered) = (now, 0);
         w.lost(now);
+        self.call_off(worker, out);
+    }
+
+    /// Where no probe may go: a zone that has said nothing since several calls went there, half an aim ago
+    /// or more, is cut off if another has answered. Once all of it is held lost, one call keeps it shut.
+    fn suspect_zones(&mut self, out: &mut Actions) {
+        if self.settings.limits.may_probe || !self.settings.limits.may_cancel {
+            return;
+        }
+        let now = self.now;
+        for zone in self.workers.values().map(|w| w.member.zone).collect::<BTreeSet<_>>() {
+            let own = |w: &&Worker| w.member.zone == zone;
+            let here = self.workers.values().filter(own).map(|w| w.heard).max();
+            let elsewhere = self.workers.values().filter(|w| !own(w)).map(|w| w.heard).max();
+            let since = |a: &Attempt| Some(a.place.since).filter(|at| now - *at > a.aim.times(SILENT.0));
+            let waits = |a: &Attempt| a.place.zone == zone && since(a) > here && since(a) < elsewhere;
+            let silent: BTreeSet<_> = self.attempts.values().filter(|a| waits(a)).map(|a| a.worker).collect();
+            let enough = if self.workers.values().filter(own).all(|w| w.failures > 0) { 1 } else { SILENT.1 };
+            let there: Vec<_> = self.workers.values().filter(own).map(|w| w.member.worker).collect();
+            for worker in there.into_iter().filter(|_| silent.len() >= enough) {
+                self.workers.entry(worker).and_modify(|w| w.lost(now));
+                self.call_off(worker, out);
+            }
+        }
+    }
+
+    /// Calls off what is out at a lost worker, to be placed elsewhere, as far as its class allows.
+    fn call_off(&self, worker: WorkerId, out: &mut Actions) {
         for ((id, number), attempt) in self.attempts.iter().filter(|(_, a)| a.worker == worker) {
             let Some(request) = self.requests.get(id).filter(|r| r.out == Some(*number)) else { continue };
-            let ran = request.ran.unwrap_or(attempt.place).since;
-            let again = match self.settings.classes[request.class].effect {
-                Effect::Safe => true,
-                Effect::Keyed { window, .. } => now + KEY_MARGIN < ran + window,
-                Effect::Unsafe => false,
-            };
+            let again = self.may_repeat(request.class, request.ran.or(Some(attempt.place)));
             if again && request.attempts < self.settings.limits.max_attempts {
                 out.push(Action::Cancel { id: *id, attempt: *number });
             }
@@ -888,13 +893,12 @@
         waiting.into_iter().for_each(|id| self.place(id, out));
     }
 
-    // ---- Holds: gold stands everywhere
-
     fn holds(&mut self, out: &mut Actions) {
         self.due.insert((self.now + HOLD_PACE, Due::Holds));
         self.prune();
         self.rerank();
         self.suspect(out);
+        self.suspect_zones(out);
         let fleet = u64::from(self.settings.fleet_size.max(1));
         let lead = self.settings.loading.keep.times(RENEW_AT);
         let gold: Vec<_> = self.functions.iter().filter(|(_, f)| f.gold).map(|(id, _)| *id).collect();
@@ -920,26 +924,19 @@
 
     /// Forgets what has left every window.
     fn prune(&mut self) {
-        let span = self.settings.rules.ration.map_or(Span(0), |r| r.span);
-        let since = self.now - span;
+        let since = self.now - self.settings.rules.ration.map_or(Span(0), |r| r.span);
         for times in [&mut self.orders, &mut self.arrivals] {
-            while times.front().is_some_and(|at| *at < since) {
-                times.pop_front();
-            }
+            times.retain(|at| *at >= since);
         }
         self.look_for_room();
         let (now, fall) = (self.now, self.settings.rules.fall_span);
         for w in self.workers.values_mut() {
-            while w.sends.front().is_some_and(|(at, _)| now - *at > fall) {
-                w.sends.pop_front();
-            }
+            w.sends.retain(|(at, _)| now - *at <= fall);
             w.others *= 0.5f64.powf(HOLD_PACE.secs() / SLOW_HALF.secs());
         }
         self.done *= (-HOLD_PACE.secs() / RATE_SPAN.secs()).exp();
     }
 
-    // ---- Cold starts
-
     /// How long ago a worker that is still cold has started.
     fn cold_age(&self, worker: WorkerId) -> Option<Span> {
         let started = self.workers.get(&worker)?.member.started?;
@@ -952,13 +949,13 @@
         let rules = &self.settings.rules;
         let part = rules.cold_from + (1.0 - rules.cold_from) * age.secs() / rules.cold_span.secs();
         let rate = self.done / RATE_SPAN.secs() / self.workers.len().max(1) as f64;
-        let budget = rules.fall_multiple * part * rate * rules.fall_span.secs() * COLD_MARGIN;
+        let budget = rules.fall_multiple * part * rate * rules.fall_span.secs() * COLD.0;
         let since = self.now - rules.fall_span;
         let spent: f64 = w.sends.iter().filter(|(at, _)| *at >= since).map(|(_, weight)| weight).sum();
         // One call is more than the share of a front end of many: each draws once for a worker, and what of
         // usual traffic is let in follows its capacity; less under strain, when more than the usual comes.
         let drawn = mix(w.member.worker.0 ^ mix(u64::from(id.0) << 32 | u64::from(self.settings.index)));
-        let chance = rules.fall_multiple * part * COLD_CHANCE * (1.0 - self.strain);
+        let chance = rules.fall_multiple * part * COLD.1 * (1.0 - self.strain);
         let let_in = drawn as f64 / (u64::MAX as f64) < chance;
         spent + weight <= budget || budget < weight && spent == 0.0 && let_in
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -223,6 +223,14 @@
     OnRequest,
 }
 
+impl Settings {
+    /// The value of a load report that has this meaning, if it has one.
+    pub fn gauge(&self, gauge: Gauge, report: &[f32]) -> Option<f64> {
+        let place = self.gauges.iter().position(|told| *told == gauge)?;
+        report.get(place).map(|value| f64::from(*value))
+    }
+}
+
 /// What a front end is told at its start.
 #[derive(Clone, Debug)]
 pub struct Settings {
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -513,3 +513,55 @@
     rig.pass(Span::millis(30_000));
     assert_eq!(sends(&rig.give(Event::Call(call(3, 7, 0)))), home);
 }
+
+/// rennes-campus, case3338: a hall was cut off. No probe is allowed there and nothing broke, so each call that went
+/// there was lost until its deadline, and the next ones followed it.
+#[test]
+fn a_zone_that_says_nothing_to_several_calls_is_left_and_its_calls_are_placed_elsewhere() {
+    let mut settings = settings(OnMiss::Load);
+    settings.limits.may_probe = false;
+    let mut rig = Rig::new(settings, 0);
+    let cut_off = |worker: &WorkerId| worker.0 % 2 == 1;
+    let placed = |n: u64| Member { zone: ZoneId((n % 2) as u8), ..member(n) };
+    rig.give(Event::Members(ListKind::Full, (1..=8).map(placed).collect()));
+    let mut waiting = std::collections::BTreeSet::new();
+    let mut ids = 1..;
+    let mut next = |rig: &mut Rig| {
+        let id = ids.next().unwrap();
+        let sent = sends(&rig.give(Event::Call(call(id, u64::from(id), 0))))[0];
+        if !cut_off(&sent) {
+            rig.answer(Status::Ok);
+        }
+        sent
+    };
+    while waiting.len() < 3 {
+        waiting.extend(Some(next(&mut rig)).filter(cut_off));
+    }
+    let cancels = |actions: &[Action]| actions.iter().filter(|a| matches!(a, Action::Cancel { .. })).count();
+    assert_eq!(cancels(&rig.pass(Span::millis(390))), 0, "half the aim of 800 ms has not passed");
+    while cut_off(&next(&mut rig)) {}
+    assert!(cancels(&rig.pass(Span::millis(210))) >= 3);
+    assert!((0..30).all(|_| !cut_off(&next(&mut rig))));
+}
+
+/// The same day: what ended unanswered taught the module nothing of the worker, not even where it had been silent.
+#[test]
+fn a_worker_that_said_nothing_in_a_calls_whole_time_is_left_alone() {
+    let mut settings = settings(OnMiss::Load);
+    settings.limits.may_probe = false;
+    let mut rig = Rig::new(settings, 4);
+    let home = sends(&rig.give(Event::Call(call(1, 7, 0))));
+    assert!(rig.pass(Span::millis(2500)).contains(&Action::Cancel { id: R(1), attempt: 0 }));
+    rig.give(Event::Outcome(Outcome {
+        id: R(1),
+        attempt: 0,
+        status: Status::Cancelled,
+        latency: Span::millis(2498),
+        finished: true,
+        copy: CopyNote::Untold,
+        company: 0,
+        report: vec![],
+    }));
+    let next = sends(&rig.give(Event::Call(call(2, 7, 0))));
+    assert!(next.len() == 1 && next != home, "{next:?} is not {home:?}");
+}
