Let usual traffic in at cold workers in proportion to their capacity

At 15 s, with 24 of 40 workers replaced, the calls out at each worker, all schedulers together: at 14 of the 16 old workers 29 to 68 (several turn calls away as full, 1,109 from 15 to 20 s), at the new ones 35 and 28 at two and 3 to 19 at the rest, although these were up for 2 to 6 s.

A call is more than the share that one of a hundred schedulers has of a cold worker's budget, so Balancer::cold_room lets calls in by a draw, and its chance was fall_multiple x part x 0.12: 0.48 of the part of its capacity that a cold worker has. What the others had no room for followed the hash order to the old workers. Ruled out: the list (the new workers were told at 8.8, 9.9 and 13.2 s), loads (few orders, and the new workers answer `full` no more often than the old).

The chance is now a quarter of what the rule bears, with the rule's multiple of 4 just the part of the capacity; the rule itself stays four times away.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -44,7 +44,7 @@
 /// A worker that turned a call away is left alone this long; cuts of a limit lie as far apart.
 const FULL_PAUSE: Span = Span::millis(150);
 /// Part of the cold budget used, and what of the bearable part of usual traffic is let in by chance.
-const COLD: (f64, f64) = (0.7, 0.12);
+const COLD: (f64, f64) = (0.7, 0.25);
 /// Weight of a new latency in a worker's slowness and strain and in a class's usual one; bounds of slowness.
 const GAIN: (f64, f64) = (0.15, 0.02);
 const SLOW_RANGE: (f64, f64) = (0.5, 12.0);
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -468,6 +468,24 @@
     assert!((5..=40).contains(&to_cold), "{to_cold}");
 }
 
+/// rennes-campus, case4356: of what a release's successors could do they were given half, and the old workers jammed.
+#[test]
+fn what_is_let_in_at_a_cold_worker_follows_its_capacity() {
+    for (age, expected) in [(0, 0.2), (4_500, 0.4), (9_000, 0.6)] {
+        let mut to_cold = 0;
+        for index in 0..400 {
+            let mut settings = Settings { fleet_size: 400, index, ..settings(OnMiss::Load) };
+            settings.rules.fall_multiple = 4.0;
+            let mut rig = Rig::new(settings, 1);
+            let started = Some(rig.now - Span::millis(age));
+            rig.give(Event::Members(ListKind::Delta, vec![Member { started, ..member(1) }]));
+            to_cold += sends(&rig.give(Event::Call(call(1, u64::from(index), 0)))).len();
+        }
+        let part = to_cold as f64 / 400.0;
+        assert!((expected - 0.06..expected + 0.06).contains(&part), "{part} after {age} ms");
+    }
+}
+
 /// A machine that is cut off breaks no connection: its calls were lost until their deadlines.
 #[test]
 fn a_silent_worker_is_probed_and_its_calls_are_placed_elsewhere() {
