Keep to the workers that are not lost, and try a call elsewhere after a failed connect

From 5 to 15 s 22 to 44% is refused and 3,268 + 2,496 attempts run into their time.

The workers were shunned; Balancer::healthy() gave them back. It left shunned and crowded workers out together and took all for well again when those left were under half: with 19 of 40 lost, two crowded ones are enough. And outcome() noted that a call should not go to a worker again only after miss, error and full (`missed`), so it went back to the first of the hash order. Ruled out: the pause after a lost worker (it doubled as it should).

Now the lost are left out as long as a quarter is left, the crowded from the rest as long as that leaves half, against the mean of the rest. After any end but a reset connection or one that we held back, a call prefers others.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -571,11 +571,14 @@
         two.get(1).filter(clearly).or(two.first()).copied()
     }
 
-    /// Leaves out the shunned and the crowded, unless that would put out more than half.
+    /// Leaves out the shunned, unless few would be left, and of the rest the crowded, unless most are.
     fn healthy(&self, order: Vec<WorkerId>) -> Vec<WorkerId> {
-        let mean = self.workers.values().map(Worker::held).sum::<f64>() / self.workers.len().max(1) as f64;
-        let well = |w: &Worker| w.shun_until <= self.now && w.held() <= mean * CROWD.0 + CROWD.1;
-        let kept: Vec<WorkerId> = order.iter().copied().filter(|w| well(&self.workers[w])).collect();
+        let well = |w: &WorkerId| self.workers[w].shun_until <= self.now;
+        let kept: Vec<WorkerId> = order.iter().copied().filter(well).collect();
+        let order = if kept.len() * 4 >= order.len() { kept } else { order };
+        let mean = order.iter().map(|w| self.workers[w].held()).sum::<f64>() / order.len().max(1) as f64;
+        let free = |w: &WorkerId| self.workers[w].held() <= mean * CROWD.0 + CROWD.1;
+        let kept: Vec<WorkerId> = order.iter().copied().filter(free).collect();
         if kept.len() * 2 >= order.len() { kept } else { order }
     }
 
@@ -687,7 +690,7 @@
         request.out = None;
         request.ran = request.ran.or(Some(attempt.place).filter(|_| !outcome.status.never_ran()));
         // Where it failed it would most likely fail again, and at once.
-        if matches!(outcome.status, Status::Miss | Status::Error | Status::Full) {
+        if !matches!(outcome.status, Status::Reset | Status::Moot) {
             request.missed.push(attempt.worker);
         }
         // Where a copy is wanted by what all call, the hold is given at once, while others are tried.
@@ -710,6 +713,7 @@
         if attempt.place.since < w.born {
             return;
         }
+        let silent = w.heard < attempt.place.since && outcome.latency >= aim;
         if matches!(outcome.status, Status::Ok | Status::Error | Status::Full | Status::Miss) {
             (w.heard, w.unanswered) = (now, 0);
         }
@@ -784,11 +788,7 @@
             }
             Status::ConnectFailed => w.lost(now),
             // A machine that is cut off breaks no connection: it had a whole aim and has said nothing since.
-            Status::Timeout | Status::Cancelled
-                if w.heard < attempt.place.since && outcome.latency >= aim =>
-            {
-                w.lost(now)
-            }
+            Status::Timeout | Status::Cancelled if silent => w.lost(now),
             Status::Timeout => {
                 w.slow = (w.slow * 1.3).min(SLOW_RANGE.1);
                 w.cut(now);
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -583,3 +583,16 @@
     let next = sends(&rig.give(Event::Call(call(2, 7, 0))));
     assert!(next.len() == 1 && next != home, "{next:?} is not {home:?}");
 }
+
+/// rennes-campus, day 3: with nearly half of the workers cut off and some crowded, all were taken for well again, and
+/// a call went to one lost worker up to five times.
+#[test]
+fn a_call_that_cannot_be_delivered_tries_each_worker_once_however_many_are_lost() {
+    let mut rig = Rig::new(settings(OnMiss::Load), 5);
+    rig.give(Event::Call(call(1, 7, 0)));
+    for _ in 0..4 {
+        rig.answer(Status::ConnectFailed);
+    }
+    let tried: std::collections::BTreeSet<_> = rig.sent.iter().map(|(_, _, worker)| *worker).collect();
+    assert_eq!((rig.sent.len(), tried.len()), (5, 5), "{:?}", rig.sent);
+}
