Count the first call that waits for a load as half a call in a worker's room

Balancer::has_room counted a call that waits for a load like one that runs, though learn() knows that such a wait "says nothing of how full workers are". The first to wait for a function's load now counts half: it takes no core yet. Those that join it count whole, for they will want their cores together.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -504,10 +504,13 @@
         (counted as usize, own < counted * BLIND_CALLS)
     }
 
-    /// Whether our calls at a worker are under what its answers have shown to be good.
+    /// Whether our calls at a worker are under what its answers have shown to be good. The first that waits
+    /// for a load takes no core there and counts half; more of them will want their cores at once.
     fn has_room(&self, worker: WorkerId, class: usize) -> bool {
         let more = if self.worthy(class) { WORTHY } else { 1.0 };
-        self.workers.get(&worker).is_some_and(|w| f64::from(w.in_flight) + 1.0 <= (w.limit * more).max(1.0))
+        let Some(w) = self.workers.get(&worker) else { return false };
+        let loading = w.pairs.values().filter(|p| p.in_flight > 0 && p.warm_until <= self.now).count();
+        f64::from(w.in_flight) - loading as f64 / 2.0 + 1.0 <= (w.limit * more).max(1.0)
     }
 
     /// Whether a class is worth clearly more than another for its work: it is given more room and shed last.
@@ -573,8 +576,7 @@
 
     /// Leaves out the shunned, unless few would be left, and of the rest the crowded, unless most are.
     fn healthy(&self, order: Vec<WorkerId>) -> Vec<WorkerId> {
-        let well = |w: &WorkerId| self.workers[w].shun_until <= self.now;
-        let kept: Vec<WorkerId> = order.iter().copied().filter(well).collect();
+        let kept: Vec<_> = order.iter().copied().filter(|w| self.workers[w].shun_until <= self.now).collect();
         let order = if kept.len() * 4 >= order.len() { kept } else { order };
         let mean = order.iter().map(|w| self.workers[w].held()).sum::<f64>() / order.len().max(1) as f64;
         let free = |w: &WorkerId| self.workers[w].held() <= mean * CROWD.0 + CROWD.1;
@@ -690,9 +692,8 @@
         request.out = None;
         request.ran = request.ran.or(Some(attempt.place).filter(|_| !outcome.status.never_ran()));
         // Where it failed it would most likely fail again, and at once.
-        if !matches!(outcome.status, Status::Reset | Status::Moot) {
-            request.missed.push(attempt.worker);
-        }
+        let elsewhere = !matches!(outcome.status, Status::Reset | Status::Moot);
+        request.missed.extend(Some(attempt.worker).filter(|_| elsewhere));
         // Where a copy is wanted by what all call, the hold is given at once, while others are tried.
         if outcome.status == Status::Miss && self.wanted_copies(attempt.function, attempt.class).1 {
             self.order_load(attempt.worker, attempt.function, out);
@@ -837,18 +838,17 @@
         if self.settings.limits.may_probe || !self.settings.limits.may_cancel {
             return;
         }
-        let now = self.now;
         for zone in self.workers.values().map(|w| w.member.zone).collect::<BTreeSet<_>>() {
             let own = |w: &&Worker| w.member.zone == zone;
             let here = self.workers.values().filter(own).map(|w| w.heard).max();
             let elsewhere = self.workers.values().filter(|w| !own(w)).map(|w| w.heard).max();
-            let since = |a: &Attempt| Some(a.place.since).filter(|at| now - *at > a.aim.times(SILENT.0));
+            let since = |a: &Attempt| Some(a.place.since).filter(|at| self.now - *at > a.aim.times(SILENT.0));
             let waits = |a: &Attempt| a.place.zone == zone && since(a) > here && since(a) < elsewhere;
             let silent: BTreeSet<_> = self.attempts.values().filter(|a| waits(a)).map(|a| a.worker).collect();
             let enough = if self.workers.values().filter(own).all(|w| w.failures > 0) { 1 } else { SILENT.1 };
             let there: Vec<_> = self.workers.values().filter(own).map(|w| w.member.worker).collect();
             for worker in there.into_iter().filter(|_| silent.len() >= enough) {
-                self.workers.entry(worker).and_modify(|w| w.lost(now));
+                self.workers.entry(worker).and_modify(|w| w.lost(self.now));
                 self.call_off(worker, out);
             }
         }
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -596,3 +596,19 @@
     let tried: std::collections::BTreeSet<_> = rig.sent.iter().map(|(_, _, worker)| *worker).collect();
     assert_eq!((rig.sent.len(), tried.len()), (5, 5), "{:?}", rig.sent);
 }
+
+/// rennes-campus, day 7 of few schedulers: calls of functions wanted once, waiting for their loads on idle cores,
+/// filled the workers' limits, and what else came was refused after a fifth of its aim.
+#[test]
+fn calls_that_wait_for_loads_leave_room_for_others() {
+    let sent = |rig: &mut Rig, functions: u32| {
+        let calls = (100..130).map(|n| call(n, u64::from(n % functions), 0));
+        calls.map(|call| sends(&rig.give(Event::Call(call))).len()).sum::<usize>()
+    };
+    let mut rig = Rig::new(settings(OnMiss::Load), 1);
+    assert_eq!(sent(&mut rig, 100), 15, "nothing stands: each counts half of the limit of 8");
+    let mut rig = Rig::new(settings(OnMiss::Load), 1);
+    rig.give(Event::Call(call(1, 0, 0)));
+    rig.answer(Status::Ok);
+    assert_eq!(sent(&mut rig, 1), 8, "a copy stands");
+}
