Count the time to write the last answers from when they are put in line

Reading of shutdown against unflushed answers. Daemon::ended let the program go once 1.7 s had passed since SIGTERM, written or not: `written = !unwritten() || now >= since + PART + LAST_WRITE`. A call that came just before SIGTERM may be answered 3 s after it, and an answer put in line then for a client that still reads what came before had no time at all: the program ended in the same turn of its loop.

Line at fault: src/daemon.rs, Daemon::ended. The 500 ms now count from when nothing is owed any more.

Test: tests/crossings.rs, the_last_answer_after_sigterm_is_written_however_late_it_comes. Ruled out: the kernel's buffers (what the system had taken came), calls still unread at the end (they are taken as the client reads on, and are owed like others).

The stand-in bus and only_ready move from tests/sockets.rs into the rig, for other tests to use, unchanged.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -23,7 +23,7 @@
 const PART: Span = Span::millis(1_200);
 /// When connections that came after SIGTERM are told that they are to leave.
 const LATE_LEAVE: Span = Span::millis(750);
-/// How long answers may wait to be written before the end.
+/// How long answers may wait to be written before the end, from when the last is put in line.
 const LAST_WRITE: Span = Span::millis(500);
 /// Descriptors kept for the poll, the listeners, the pipes, the bus and the standard streams.
 const RESERVED: usize = 32;
@@ -74,6 +74,8 @@
     pipes: (usize, usize, usize),
     /// Since when the daemon is on its way out.
     ending: Option<Time>,
+    /// Since when nothing is owed any more, on the way out.
+    settled: Option<Time>,
     told_late: bool,
 }
 
@@ -129,6 +131,7 @@
             router,
             pipes,
             ending: None,
+            settled: None,
             told_late: false,
         })
     }
@@ -473,8 +476,9 @@
     fn next_step(&self) -> Option<Time> {
         let since = self.ending?;
         let now = self.reactor.now();
-        let steps = [since + LATE_LEAVE, since + PART, since + PART + LAST_WRITE];
-        steps.into_iter().find(|at| *at > now)
+        let given_up = self.settled.map(|settled| settled.max(since + PART) + LAST_WRITE);
+        let steps = [Some(since + LATE_LEAVE), Some(since + PART), given_up];
+        steps.into_iter().flatten().find(|at| *at > now)
     }
 
     fn ended(&mut self) -> bool {
@@ -484,8 +488,13 @@
             self.told_late = true;
             self.leave_all();
         }
-        let written = !self.reactor.unwritten() || now >= since + PART + LAST_WRITE;
-        now >= since + PART && self.core.owed() == 0 && written
+        if self.core.owed() > 0 {
+            self.settled = None;
+            return false;
+        }
+        // The last answer may come as late as its call allows: the time to write it counts from then.
+        let settled = (*self.settled.get_or_insert(now)).max(since + PART);
+        now >= since + PART && (!self.reactor.unwritten() || now >= settled + LAST_WRITE)
     }
 }
 
--- /dev/null
+++ b/tests/crossings.rs
@@ -0,0 +1,53 @@
+//! Pairs of events that cross, each forced by the order in which a test lets them happen.
+
+mod rig;
+
+use rig::*;
+
+/// The reference of a test's n-th call.
+fn name(n: u32) -> String {
+    format!("{n:016x}")
+}
+
+// ---- The end
+
+/// SIGTERM, and the last answer is put in line for a client that has not read yet what came before it: it has
+/// the time that such a client is given, counted from then and not from the signal.
+#[test]
+fn the_last_answer_after_sigterm_is_written_however_late_it_comes() {
+    let worker = Worker::agent();
+    let mut daemon = Daemon::start(&[&worker]);
+    let (mut reader, mut clock) = (Frames::connect(&daemon), Frames::connect(&daemon));
+    reader.send(&frame(0, 1, &call("practice-check", &name(1), 20_000, b"last")));
+    let mut held = worker.next();
+    let lines = worker.serve(|heard| echo(heard).filter(|_| heard.line["rid"] != name(2)));
+    // Answers that nobody reads, until no more requests are taken from that connection.
+    let body = vec![7; 16 << 10];
+    let mut sent = 2;
+    loop {
+        let more =
+            (1..=8).flat_map(|n| frame(0, sent + n, &call("practice-check", &name(sent + n), 20_000, &body)));
+        reader.send(&more.collect::<Vec<u8>>());
+        sent += 8;
+        (0..5).for_each(|_| only_ready(&mut clock, 79));
+        let taken = daemon.counter("taken");
+        if taken < u64::from(sent - 1) {
+            break;
+        }
+        daemon.wait_counter("served", u64::from(sent - 2));
+        assert!(sent < 4000, "the daemon goes on reading");
+    }
+    daemon.signal("TERM");
+    assert_eq!(clock.next(), Some((9, 0, vec![])));
+    // Its refusal shows that the time after SIGTERM itself is over.
+    clock.send(&frame(0, 2, &call("practice-check", &name(2), 2_400, b"")));
+    let (kind, stream, payload) = clock.next().unwrap();
+    assert_eq!((kind, stream, payload[0]), (1, 2, 66));
+    held.answer("200", "bGFzdA==");
+    let frames: Vec<_> = std::iter::from_fn(|| reader.next()).collect();
+    assert!(frames.contains(&(1, 1, b"\x4f\0last".to_vec())), "{} frames", frames.len());
+    let served = frames.iter().filter(|(kind, stream, _)| *kind == 1 && *stream > 2).count();
+    assert_eq!(served as u32, sent - 2, "and every other answer");
+    assert!(daemon.child.wait().unwrap().success());
+    assert!(tally(&lines)["go"] as u32 >= sent - 1);
+}
--- a/tests/jsonrpc.rs
+++ b/tests/jsonrpc.rs
@@ -9,8 +9,6 @@
 use std::os::unix::net::UnixListener;
 use std::path::PathBuf;
 
-const REF: &str = "9b1f03aa5c7e2d41";
-
 fn operator(folder: &Folder) -> String {
     format!("[jsonrpc]\nsocket = {:?}\nmax_line = 40000\n", folder.at("calls.sock"))
 }
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -17,6 +17,8 @@
 pub const LONG: Duration = Duration::from_secs(20);
 /// A function that every test may call.
 pub const FUNCTION: &str = "7f3a9c21e0b4d655";
+/// The name of a call, where a test needs but one.
+pub const REF: &str = "9b1f03aa5c7e2d41";
 
 pub trait Wire: Read + Write + Send {
     fn twin(&self) -> Box<dyn Wire>;
@@ -483,3 +485,36 @@
     }
     counts
 }
+
+/// Nothing more has come for the client before the answer to this.
+pub fn only_ready(client: &mut Frames, code: u8) {
+    client.send(&frame(6, 99, &[0]));
+    assert_eq!(client.next(), Some((7, 99, vec![code, 0])), "no second answer");
+}
+
+/// A bus that the test plays by hand.
+pub struct Bus(pub TcpListener);
+
+impl Bus {
+    pub fn new() -> Bus {
+        Bus(TcpListener::bind("127.0.0.1:0").unwrap())
+    }
+
+    /// The next connection and the offset from which it wants to go on.
+    pub fn accept(&self) -> (TcpStream, u64) {
+        let (mut stream, _) = self.0.accept().unwrap();
+        let mut offset = [0; 8];
+        stream.read_exact(&mut offset).unwrap();
+        (stream, u64::from_be_bytes(offset))
+    }
+}
+
+pub fn event(offset: u64, id: u32, worker: &Worker, state: u8) -> Vec<u8> {
+    let mut record = id.to_be_bytes().to_vec();
+    record.extend([127, 0, 0, 1]);
+    record.extend(worker.address().port().to_be_bytes());
+    record.extend([state, 0, 0, 0, 0]);
+    record.extend(4000u32.to_be_bytes());
+    record.extend(0u64.to_be_bytes());
+    [&(9 + record.len() as u32).to_be_bytes()[..], &offset.to_be_bytes(), &[2], &record].concat()
+}
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -4,17 +4,9 @@
 
 use rig::*;
 use serde_json::json;
-use std::io::{Read, Write};
+use std::io::Write;
 use std::net::{TcpListener, TcpStream};
 
-const REF: &str = "9b1f03aa5c7e2d41";
-
-/// Nothing more has come for the client before the answer to this.
-fn only_ready(client: &mut Frames, code: u8) {
-    client.send(&frame(6, 99, &[0]));
-    assert_eq!(client.next(), Some((7, 99, vec![code, 0])), "no second answer");
-}
-
 #[test]
 fn a_call_is_served_with_the_workers_body_however_its_bytes_come() {
     let worker = Worker::agent();
@@ -322,33 +314,6 @@
     only_ready(&mut client, 79);
 }
 
-/// A bus that the test plays by hand.
-struct Bus(TcpListener);
-
-impl Bus {
-    fn new() -> Bus {
-        Bus(TcpListener::bind("127.0.0.1:0").unwrap())
-    }
-
-    /// The next connection and the offset from which it wants to go on.
-    fn accept(&self) -> (TcpStream, u64) {
-        let (mut stream, _) = self.0.accept().unwrap();
-        let mut offset = [0; 8];
-        stream.read_exact(&mut offset).unwrap();
-        (stream, u64::from_be_bytes(offset))
-    }
-}
-
-fn event(offset: u64, id: u32, worker: &Worker, state: u8) -> Vec<u8> {
-    let mut record = id.to_be_bytes().to_vec();
-    record.extend([127, 0, 0, 1]);
-    record.extend(worker.address().port().to_be_bytes());
-    record.extend([state, 0, 0, 0, 0]);
-    record.extend(4000u32.to_be_bytes());
-    record.extend(0u64.to_be_bytes());
-    [&(9 + record.len() as u32).to_be_bytes()[..], &offset.to_be_bytes(), &[2], &record].concat()
-}
-
 #[test]
 fn a_worker_told_to_drain_or_gone_sees_nothing_new_and_the_bus_goes_on_where_it_was() {
     let (first, second, bus) = (Worker::agent(), Worker::agent(), Bus::new());
