Use the answers that came before a reset instead of throwing them away with it

Reading of a worker connection's reset after a write. Link::fill read the answer into the input, asked the socket for more, got ECONNRESET and returned the error; Reactor::happened closed the connection on it without showing the object what had come.

Line at fault: src/net/mod.rs, Link::fill, `Err(e) => return Err(e)`. After new input an error is now the end of the stream, as an orderly end is: the lines are used, then the connection is closed.

Ruled out: a client's reset behind its request (the request is taken and withdrawn in the same turn, before any command is carried out, and Core::may_write refuses it); the bus (a frame before a reset is asked for again).

Test: tests/crossings.rs, an_answer_that_comes_with_a_reset_is_passed_on; the daemon stands still while the worker answers and resets, so both lie in the socket. Seen to fail without the mend.

--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -186,6 +186,7 @@
     /// Reads what there is, up to the limit; true if the socket has no more for now.
     fn fill(&mut self) -> io::Result<bool> {
         let mut chunk = [0u8; CHUNK];
+        let before = self.inbox.len();
         loop {
             if self.ended {
                 return Ok(true);
@@ -199,6 +200,8 @@
                 Ok(n) => self.inbox.extend_from_slice(&chunk[..n]),
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(true),
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                // What came before a reset is used first, like what comes before an orderly end.
+                Err(_) if self.inbox.len() > before => self.ended = true,
                 Err(e) => return Err(e),
             }
         }
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -3,12 +3,56 @@
 mod rig;
 
 use rig::*;
+use serde_json::{Value, json};
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+
+/// Settings of a large fleet: the calls of one scheduler share a connection to each worker.
+fn shared() -> Value {
+    let mut settings = settings();
+    settings["fleetSize"] = json!(100);
+    settings
+}
 
 /// The reference of a test's n-th call.
 fn name(n: u32) -> String {
     format!("{n:016x}")
 }
 
+/// A worker whose connections the test reads byte by byte, so that it can leave bytes unread.
+struct Plain(TcpListener);
+
+impl Plain {
+    /// The worker, and what tells a daemon of it.
+    fn new() -> (Plain, Worker) {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let mut told = Worker::agent();
+        told.at = At::Tcp(listener.local_addr().unwrap());
+        (Plain(listener), told)
+    }
+
+    fn accept(&self) -> TcpStream {
+        let (stream, _) = self.0.accept().unwrap();
+        stream.set_read_timeout(Some(LONG)).unwrap();
+        stream
+    }
+}
+
+/// The next line, and not a byte beyond it.
+fn line(stream: &mut TcpStream) -> Value {
+    let mut text = vec![];
+    let mut byte = [0];
+    while text.last() != Some(&b'\n') {
+        stream.read_exact(&mut byte).expect("a line comes");
+        text.push(byte[0]);
+    }
+    serde_json::from_slice(&text).unwrap()
+}
+
+fn ok(name: &str, content: &str) -> Vec<u8> {
+    format!("{}\n", json!({"verb": "200", "rid": name, "content": content})).into_bytes()
+}
+
 // ---- The end
 
 /// SIGTERM, and the last answer is put in line for a client that has not read yet what came before it: it has
@@ -51,3 +95,28 @@
     assert!(daemon.child.wait().unwrap().success());
     assert!(tally(&lines)["go"] as u32 >= sent - 1);
 }
+
+// ---- Connections to workers
+
+/// An answer, and a reset right behind it: what came whole counts.
+#[test]
+fn an_answer_that_comes_with_a_reset_is_passed_on() {
+    let (plain, told) = Plain::new();
+    let daemon = Daemon::with(&[&told], shared(), None, |_| String::new());
+    let mut client = Frames::connect(&daemon);
+    client.send(&frame(0, 1, &call("practice-check", &name(1), 3_000, b"")));
+    let mut wire = plain.accept();
+    assert_eq!(line(&mut wire)["rid"], name(1));
+    client.send(&frame(0, 2, &call("practice-check", &name(2), 3_000, b"")));
+    assert_eq!(wire.peek(&mut [0]).unwrap(), 1, "the second call is here, unread");
+    daemon.signal("STOP");
+    wire.write_all(&ok(&name(1), "eA==")).unwrap();
+    // Closed with input unread: the system resets the connection.
+    drop(wire);
+    daemon.signal("CONT");
+    assert_eq!(client.next(), Some((1, 1, vec![79, 0, b'x'])));
+    let mut wire = plain.accept();
+    assert_eq!(line(&mut wire)["rid"], name(2), "only the other call is sent again");
+    wire.write_all(&ok(&name(2), "eQ==")).unwrap();
+    assert_eq!(client.next(), Some((1, 2, vec![79, 0, b'y'])));
+}
