Keep a worker's second answer off the next attempt of the same call

Reading of late and second answers on worker connections. Every attempt of a call goes out under the client's own reference, and WorkerConnection::line freed the name with the first answer. After `503`, `500` or `404` the call is placed again, often on the same worker and connection; a second copy of the old answer, which may come some milliseconds late, then ended the attempt that was out. The test heard the call a third time while its second attempt still ran. For a keyed or unsafe class a late `503` would even have proved that the running attempt never ran.

Lines at fault: src/backend/mod.rs, WorkerConnection::line, the arm of Open::Attempt. The name of an attempt that was answered but not served now stays shadowed on its connection, as that of a given-up one does, so the next attempt takes another. Ruled out: late answers of given-up attempts (shadowed before), second copies of `200` (the call is over, and a client's retry has a name of its own), answers under unknown names (nobody's).

Test: tests/crossings.rs, a_second_answer_does_not_end_the_next_attempt, for 503, 500 and 404. Seen to fail before.

--- a/src/backend/mod.rs
+++ b/src/backend/mod.rs
@@ -111,8 +111,8 @@
 pub const LINE: usize = 64 << 10;
 /// Open commands, with those that wait, on one connection.
 const QUEUE: usize = 4096;
-/// For how long the name of a given-up attempt is kept from use on its connection, and how many such names:
-/// clients may withdraw calls by hundreds.
+/// For how long the name of an attempt that was given up or not served is kept from use on its connection, and
+/// how many such names: clients may withdraw calls by hundreds.
 const SHADOW: (Span, usize) = (Span::millis(10_000), 1024);
 /// A worker's line that has begun must have come whole within this time. One that stops short would swallow
 /// the start of every later answer on its connection.
@@ -123,7 +123,7 @@
     Attempt(AttemptId),
     Order(OrderId),
     Probe(ProbeId),
-    /// Given up at this time: an answer that still comes belongs to nobody.
+    /// Given up or answered at this time: an answer that still comes belongs to nobody.
     Shadow(Time),
 }
 
@@ -265,6 +265,11 @@
             Some(Open::Attempt(attempt)) => {
                 self.attempts -= 1;
                 self.names.remove(&attempt);
+                // The call may go out again under this name. Its next attempt takes another connection, so that
+                // this answer's late twin is not taken for its own.
+                if !matches!(reply, Ok(Reply::Ok(_))) {
+                    self.shadow(rid, hub.now);
+                }
                 hub.core.load_told(attempt, &load);
                 hub.core.attempt_ended(hub.now, attempt, reply);
             }
@@ -287,6 +292,13 @@
         Flow::Go
     }
 
+    /// Keeps a name from use here for a while.
+    fn shadow(&mut self, name: String, now: Time) {
+        self.open.insert(name.clone(), Open::Shadow(now));
+        self.shadows.push_back((now, name));
+        self.drop_shadows(now);
+    }
+
     fn drop_shadows(&mut self, now: Time) {
         let many = self.shadows.len().saturating_sub(SHADOW.1);
         let mut gone = self.shadows.iter().position(|(at, _)| *at + SHADOW.0 >= now).unwrap_or(usize::MAX);
@@ -418,9 +430,7 @@
                     self.names.remove(attempt);
                     return Flow::Go;
                 }
-                self.open.insert(name.clone(), Open::Shadow(hub.now));
-                self.shadows.push_back((hub.now, name));
-                self.drop_shadows(hub.now);
+                self.shadow(name, hub.now);
             }
             Job::Probe { probe, deadline } => {
                 self.open.insert(Self::probe_name(*probe), Open::Probe(*probe));
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -120,3 +120,40 @@
     wire.write_all(&ok(&name(2), "eQ==")).unwrap();
     assert_eq!(client.next(), Some((1, 2, vec![79, 0, b'y'])));
 }
+
+/// A worker turns a call away, twice over, and the second word comes when the call is out there again: it is
+/// none of the new attempt's.
+#[test]
+fn a_second_answer_does_not_end_the_next_attempt() {
+    for status in ["503", "500", "404"] {
+        let worker = Worker::agent();
+        let daemon = Daemon::with(&[&worker], shared(), None, |_| String::new());
+        let mut client = Frames::connect(&daemon);
+        client.send(&frame(0, 1, &call("practice-check", REF, 5_000, b"")));
+        let mut first = go(&worker);
+        first.answer(status, "");
+        let mut again = go(&worker);
+        assert_eq!(again.name(), REF, "{status}");
+        first.answer(status, "");
+        // A call on the same connection shows that the second word has been read.
+        client.send(&frame(0, 2, &call("practice-check", &name(2), 5_000, b"")));
+        let mut other = go(&worker);
+        assert_eq!(other.name(), name(2), "{status}: the attempt that is out goes on");
+        other.answer("200", "eQ==");
+        assert_eq!(client.next(), Some((1, 2, vec![79, 0, b'y'])));
+        again.answer("200", "eA==");
+        assert_eq!(client.next(), Some((1, 1, vec![79, 0, b'x'])));
+    }
+}
+
+/// The next call that a worker hears; orders on the way are done.
+fn go(worker: &Worker) -> Heard {
+    loop {
+        let mut heard = worker.next();
+        match heard.word() {
+            "go" => return heard,
+            "stage" => heard.answer("200", ""),
+            _ => {}
+        }
+    }
+}
