Have connections that stand keep to the limits of a new configuration

Reading of reloads under open calls. Pool::configure said it: "Connections that stand keep the ones they came up with." A connection to a worker lives for minutes, so after SIGHUP its idle close and the number of calls it carries were those of the configuration before, be it another customer's. With a shorter idle time the worker closes first, and a call that crosses that close is broken; with a smaller multiplex figure the connection carries more than is allowed.

Lines at fault: src/backend/pool.rs, Pool::configure, and WorkerConnection::limits, a copy. All connections now share one value, and a reload has the reactor ask each for its deadline anew.

Ruled out by reading: the connect limit (asked for when a connection is opened), descriptors and memory (set anew in Daemon::reload), classes (keep their places, tested), attempts and orders (the module and the core read the settings at each step; an order's own time-out stays the one it was given with).

--- a/src/backend/mod.rs
+++ b/src/backend/mod.rs
@@ -13,6 +13,7 @@
 use crate::core::{AttemptId, Broken, OrderId, ProbeId, Reached, Reply, Standing, Work};
 use crate::interface::{FunctionId, Span, Time};
 use crate::net::{Connection, Flow, Hub, Link};
+use std::cell::Cell;
 use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
 
@@ -141,7 +142,7 @@
 /// A connection to a worker.
 pub struct WorkerConnection {
     codec: Rc<dyn Codec>,
-    limits: Limits,
+    limits: Rc<Cell<Limits>>,
     pending: VecDeque<Job>,
     open: HashMap<String, Open>,
     names: HashMap<AttemptId, String>,
@@ -163,7 +164,7 @@
 
 impl WorkerConnection {
     /// A connection that is coming up and has failed if it is not up by then.
-    pub fn new(codec: Rc<dyn Codec>, limits: Limits, connect_by: Time) -> WorkerConnection {
+    pub fn new(codec: Rc<dyn Codec>, limits: Rc<Cell<Limits>>, connect_by: Time) -> WorkerConnection {
         WorkerConnection {
             codec,
             limits,
@@ -356,12 +357,12 @@
             hub.core.probe_ended(hub.now, probe, Err(broken));
         }
         let late = self.connect_by.into_iter().chain(self.line_by).any(|by| by <= hub.now);
-        let idle = self.idle().is_some_and(|since| since + self.limits.idle <= hub.now);
+        let idle = self.idle().is_some_and(|since| since + self.limits.get().idle <= hub.now);
         if late || idle { Flow::Close } else { Flow::Go }
     }
 
     fn deadline(&self) -> Option<Time> {
-        let idle = self.idle().map(|since| since + self.limits.idle);
+        let idle = self.idle().map(|since| since + self.limits.get().idle);
         let shadow = self.shadows.front().map(|(at, _)| *at + SHADOW.0 + Span(1));
         let probe = self.probe_by.map(|(by, _)| by);
         let due = self.connect_by.into_iter().chain(probe).chain(self.line_by);
@@ -446,7 +447,7 @@
     fn accepts(&self, reference: Option<&str>) -> bool {
         let free = reference.is_none_or(|name| !self.open.contains_key(name));
         free && !self.silent
-            && self.attempts < self.limits.multiplex
+            && self.attempts < self.limits.get().multiplex
             && self.open.len() - self.shadows.len().min(self.open.len()) + self.pending.len() < QUEUE
     }
 
--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -3,7 +3,8 @@
 use super::{Codec, Job, Limits, WorkerConnection};
 use crate::core::{AttemptId, Broken, Command, Core, Reached};
 use crate::interface::{Span, Time, WorkerId};
-use crate::net::Reactor;
+use crate::net::{Flow, Reactor};
+use std::cell::Cell;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -41,7 +42,8 @@
     went: HashMap<AttemptId, u64>,
     agent: Rc<dyn Codec>,
     checker: Rc<dyn Codec>,
-    limits: Limits,
+    /// Shared with all connections.
+    limits: Rc<Cell<Limits>>,
     connect_limit: Span,
     /// Descriptors that connections to workers may take.
     budget: usize,
@@ -57,16 +59,28 @@
             went: HashMap::new(),
             agent: Rc::new(super::agent::AgentCodec),
             checker: Rc::new(super::jsonrpc::CheckerCodec),
-            limits,
+            limits: Rc::new(Cell::new(limits)),
             connect_limit,
             budget,
             spread: 1,
         }
     }
 
-    /// New limits. Connections that stand keep the ones they came up with.
-    pub fn configure(&mut self, limits: Limits, connect_limit: Span, budget: usize) {
-        (self.limits, self.connect_limit, self.budget) = (limits, connect_limit, budget);
+    /// New limits, also for the connections that stand: the workers go by them from now on.
+    pub fn configure(
+        &mut self,
+        limits: Limits,
+        connect_limit: Span,
+        budget: usize,
+        reactor: &mut Reactor,
+        core: &mut Core,
+    ) {
+        self.limits.set(limits);
+        (self.connect_limit, self.budget) = (connect_limit, budget);
+        // Deadlines are asked for after a callback.
+        for id in reactor.ids() {
+            reactor.with(id, core, |_, _, _| Flow::Go);
+        }
     }
 
     /// The list says where a worker is. A new process has none of the old one's connections: what is open on
@@ -141,8 +155,8 @@
         core: &mut Core,
     ) -> Option<u64> {
         // Clients may hold a third of the descriptors; what is left after them is for all workers alike.
-        let own =
-            (self.budget * 2 / 3 / self.targets.len().max(1)).min(ALL_TOGETHER / self.limits.fleet.max(1));
+        let own = (self.budget * 2 / 3 / self.targets.len().max(1))
+            .min(ALL_TOGETHER / self.limits.get().fleet.max(1));
         self.spread = own.clamp(1, PER_WORKER);
         let target = self.targets.get_mut(&worker)?;
         target.connections.retain(|id| reactor.look(*id, |_| ()).is_some());
@@ -167,7 +181,7 @@
             Endpoint::Checker(path) => (reactor.connect_unix(path), &self.checker),
         };
         let by = reactor.after(self.connect_limit);
-        let connection = Box::new(WorkerConnection::new(codec.clone(), self.limits, by));
+        let connection = Box::new(WorkerConnection::new(codec.clone(), self.limits.clone(), by));
         let id = reactor.add(stream.ok()?, connection, false, (super::LINE, 4 << 20), core)?;
         target.connections.push(id);
         Some(id)
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -346,7 +346,7 @@
         self.config = config;
         self.core.replace_site(now, self.config.site.clone());
         let (limits, connect, budget) = worker_limits(&self.config);
-        self.pool.configure(limits, connect, budget);
+        self.pool.configure(limits, connect, budget, &mut self.reactor, &mut self.core);
         limit_memory(&self.config, &mut self.core, &mut self.reactor);
         self.replace_checkers(now);
         // The bus's numbers go on. What the file knows is of use where it follows on what is known here.
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -157,3 +157,41 @@
         }
     }
 }
+
+// ---- Reloads
+
+/// A reload shortens the time after which workers close idle connections: those that stand already are closed
+/// before the worker's new time is up, or a call could cross its close.
+#[test]
+fn connections_that_stand_keep_to_the_limits_of_a_new_configuration() {
+    let (plain, told) = Plain::new();
+    let mut settings = shared();
+    settings["bounds"]["idleCloseNs"] = json!(600_000_000_000u64);
+    let daemon = Daemon::with(&[&told], settings, None, |_| String::new());
+    let mut client = Frames::connect(&daemon);
+    client.send(&frame(0, 1, &call("practice-check", REF, 3_000, b"")));
+    let mut wire = plain.accept();
+    line(&mut wire);
+    wire.write_all(&ok(REF, "eA==")).unwrap();
+    assert_eq!(client.next(), Some((1, 1, vec![79, 0, b'x'])));
+    let mut config = daemon.config.clone();
+    config["settings"]["bounds"]["idleCloseNs"] = json!(1_000_000_000u64);
+    daemon.reload(&config.to_string());
+    assert_eq!(wire.read(&mut [0]).expect("it is closed while idle"), 0);
+}
+
+/// Calls of one connection at a time, by the old figure and by the new one, on a connection that stands.
+#[test]
+fn a_connection_carries_no_more_calls_than_a_new_configuration_allows() {
+    let worker = Worker::agent();
+    let daemon = Daemon::with(&[&worker], shared(), None, |_| String::new());
+    let mut client = Frames::connect(&daemon);
+    client.send(&frame(0, 1, &call("practice-check", &name(1), 20_000, b"")));
+    let first = go(&worker);
+    let mut config = daemon.config.clone();
+    config["settings"]["bounds"]["multiplex"] = json!(1);
+    daemon.reload(&config.to_string());
+    client.send(&frame(0, 2, &call("practice-check", &name(2), 20_000, b"")));
+    let second = go(&worker);
+    assert_ne!(first.connection, second.connection);
+}
