End after SIGTERM only when the sockets have nothing more to be read

A client that reads late has its requests held back unread in the socket (Link::held_back). When it reads, the answers go out in one write, nothing is owed and nothing is unwritten, and Daemon::ended let the program go in that same turn, before the reactor had been told of the input again. The requests were lost, and since the system resets a connection that is closed on unread input, so were answers on their way.

Lines at fault: src/daemon.rs, Daemon::ended, which asked the output only. Ruled out: the write itself (Link::waiting was 0), the time for the last write (the reader read at once).

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -476,6 +476,10 @@
     fn next_step(&self) -> Option<Time> {
         let since = self.ending?;
         let now = self.reactor.now();
+        if self.settled.is_some() && now >= since + PART && !self.reactor.unwritten() {
+            // One more look at the sockets.
+            return Some(now);
+        }
         let given_up = self.settled.map(|settled| settled.max(since + PART) + LAST_WRITE);
         let steps = [Some(since + LATE_LEAVE), Some(since + PART), given_up];
         steps.into_iter().flatten().find(|at| *at > now)
@@ -494,7 +498,10 @@
         }
         // The last answer may come as late as its call allows: the time to write it counts from then.
         let settled = (*self.settled.get_or_insert(now)).max(since + PART);
-        now >= since + PART && (!self.reactor.unwritten() || now >= settled + LAST_WRITE)
+        // A request may wait unread behind answers that have just gone out, and closing on it would take from
+        // its client also what that has not read yet. The end comes when the sockets have nothing more.
+        let done = !self.reactor.unwritten() && self.reactor.quiet();
+        now >= since + PART && (done || now >= settled + LAST_WRITE)
     }
 }
 
--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -130,6 +130,8 @@
     entries: HashMap<Token, Entry>,
     next: usize,
     timers: BTreeSet<(Time, Token)>,
+    /// Nothing happened in the last turn: no socket has anything that has not been looked at.
+    quiet: bool,
     /// Bytes that wait to be written, on all connections together.
     waiting: usize,
     /// Beyond so many of them a connection that adds to them is closed, if its other side reads nothing.
@@ -153,6 +155,7 @@
             entries: HashMap::new(),
             next: FIRST,
             timers: BTreeSet::new(),
+            quiet: false,
             waiting: 0,
             waiting_limit: usize::MAX,
             ready: false,
@@ -390,11 +393,17 @@
         self.entries.values().any(|entry| entry.link.up && entry.link.waiting() > 0)
     }
 
+    /// Whether the last turn found nothing to do.
+    pub fn quiet(&self) -> bool {
+        self.quiet
+    }
+
     /// Waits until something happens or `until` comes, calls connections back, and returns the rest.
     pub fn turn(&mut self, until: Option<Time>, core: &mut Core) -> io::Result<Vec<Signal>> {
         let due = self.timers.first().map(|(at, _)| *at).into_iter().chain(until).min();
         // Rounded up, so that a timer is not asked for a little early again and again.
         let rest = due.map(|at| Duration::from_nanos((at - self.clock.now()).0 + 50_000));
+        self.quiet = false;
         match self.poll.poll(&mut self.events, rest) {
             Err(e) if e.kind() == io::ErrorKind::Interrupted => return Ok(vec![]),
             other => other?,
@@ -405,6 +414,7 @@
             .iter()
             .map(|e| (e.token(), e.is_readable() || e.is_read_closed() || e.is_error()))
             .collect();
+        self.quiet = ready.is_empty();
         for (token, readable) in ready {
             match token.0 {
                 number if number < PIPES => signals.push(Signal::Client(number)),
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -55,6 +55,35 @@
 
 // ---- The end
 
+/// A client that reads nothing while it calls on, until the daemon reads no more of it either; the number of the
+/// last stream. The first stream is open at the worker, and the second is left for another client.
+fn clog(daemon: &Daemon, reader: &mut Frames, other: &mut Frames) -> u32 {
+    let body = vec![7; 16 << 10];
+    let mut last = 2;
+    loop {
+        let calls = (last + 1..=last + 8)
+            .flat_map(|n| frame(0, n, &call("practice-check", &name(n), 20_000, &body)))
+            .collect::<Vec<u8>>();
+        reader.send(&calls);
+        last += 8;
+        (0..5).for_each(|_| only_ready(other, 79));
+        if daemon.counter("taken") < u64::from(last - 1) {
+            return last;
+        }
+        daemon.wait_counter("served", u64::from(last - 2));
+        assert!(last < 4000, "the daemon goes on reading");
+    }
+}
+
+/// Every call of `reader` is served, the one that the worker held among them.
+fn all_served(mut frames: Vec<(u8, u32, Vec<u8>)>, last: u32) {
+    frames.retain(|(kind, ..)| *kind == 1);
+    let count = frames.len() as u32;
+    assert!(frames.contains(&(1, 1, b"\x4f\0last".to_vec())), "{count} of {} answers", last - 1);
+    assert_eq!(count, last - 1, "one answer for each call");
+    assert!(frames.iter().all(|(_, _, payload)| payload[0] == 79));
+}
+
 /// SIGTERM, and the last answer is put in line for a client that has not read yet what came before it: it has
 /// the time that such a client is given, counted from then and not from the signal.
 #[test]
@@ -64,23 +93,8 @@
     let (mut reader, mut clock) = (Frames::connect(&daemon), Frames::connect(&daemon));
     reader.send(&frame(0, 1, &call("practice-check", &name(1), 20_000, b"last")));
     let mut held = worker.next();
-    let lines = worker.serve(|heard| echo(heard).filter(|_| heard.line["rid"] != name(2)));
-    // Answers that nobody reads, until no more requests are taken from that connection.
-    let body = vec![7; 16 << 10];
-    let mut sent = 2;
-    loop {
-        let more =
-            (1..=8).flat_map(|n| frame(0, sent + n, &call("practice-check", &name(sent + n), 20_000, &body)));
-        reader.send(&more.collect::<Vec<u8>>());
-        sent += 8;
-        (0..5).for_each(|_| only_ready(&mut clock, 79));
-        let taken = daemon.counter("taken");
-        if taken < u64::from(sent - 1) {
-            break;
-        }
-        daemon.wait_counter("served", u64::from(sent - 2));
-        assert!(sent < 4000, "the daemon goes on reading");
-    }
+    worker.serve(|heard| echo(heard).filter(|_| heard.line["rid"] != name(2)));
+    let last = clog(&daemon, &mut reader, &mut clock);
     daemon.signal("TERM");
     assert_eq!(clock.next(), Some((9, 0, vec![])));
     // Its refusal shows that the time after SIGTERM itself is over.
@@ -88,12 +102,44 @@
     let (kind, stream, payload) = clock.next().unwrap();
     assert_eq!((kind, stream, payload[0]), (1, 2, 66));
     held.answer("200", "bGFzdA==");
-    let frames: Vec<_> = std::iter::from_fn(|| reader.next()).collect();
-    assert!(frames.contains(&(1, 1, b"\x4f\0last".to_vec())), "{} frames", frames.len());
-    let served = frames.iter().filter(|(kind, stream, _)| *kind == 1 && *stream > 2).count();
-    assert_eq!(served as u32, sent - 2, "and every other answer");
+    all_served(std::iter::from_fn(|| reader.next()).collect(), last);
+    assert!(daemon.child.wait().unwrap().success());
+}
+
+/// The same client has read, all of a sudden, what kept its requests from being read: they are taken and
+/// answered, and not thrown away with the connection because nothing was owed a moment ago.
+#[test]
+fn requests_that_waited_behind_unread_answers_are_taken_before_the_end() {
+    let worker = Worker::agent();
+    let mut daemon = Daemon::start(&[&worker]);
+    let (mut reader, mut clock) = (Frames::connect(&daemon), Frames::connect(&daemon));
+    reader.send(&frame(0, 1, &call("practice-check", &name(1), 20_000, b"last")));
+    let mut held = worker.next();
+    worker.serve(|heard| echo(heard).filter(|_| heard.line["rid"] != name(2)));
+    let last = clog(&daemon, &mut reader, &mut clock);
+    daemon.signal("TERM");
+    assert_eq!(clock.next(), Some((9, 0, vec![])));
+    clock.send(&frame(0, 2, &call("practice-check", &name(2), 2_400, b"")));
+    assert_eq!(clock.next().unwrap().2[0], 66);
+    // In one turn the daemon can write all that waits and hears the last answer.
+    daemon.signal("STOP");
+    held.answer("200", "bGFzdA==");
+    let mut read = vec![];
+    reader.0.set_nonblocking(true).unwrap();
+    let end = reader.0.read_to_end(&mut read).unwrap_err();
+    assert_eq!(end.kind(), std::io::ErrorKind::WouldBlock);
+    reader.0.set_nonblocking(false).unwrap();
+    daemon.signal("CONT");
+    reader.0.read_to_end(&mut read).expect("an orderly end");
+    let mut frames = vec![];
+    while let Some(head) = read.first_chunk::<4>() {
+        let rest = read.split_off(4 + u32::from_be_bytes(*head) as usize);
+        let stream = u32::from_be_bytes(read[5..9].try_into().unwrap());
+        frames.push((read[4], stream, read[9..].to_vec()));
+        read = rest;
+    }
+    all_served(frames, last);
     assert!(daemon.child.wait().unwrap().success());
-    assert!(tally(&lines)["go"] as u32 >= sent - 1);
 }
 
 // ---- Connections to workers
