Forget attempts that have ended instead of looking through 8,192 notes at each send

Answers took up to 55 ms through the program, more than the 50 ms of slack, and only from the 8th or 9th second on, at the busiest scheduler. That one's profile: 19% WorkerConnection::idle, 10% HashMap::retain, 10% hashing.

Lines at fault: src/backend/pool.rs, Pool::forget_ended. `went` notes the connection of every attempt and lost it only by a halt. Past 8,192 notes each send looked through all of them, and kept those whose connection had anything open, which a busy one always has: so nothing was dropped, the notes grew with every attempt, and each send cost milliseconds. Now the core says which attempts are out, and notes are looked through when most are of no use, once no command waits.

Test: tests/crossings.rs, attempts_that_have_ended_are_forgotten_...: before, every one of 499 was remembered.

--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -19,6 +19,9 @@
 /// read, or one reset, takes everything with it that is open on its connection.
 const SHARED: usize = 1;
 
+/// Notes of ended attempts that are kept until there are more, so that not each end has all of them looked through.
+const NOTES: usize = 256;
+
 /// Where a worker listens.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Endpoint {
@@ -38,7 +41,7 @@
 /// The workers' addresses and connections.
 pub struct Pool {
     targets: BTreeMap<WorkerId, Target>,
-    /// The connection on which each open attempt went.
+    /// The connection on which each attempt went that is out, and some that have ended.
     went: HashMap<AttemptId, u64>,
     agent: Rc<dyn Codec>,
     checker: Rc<dyn Codec>,
@@ -111,7 +114,6 @@
                     return core.attempt_held(reactor.now(), attempt);
                 };
                 self.went.insert(attempt, connection);
-                self.forget_ended(reactor);
                 give(connection, Job::Go { attempt, work, deadline }, reactor, core);
             }
             Command::Halt { attempt, .. } => {
@@ -187,13 +189,18 @@
         Some(id)
     }
 
-    /// Drops notes of attempts whose connections have gone or that are long over.
-    fn forget_ended(&mut self, reactor: &Reactor) {
-        if self.went.len() > 8192 {
-            self.went
-                .retain(|_, id| reactor.look(*id, |connection| connection.idle().is_none()).unwrap_or(false));
+    /// Drops the notes of attempts that have ended, whenever they are most of all. To be called once no command
+    /// waits: one to give an attempt up comes after its end.
+    pub fn forget_ended(&mut self, core: &Core) {
+        if self.went.len() > NOTES + 2 * core.attempts_out() {
+            self.went.retain(|attempt, _| core.is_out(*attempt));
         }
     }
+
+    /// How many attempts there are notes of.
+    pub fn remembered(&self) -> usize {
+        self.went.len()
+    }
 }
 
 fn give(connection: u64, job: Job, reactor: &mut Reactor, core: &mut Core) {
--- a/src/client.rs
+++ b/src/client.rs
@@ -168,5 +168,6 @@
                 command => self.pool.command(command, &mut self.reactor, &mut self.core),
             }
         }
+        self.pool.forget_ended(&self.core);
     }
 }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -379,6 +379,16 @@
         self.requests.len()
     }
 
+    /// Attempts that are out or wait to go out.
+    pub fn attempts_out(&self) -> usize {
+        self.attempts.len()
+    }
+
+    /// Whether an attempt is one of these.
+    pub fn is_out(&self, attempt: AttemptId) -> bool {
+        self.attempts.contains_key(&attempt)
+    }
+
     /// The next thing to do.
     pub fn next_command(&mut self) -> Option<Command> {
         self.commands.pop_front()
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -202,6 +202,7 @@
                 command => self.pool.command(command, &mut self.reactor, &mut self.core),
             }
         }
+        self.pool.forget_ended(&self.core);
     }
 
     fn accept(&mut self, listener: usize) {
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -2,6 +2,10 @@
 
 mod rig;
 
+use mintgate::backend::{Endpoint, Limits, Pool};
+use mintgate::core::{Command, Core, Incoming, Owner, Reply};
+use mintgate::net::{Reactor, SystemClock};
+use mintgate::{FunctionId, ListKind, Member, Span, Time, WorkerId};
 use rig::*;
 use serde_json::{Value, json};
 use std::io::{Read, Write};
@@ -204,6 +208,59 @@
     }
 }
 
+/// Attempts end by the thousand while a call that the worker never answers keeps its connection in use: what is
+/// remembered of them, and looked through, follows those that are out.
+#[test]
+fn attempts_that_have_ended_are_forgotten_while_their_connection_is_in_use() {
+    let (_plain, told) = Plain::new();
+    let site = mintgate::settings::read_site(settings().to_string().as_bytes()).unwrap();
+    let mut core = Core::new(site, 7);
+    let mut reactor = Reactor::new(SystemClock::new()).unwrap();
+    let limits = Limits { multiplex: 1 << 20, idle: Span::millis(60_000), fleet: 100 };
+    let mut pool = Pool::new(limits, Span::millis(60_000), 200);
+    let member = Member { worker: WorkerId(1), ..Member::default() };
+    pool.place(member.worker, Endpoint::Agent(told.address()), None);
+    core.members(reactor.now(), ListKind::Full, vec![member]);
+    let mut most = 0;
+    for n in 0..10_000 {
+        let now = reactor.now();
+        core.call(now, incoming(n, now));
+        let mut out = None;
+        while let Some(command) = core.next_command() {
+            if let Command::Send { attempt, .. } = command {
+                out = Some(attempt);
+            }
+            pool.command(command, &mut reactor, &mut core);
+        }
+        let attempt = out.expect("the call is sent");
+        // The first stays out for good.
+        if n > 0 {
+            core.attempt_ended(now, attempt, Ok(Reply::Ok(vec![])));
+            while core.next_command().is_some() {}
+        }
+        pool.forget_ended(&core);
+        most = most.max(pool.remembered());
+        assert!(most < 500, "{most} of {n} are remembered");
+    }
+    assert_eq!(core.attempts_out(), 1);
+}
+
+/// A call as a front hands it in.
+fn incoming(n: u64, now: Time) -> Incoming {
+    Incoming {
+        owner: Owner { connection: 1, stream: n },
+        reference: format!("{n:016x}"),
+        class: "practice-check".into(),
+        function: FunctionId(9),
+        key: None,
+        memory_mb: 1.0,
+        lanes: 64.0,
+        load_time: None,
+        deadline: now + Span::millis(60_000),
+        body: vec![],
+    }
+}
+
 // ---- Reloads
 
 /// A reload shortens the time after which workers close idle connections: those that stand already are closed
