Take a new id at an old address for the end of the old one

Reading of the watch: "A new node agent may have the address of a node agent that has gone", and the news of the end may be late or, after a break, never seen. The pool kept both ids with one address. What was sent under the old id, believed warm and long started, reached the new process on the old id's connections or on new ones, uncounted by the module against its cold start, and could go on after the new one was told to drain. The test's call 21 went to the old id.

Lines at fault: src/daemon.rs, Daemon::learn, which placed each entry without a look at who else is there. A ready entry now ends whatever older id has its address, and is itself passed over if the other started later (whole lists have no order).

Ruled out: a restart under the same id (a new start makes new connections, and the module keeps what it sent there already); the late end of the old one (the new one's address stays, tested).

Test: tests/crossings.rs, a_new_id_at_an_old_address_takes_the_place_of_the_old_one. Seen to fail before.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -296,17 +296,27 @@
             let fixed: BTreeSet<_> = self.fixed.iter().map(|member| member.worker).collect();
             self.pool.retain(|worker| listed.contains(&worker) || fixed.contains(&worker));
         }
-        for entry in &news.entries {
-            match entry.member.state {
-                State::Gone => self.pool.remove(entry.member.worker),
-                _ => self.pool.place(
-                    entry.member.worker,
-                    backend::Endpoint::Agent(entry.address),
-                    entry.member.started,
-                ),
+        let mut members: Vec<Member> = Vec::with_capacity(news.entries.len());
+        for entry in news.entries {
+            let (mut member, endpoint) = (entry.member, backend::Endpoint::Agent(entry.address));
+            // An address is one process's at a time: the id of the older one has gone, told or not, and what
+            // went out under it would reach the newer one unnoticed.
+            if member.state == State::Ready
+                && let Some((other, started)) = self.pool.other_at(&endpoint, member.worker)
+            {
+                if started > member.started {
+                    member.state = State::Gone;
+                } else {
+                    self.pool.remove(other);
+                    members.push(Member { worker: other, state: State::Gone, ..Member::default() });
+                }
+            }
+            match member.state {
+                State::Gone => self.pool.remove(member.worker),
+                _ => self.pool.place(member.worker, endpoint, member.started),
             }
+            members.push(member);
         }
-        let mut members: Vec<Member> = news.entries.into_iter().map(|entry| entry.member).collect();
         if news.kind == ListKind::Full {
             members.extend(&self.fixed);
         }
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -298,3 +298,45 @@
     let second = go(&worker);
     assert_ne!(first.connection, second.connection);
 }
+// ---- The list of workers
+
+/// A request to `function`, for a test that wants calls at several homes.
+fn call_of(function: u64, name: &str, allow: u64) -> Vec<u8> {
+    let (lookup, allow) = (format!("{function:016x}"), allow.to_string());
+    let list = [("service", "practice-check"), ("ref", name), ("allow", &allow), ("lookup", &lookup)];
+    request(&list, b"x")
+}
+
+/// A machine has gone and another has its address, but nothing told of the end of the first. What is sent to the
+/// old name would reach the new machine, as work that nobody counts against a cold start.
+#[test]
+fn a_new_id_at_an_old_address_takes_the_place_of_the_old_one() {
+    let (worker, bus) = (Worker::agent(), Bus::new());
+    let at = Some(bus.0.local_addr().unwrap());
+    let daemon = Daemon::with(&[&worker], shared(), at, |_| String::new());
+    let (mut feed, _) = bus.accept();
+    let mut client = Frames::connect(&daemon);
+    let mut old = 0;
+    for n in 1..20 {
+        client.send(&frame(0, n, &call_of(u64::from(n), &name(n), 3_000)));
+        let mut heard = go(&worker);
+        old = heard.connection;
+        heard.answer("200", "eA==");
+        assert_eq!(client.next(), Some((1, n, vec![79, 0, b'x'])));
+    }
+    feed.write_all(&event(2, 9, &worker, 0)).unwrap();
+    daemon.wait_counter("list_events", 2);
+    for n in 20..60 {
+        client.send(&frame(0, n, &call_of(u64::from(n), &name(n), 3_000)));
+        let mut heard = go(&worker);
+        assert!(heard.connection > old, "call {n} went to the old id");
+        heard.answer("200", "eA==");
+        assert_eq!(client.next(), Some((1, n, vec![79, 0, b'x'])));
+    }
+    // The end of the old one, told late, is none of the new one's.
+    feed.write_all(&[event(3, 1, &worker, 1), event(4, 1, &worker, 2)].concat()).unwrap();
+    daemon.wait_counter("list_events", 4);
+    client.send(&frame(0, 60, &call_of(60, &name(60), 3_000)));
+    go(&worker).answer("200", "eA==");
+    assert_eq!(client.next(), Some((1, 60, vec![79, 0, b'x'])));
+}
