Accept again after the system had no descriptor for a client

The listener is told of edge-triggered: Daemon::accept returned on EMFILE and left whoever waited in the backlog until another client came. With discovery down and descriptors held by idle clients, a scheduler that nobody else calls served nobody:

mintgate: accept failed why="Too many open files (os error 24)"

and the waiting client had no answer in 20 s though descriptors were free again.

Lines at fault: src/daemon.rs, Daemon::accept, the arm of Err. The listeners are looked at again 50 ms later, and the log line is bounded like others that clients cause. Discovery needed no mend: a failed connect to the bus is tried again after its pause, and now says why in the log.

Ruled out: idle clients as such (tests/sockets.rs, more_clients_than_descriptors_...; 32 descriptors stay reserved).

Test: tests/crossings.rs, a_client_that_found_no_descriptor_is_accepted_once_there_is_one. Seen to fail before.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -25,6 +25,8 @@
 const LATE_LEAVE: Span = Span::millis(750);
 /// How long answers may wait to be written before the end, from when the last is put in line.
 const LAST_WRITE: Span = Span::millis(500);
+/// Pause before clients are accepted again after the system could not give one a descriptor.
+const ACCEPT_AGAIN: Span = Span::millis(50);
 /// Descriptors kept for the poll, the listeners, the pipes, the bus and the standard streams.
 const RESERVED: usize = 32;
 
@@ -66,6 +68,8 @@
     bus_again: Option<Time>,
     /// The connection to the bus, while there is one.
     bus_id: Option<u64>,
+    /// When to look again at the listeners: the system tells of a client that waits there once only.
+    accept_again: Option<Time>,
     /// The listener of the second front, and its file.
     rpc: Option<(usize, SocketFile)>,
     rpc_clients: BTreeSet<u64>,
@@ -124,6 +128,7 @@
             inbox,
             bus_again,
             bus_id: None,
+            accept_again: None,
             operator,
             fixed,
             rpc,
@@ -158,7 +163,7 @@
         loop {
             let router = self.router.as_ref().and_then(|router| router.machine.due());
             let until = self.core.next_due().into_iter().chain(self.bus_again);
-            let until = until.chain(self.next_step()).chain(router).min();
+            let until = until.chain(self.next_step()).chain(self.accept_again).chain(router).min();
             for signal in self.reactor.turn(until, &mut self.core)? {
                 match signal {
                     Signal::Client(listener) => self.accept(listener),
@@ -170,6 +175,10 @@
                     Signal::Datagram(socket) => self.hear(socket),
                 }
             }
+            let now = self.reactor.now();
+            if self.accept_again.take_if(|at| *at <= now).is_some() {
+                (0..self.reactor.listeners()).for_each(|listener| self.accept(listener));
+            }
             self.vrrp(Event::Timer);
             self.settle();
             if self.ended() {
@@ -225,7 +234,11 @@
                 Ok(None) => return,
                 Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
                 Err(e) => {
-                    eprintln!("mintgate: accept failed why=\"{e}\"");
+                    let now = self.reactor.now();
+                    if self.core.may_log(now) {
+                        eprintln!("mintgate: accept failed why=\"{e}\"");
+                    }
+                    self.accept_again = Some(now + ACCEPT_AGAIN);
                     return;
                 }
             }
@@ -278,6 +291,11 @@
         self.bus_id = None;
         let connection = Box::new(BusConnection::new(self.inbox.clone(), now));
         let stream = self.reactor.connect(address);
+        if let Err(e) = &stream
+            && self.core.may_log(now)
+        {
+            eprintln!("mintgate: bus connection failed why=\"{e}\"");
+        }
         let up = stream.ok().and_then(|stream| {
             self.reactor.add(stream, connection, false, (bus::FRAME + 4, 4096), &mut self.core)
         });
--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -246,6 +246,11 @@
         let _ = self.sockets[socket].send_to(bytes, to);
     }
 
+    /// How many listeners there have been; their numbers are below it.
+    pub fn listeners(&self) -> usize {
+        self.listeners.len()
+    }
+
     /// Takes the next client of a listener, if one waits.
     pub fn accept(&mut self, listener: usize) -> io::Result<Option<Stream>> {
         let taken = match &self.listeners[listener] {
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -340,3 +340,23 @@
     go(&worker).answer("200", "eA==");
     assert_eq!(client.next(), Some((1, 60, vec![79, 0, b'x'])));
 }
+
+/// The system has no descriptor left for a client that waits to be accepted, and no further client comes: it is
+/// taken in once there is one, and so is discovery, which went down meanwhile.
+#[test]
+fn a_client_that_found_no_descriptor_is_accepted_once_there_is_one() {
+    let (worker, bus) = (Worker::agent(), Bus::new());
+    let at = bus.0.local_addr().unwrap();
+    let daemon = Daemon::with(&[&worker], settings(), Some(at), |_| String::new());
+    let (feed, _) = bus.accept();
+    daemon.limit_descriptors(1);
+    let mut late = Frames::connect(&daemon);
+    late.send(&frame(6, 99, &[0]));
+    daemon.wait_log("accept failed");
+    drop(feed);
+    daemon.wait_log("bus connection failed");
+    daemon.limit_descriptors(256);
+    assert_eq!(late.next(), Some((7, 99, vec![79, 0])));
+    let (_feed, offset) = bus.accept();
+    assert_eq!(offset, 1);
+}
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -365,6 +365,12 @@
 }
 
 impl Daemon {
+    /// Lets the system give the daemon no more descriptors than these.
+    pub fn limit_descriptors(&self, most: usize) {
+        let (pid, limit) = (self.child.id().to_string(), format!("--nofile={most}:"));
+        assert!(Command::new("prlimit").args(["--pid", &pid, &limit]).status().unwrap().success());
+    }
+
     /// Waits until a counter has come so far.
     pub fn wait_counter(&self, name: &str, least: u64) {
         let start = Instant::now();
