Do not close a client's connection as idle amid a request that comes in pieces

Reading of requests in pieces against the idle timer. FrameConnection counted 5 s from the last whole frame, also while a further frame was half there. Clients close after 4 s, but a request begun shortly before and slow in coming was cut off: the test's rest of a request, 1.2 s after its head on a connection idle for 4.2 s, met a closed connection, and nobody sends such a request once more, for it crossed no close of 50 ms.

Lines at fault: src/front/frames.rs, FrameConnection::received, which left `last` alone when a frame begins. The frame's own time, 2 s, holds from then, as it did for other frames. Unchanged for connections that have never sent a whole frame: those are owed a word within 3 s.

Ruled out: requests in pieces as such (tests/sockets.rs sends one byte by byte), closing to make room (takes the one that has been idle longest, and such a one no longer counts as that).

Test: tests/crossings.rs, a_connection_is_not_closed_as_idle_amid_a_request. Seen to fail before.

--- a/src/front/frames.rs
+++ b/src/front/frames.rs
@@ -368,6 +368,11 @@
             // What is left after a whole frame has only just begun.
             false => self.whole_by.filter(|_| !begun).or(Some(hub.now + WHOLE)),
         };
+        // A request that has begun has its time to end, which is shorter. Who has never sent one is owed a word
+        // within 3 s of connecting, whatever has begun.
+        if self.used && self.whole_by.is_some_and(|by| by == hub.now + WHOLE) {
+            self.last = hub.now;
+        }
         match error {
             Some(why) => self.malformed(why, link, hub),
             // A client that closes waits for nothing more.
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -360,3 +360,28 @@
     let (_feed, offset) = bus.accept();
     assert_eq!(offset, 1);
 }
+
+// ---- Clients
+
+/// A request comes in pieces, late in the life of an idle connection: the connection is not idle any more.
+#[test]
+fn a_connection_is_not_closed_as_idle_amid_a_request() {
+    let worker = Worker::agent();
+    let daemon = Daemon::start(&[&worker]);
+    worker.serve(|heard| echo(heard).filter(|_| heard.line["attrs"]["lane"] != "credit-submit"));
+    let (mut client, mut clock) = (Frames::connect(&daemon), Frames::connect(&daemon));
+    client.send(&frame(0, 1, &call("practice-check", &name(1), 3_000, b"x")));
+    assert_eq!(client.next(), Some((1, 1, vec![79, 0, b'x'])));
+    // Refusals of calls that nobody serves tell the time: 4.2 s, and 1.2 s more.
+    let mut wait = |n: u32, ms| {
+        clock.send(&frame(0, n, &call("credit-submit", &name(100 + n), ms, b"")));
+        assert_eq!(clock.next().unwrap().2[0], 66);
+    };
+    wait(1, 4_200);
+    let request = frame(0, 2, &call("practice-check", &name(2), 3_000, b"y"));
+    let (head, rest) = request.split_at(30);
+    client.send(head);
+    wait(2, 1_200);
+    client.send(rest);
+    assert_eq!(client.next(), Some((1, 2, vec![79, 0, b'y'])));
+}
