Keep what went to a cold worker in mind while a list leaves it out

Reading of whole lists that leave a worker out. Balancer::members dropped the worker with what it had been sent; named again by the next event, with the same start, it was a fresh one with a whole budget. After a break of the watch every scheduler hears the same late list, so all of them together could spend the cold budget twice within the span of the rule. The same holds where a worker is told gone and then listed after all.

Lines at fault: src/brain.rs, Balancer::members, `self.workers.retain` and `remove`. The sends are kept for the span of the rule and come back with the worker.

Ruled out: a new start under the same id (kept before), schedulers that have just restarted (they have no budget of their own: what they may let in follows by chance from usual traffic, one call a span).

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -179,6 +179,8 @@
     rng: Pcg64Mcg,
     now: Time,
     workers: BTreeMap<WorkerId, Worker>,
+    /// What went to workers that have left the list lately: one may only have been left out of a late one.
+    parted: BTreeMap<WorkerId, VecDeque<(Time, f64)>>,
     functions: BTreeMap<FunctionId, Function>,
     requests: BTreeMap<RequestId, Request>,
     attempts: BTreeMap<(RequestId, u16), Attempt>,
@@ -208,6 +210,7 @@
             rng: Pcg64Mcg::seed_from_u64(seed),
             now: Time(0),
             workers: BTreeMap::new(),
+            parted: BTreeMap::new(),
             functions: BTreeMap::new(),
             requests: BTreeMap::new(),
             attempts: BTreeMap::new(),
@@ -274,11 +277,12 @@
         self.listed += 1;
         if kind != ListKind::Delta {
             let listed: BTreeSet<_> = members.iter().map(|m| m.worker).collect();
-            self.workers.retain(|id, _| listed.contains(id));
+            let left = self.workers.extract_if(.., |id, _| !listed.contains(id));
+            self.parted.extend(left.map(|(id, worker)| (id, worker.sends)));
         }
         for member in members {
             if member.state == State::Gone {
-                self.workers.remove(&member.worker);
+                self.parted.extend(self.workers.remove_entry(&member.worker).map(|(id, w)| (id, w.sends)));
                 continue;
             }
             let known = self.workers.get_mut(&member.worker);
@@ -288,7 +292,8 @@
             }
             // A new process: nothing stands there, and what it was sent already counts as cold work.
             let mut fresh = Worker { member, born: self.now, slow: 1.0, limit: LIMIT.1, ..Worker::default() };
-            fresh.sends = self.workers.remove(&member.worker).map(|old| old.sends).unwrap_or_default();
+            let old = self.workers.remove(&member.worker).map(|old| old.sends);
+            fresh.sends = old.or_else(|| self.parted.remove(&member.worker)).unwrap_or_default();
             self.workers.insert(member.worker, fresh);
         }
     }
@@ -397,10 +402,9 @@
         let lanes = function.lanes;
         let trust = function.gold && self.now - function.since > GOLD_TRUST;
         let (copies, blind) = self.wanted_copies(key, class);
-        let near = if trust { usize::MAX } else { copies * 2 + NEAR };
         let able = self.hash_order(key).into_iter().filter(|w| self.may_send(id, *w));
         let mut order = self.healthy(able.collect());
-        order.truncate(near);
+        order.truncate(if trust { usize::MAX } else { copies * 2 + NEAR });
         let open = |w: &WorkerId| self.has_room(*w, class);
         if !order.iter().any(open) {
             return self.hold_back(id, out);
@@ -639,10 +643,8 @@
 
     /// Ready, not lately failed, one of our load slots free, and inside the ration.
     fn may_load(&self, worker: WorkerId, key: FunctionId) -> bool {
-        let Some(w) = self.workers.get(&worker) else { return false };
-        if w.member.state != State::Ready || !self.settings.limits.may_order {
-            return false;
-        }
+        let known = self.workers.get(&worker).filter(|w| w.member.state == State::Ready);
+        let Some(w) = known.filter(|_| self.settings.limits.may_order) else { return false };
         let pair = self.pair(key, worker).cloned().unwrap_or_default();
         let slots = if self.bronze(key) { 1 } else { LOADS };
         let starts = pair.warm_until > self.now || self.loads_under_way(w) < slots;
@@ -710,10 +712,8 @@
     fn learn(&mut self, outcome: &Outcome, attempt: &Attempt) {
         let (now, keep) = (self.now, self.settings.loading.keep);
         let aim = self.settings.classes[attempt.class].aim;
-        let Some(w) = self.workers.get_mut(&attempt.worker) else { return };
-        if attempt.place.since < w.born {
-            return;
-        }
+        let known = self.workers.get_mut(&attempt.worker);
+        let Some(w) = known.filter(|w| attempt.place.since >= w.born) else { return };
         let silent = w.heard < attempt.place.since && outcome.latency >= aim;
         if matches!(outcome.status, Status::Ok | Status::Error | Status::Full | Status::Miss) {
             (w.heard, w.unanswered) = (now, 0);
@@ -913,8 +913,7 @@
                     continue;
                 }
                 // A first hold costs a load: one under way a worker and a function floods nothing.
-                let first = until <= self.now;
-                if first && (self.loads_under_way(w) > 0 || self.pending_loads(key) > 0) {
+                if until <= self.now && (self.loads_under_way(w) > 0 || self.pending_loads(key) > 0) {
                     continue;
                 }
                 self.order_load(worker, key, out);
@@ -930,6 +929,7 @@
         }
         self.look_for_room();
         let (now, fall) = (self.now, self.settings.rules.fall_span);
+        self.parted.retain(|_, sends| sends.back().is_some_and(|(at, _)| now - *at <= fall));
         for w in self.workers.values_mut() {
             w.sends.retain(|(at, _)| now - *at <= fall);
             w.others *= 0.5f64.powf(HOLD_PACE.secs() / SLOW_HALF.secs());
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -612,3 +612,34 @@
     rig.answer(Status::Ok);
     assert_eq!(sent(&mut rig, 1), 8, "a copy stands");
 }
+
+/// A list that comes late leaves a cold worker out and the next one names it again: what it was sent before still
+/// counts, or all front ends together would send it a second budget in the same span.
+#[test]
+fn a_cold_worker_that_a_list_leaves_out_for_a_while_gets_no_second_budget() {
+    let ways: [Option<(ListKind, bool)>; 3] =
+        [None, Some((ListKind::Full, false)), Some((ListKind::Delta, true))];
+    for way in ways {
+        let (mut once, mut twice) = (0, 0);
+        for index in 0..200 {
+            let mut rig = Rig::new(Settings { fleet_size: 200, index, ..settings(OnMiss::Load) }, 1);
+            let cold = Member { started: Some(rig.now - Span::millis(9_000)), ..member(1) };
+            rig.give(Event::Members(ListKind::Delta, vec![cold]));
+            if sends(&rig.give(Event::Call(call(1, 7, 0)))).is_empty() {
+                continue;
+            }
+            once += 1;
+            rig.answer(Status::Ok);
+            if let Some((kind, told)) = way {
+                let left = told.then_some(Member { state: State::Gone, ..cold });
+                rig.give(Event::Members(kind, left.into_iter().collect()));
+            }
+            rig.pass(Span::millis(300));
+            rig.give(Event::Members(ListKind::Delta, vec![cold]));
+            for id in 2..12 {
+                twice += sends(&rig.give(Event::Call(call(id, 7, 0)))).len();
+            }
+        }
+        assert!(once > 0 && twice == 0, "{once} and {twice} within the span of the rule");
+    }
+}
