Test clients that leave, spoilt answers and connects that never come up, where they cross

Each forces its pair by order of events, a connection that comes up late by a worker whose queue of new connections is full (socket2, for tests only, for it can ask for a queue of none).

- client cancels, closes or shuts its half | its call waits for a connection that comes up, or in the module for a worker: withdrawn at once, and Core::may_write refuses it when the bytes are about to go
- client cancels or closes | its first attempt breaks, both before the program looks: commands are carried out after all input of a turn, so there is no second attempt
- idle connection reset | a call for it comes in: served on another
- spoilt answer | another call open on its connection: both go out again, the old connection's later words are nobody's
- connect that never comes up | calls: they move on after the settings' time

--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -8,8 +8,9 @@
 use mintgate::{FunctionId, ListKind, Member, Span, Time, WorkerId};
 use rig::*;
 use serde_json::{Value, json};
+use socket2::{Domain, Socket, Type};
 use std::io::{Read, Write};
-use std::net::{TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 
 /// Settings of a large fleet: the calls of one scheduler share a connection to each worker.
 fn shared() -> Value {
@@ -385,3 +386,176 @@
     client.send(rest);
     assert_eq!(client.next(), Some((1, 2, vec![79, 0, b'y'])));
 }
+
+/// A worker whose connections do not come up: its queue of new ones is full until [`Shut::open`].
+struct Shut {
+    listener: TcpListener,
+    _first: TcpStream,
+}
+
+impl Shut {
+    /// The worker, and what tells a daemon of it.
+    fn new() -> (Shut, Worker) {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
+        socket.listen(0).unwrap();
+        let listener = TcpListener::from(socket);
+        let at = listener.local_addr().unwrap();
+        let first = TcpStream::connect(at).unwrap();
+        let more = TcpStream::connect_timeout(&at, std::time::Duration::from_millis(200));
+        assert!(more.is_err(), "the queue is full");
+        let mut told = Worker::agent();
+        told.at = At::Tcp(at);
+        (Shut { listener, _first: first }, told)
+    }
+
+    /// Lets the connection that waits come up.
+    fn open(&self) -> TcpStream {
+        self.listener.accept().unwrap();
+        let (stream, _) = self.listener.accept().unwrap();
+        stream.set_read_timeout(Some(LONG)).unwrap();
+        stream
+    }
+}
+
+/// The settings of a large fleet, with connects that may take long.
+fn patient() -> Value {
+    let mut settings = shared();
+    settings["bounds"]["connectTimeoutNs"] = json!(15_000_000_000u64);
+    settings
+}
+
+/// Clients cancel, close and shut their half while their calls wait for a connection that is coming up: it comes
+/// up, and only the call that somebody waits for goes out.
+#[test]
+fn calls_whose_clients_have_gone_are_not_written_when_their_connection_comes_up() {
+    let (shut, told) = Shut::new();
+    let daemon = Daemon::with(&[&told], patient(), None, |_| String::new());
+    let mut clients: Vec<_> = (0..4).map(|_| Frames::connect(&daemon)).collect();
+    for (n, client) in clients.iter_mut().enumerate() {
+        client.send(&frame(0, 1, &call("practice-check", &name(n as u32), 20_000, b"")));
+        only_ready(client, 79);
+    }
+    clients[0].send(&frame(2, 1, &[]));
+    only_ready(&mut clients[0], 79);
+    clients[1].0.shutdown(std::net::Shutdown::Write).unwrap();
+    drop(clients.remove(2));
+    daemon.wait_counter("withdrawn", 3);
+    let mut wire = shut.open();
+    assert_eq!(line(&mut wire)["rid"], name(3));
+    wire.write_all(&ok(&name(3), "eA==")).unwrap();
+    assert_eq!(clients[2].next(), Some((1, 1, vec![79, 0, b'x'])));
+    assert_eq!((daemon.counter("sent"), daemon.counter("served")), (1, 1));
+}
+
+/// The same while the call waits in the module, for a worker to be told of at all.
+#[test]
+fn calls_whose_clients_have_gone_are_not_placed_when_a_worker_comes() {
+    let (worker, bus) = (Worker::agent(), Bus::new());
+    let at = Some(bus.0.local_addr().unwrap());
+    let daemon = Daemon::with(&[], settings(), at, |_| String::new());
+    let (mut feed, _) = bus.accept();
+    let mut clients: Vec<_> = (0..4).map(|_| Frames::connect(&daemon)).collect();
+    for (n, client) in clients.iter_mut().enumerate() {
+        client.send(&frame(0, 1, &call("practice-check", &name(n as u32), 60_000, b"")));
+        only_ready(client, 79);
+    }
+    clients[0].send(&frame(2, 1, &[]));
+    only_ready(&mut clients[0], 79);
+    clients[1].0.shutdown(std::net::Shutdown::Write).unwrap();
+    drop(clients.remove(2));
+    daemon.wait_counter("withdrawn", 3);
+    feed.write_all(&event(2, 1, &worker, 0)).unwrap();
+    let mut heard = go(&worker);
+    assert_eq!(heard.name(), name(3));
+    heard.answer("200", "eA==");
+    assert_eq!(clients[2].next(), Some((1, 1, vec![79, 0, b'x'])));
+    assert_eq!(daemon.counter("sent"), 1);
+}
+
+/// The first attempt breaks and the client leaves, both before the daemon looks: there is no second attempt.
+#[test]
+fn a_call_is_not_sent_again_for_a_client_that_left_in_the_same_turn() {
+    for closes in [false, true] {
+        let worker = Worker::agent();
+        let daemon = Daemon::with(&[&worker], shared(), None, |_| String::new());
+        let (mut client, mut other) = (Frames::connect(&daemon), Frames::connect(&daemon));
+        client.send(&frame(0, 1, &call("practice-check", &name(1), 20_000, b"")));
+        let heard = go(&worker);
+        daemon.signal("STOP");
+        heard.end();
+        if closes {
+            drop(client);
+        } else {
+            client.send(&frame(2, 1, &[]));
+        }
+        daemon.signal("CONT");
+        daemon.wait_counter("withdrawn", 1);
+        other.send(&frame(0, 1, &call("practice-check", &name(2), 20_000, b"")));
+        let mut next = go(&worker);
+        assert_eq!(next.name(), name(2), "closes: {closes}");
+        next.answer("200", "eA==");
+        assert_eq!(other.next(), Some((1, 1, vec![79, 0, b'x'])));
+        assert_eq!(daemon.counter("sent"), 2);
+    }
+}
+
+/// A worker resets an idle connection while a call for it comes in: the call is served, on another.
+#[test]
+fn a_call_that_meets_a_reset_of_an_idle_connection_is_served() {
+    let worker = Worker::agent();
+    let daemon = Daemon::with(&[&worker], shared(), None, |_| String::new());
+    let (mut client, mut other) = (Frames::connect(&daemon), Frames::connect(&daemon));
+    client.send(&frame(0, 1, &call("practice-check", &name(1), 3_000, b"")));
+    let mut heard = go(&worker);
+    heard.answer("200", "eA==");
+    assert_eq!(client.next(), Some((1, 1, vec![79, 0, b'x'])));
+    daemon.signal("STOP");
+    client.send(&frame(0, 2, &call("practice-check", &name(2), 3_000, b"")));
+    heard.end();
+    other.send(&frame(0, 1, &call("practice-check", &name(3), 3_000, b"")));
+    daemon.signal("CONT");
+    let mut again = [go(&worker), go(&worker)];
+    again.iter_mut().for_each(|heard| heard.answer("200", "eQ=="));
+    assert_eq!(client.next(), Some((1, 2, vec![79, 0, b'y'])));
+    assert_eq!(other.next(), Some((1, 1, vec![79, 0, b'y'])));
+    assert_eq!(daemon.counter("taken"), daemon.counter("served"));
+}
+
+/// An answer that cannot be read, with another call open on its connection: both go out again on a new one, and
+/// what the old one still says is nobody's.
+#[test]
+fn a_spoilt_answer_takes_what_is_open_on_its_connection_to_another() {
+    let worker = Worker::agent();
+    let daemon = Daemon::with(&[&worker], shared(), None, |_| String::new());
+    let mut client = Frames::connect(&daemon);
+    client.send(&frame(0, 1, &call("practice-check", &name(1), 20_000, b"")));
+    let mut first = go(&worker);
+    client.send(&frame(0, 2, &call("practice-check", &name(2), 20_000, b"")));
+    let second = go(&worker);
+    assert_eq!(first.connection, second.connection);
+    first.raw(&[&b"\xff{spoilt\n"[..], &ok(&name(2), "bm8=")].concat());
+    let mut again = [go(&worker), go(&worker)];
+    assert!(again.iter().all(|heard| heard.connection != first.connection));
+    again.sort_by_key(Heard::name);
+    again[0].answer("200", "eA==");
+    again[1].answer("200", "eQ==");
+    let mut answers = [client.next().unwrap(), client.next().unwrap()];
+    answers.sort();
+    assert_eq!(answers, [(1, 1, vec![79, 0, b'x']), (1, 2, vec![79, 0, b'y'])]);
+    only_ready(&mut client, 79);
+}
+
+/// A connection that never comes up holds a call only as long as the settings allow.
+#[test]
+fn a_call_leaves_a_connection_that_never_comes_up() {
+    let ((_shut, told), worker) = (Shut::new(), Worker::agent());
+    let daemon = Daemon::with(&[&told, &worker], settings(), None, |_| String::new());
+    worker.serve(echo);
+    let mut client = Frames::connect(&daemon);
+    for n in 1..20 {
+        client.send(&frame(0, n, &call_of(u64::from(n), &name(n), 3_000)));
+        assert_eq!(client.next(), Some((1, n, vec![79, 0, b'x'])));
+    }
+    assert!(daemon.counter("connect_failed") > 0, "some went to the worker that is shut");
+}
