Look at the sockets before the timers also when a signal has ended the wait

Reading of a cancel in the same turn as the timer. A signal ends epoll_wait with EINTR, and Reactor::turn returned with no events; the daemon then ran its timers on what it knew before. A client's cancel that lay in the socket came after the deadline of its call, or the pause before a further attempt, though it had been there first: the test's cancelled stream was answered with [66, .. cooldown]. SIGHUP under load does the same for every call that is due.

Lines at fault: src/net/reactor.rs, Reactor::turn, `ErrorKind::Interrupted => return Ok(vec![])`. The poll is asked again at once, without waiting, so input goes before timers and before the signal itself.

Ruled out: timers in an undisturbed turn (they run after all input, and so do the commands).

Test: tests/crossings.rs, a_cancel_in_the_turn_of_the_deadline_is_answered_by_nothing: the daemon stands still while its call's time passes, as another daemon's refusal shows, and the client cancels. Seen to fail before.

--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -407,11 +407,14 @@
     pub fn turn(&mut self, until: Option<Time>, core: &mut Core) -> io::Result<Vec<Signal>> {
         let due = self.timers.first().map(|(at, _)| *at).into_iter().chain(until).min();
         // Rounded up, so that a timer is not asked for a little early again and again.
-        let rest = due.map(|at| Duration::from_nanos((at - self.clock.now()).0 + 50_000));
+        let mut rest = due.map(|at| Duration::from_nanos((at - self.clock.now()).0 + 50_000));
         self.quiet = false;
-        match self.poll.poll(&mut self.events, rest) {
-            Err(e) if e.kind() == io::ErrorKind::Interrupted => return Ok(vec![]),
-            other => other?,
+        // A signal ends the wait and hides what the sockets have: that goes before timers and the signal itself.
+        while let Err(e) = self.poll.poll(&mut self.events, rest) {
+            if e.kind() != io::ErrorKind::Interrupted {
+                return Err(e);
+            }
+            rest = Some(Duration::ZERO);
         }
         let mut signals = Vec::new();
         let ready: Vec<_> = self
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -500,6 +500,24 @@
     }
 }
 
+/// The time of a call is over and its client cancels, both before the daemon looks: no answer is owed or given.
+#[test]
+fn a_cancel_in_the_turn_of_the_deadline_is_answered_by_nothing() {
+    let (worker, second) = (Worker::agent(), Worker::agent());
+    let (daemon, clock) = (Daemon::start(&[&worker]), Daemon::start(&[&second]));
+    let (mut client, mut watch) = (Frames::connect(&daemon), Frames::connect(&clock));
+    client.send(&frame(0, 1, &call("practice-check", &name(1), 500, b"")));
+    go(&worker);
+    daemon.signal("STOP");
+    // Another daemon's refusal shows that the time is over.
+    watch.send(&frame(0, 1, &call("practice-check", &name(1), 600, b"")));
+    assert_eq!(watch.next().unwrap().2[0], 66);
+    client.send(&frame(2, 1, &[]));
+    daemon.signal("CONT");
+    only_ready(&mut client, 79);
+    assert_eq!((daemon.counter("withdrawn"), daemon.counter("refused")), (1, 0));
+}
+
 /// A worker resets an idle connection while a call for it comes in: the call is served, on another.
 #[test]
 fn a_call_that_meets_a_reset_of_an_idle_connection_is_served() {
