Test the end, the watch, reloads and cold budgets where they cross with other events

- SIGTERM | calls queued for a connection, the bus down, reloads good and bad, SIGTERM again, a new client with a call
- SIGTERM and SIGHUP in one turn, in either order | an open call, a bus that moves
- half an event | the break; the same event twice; a whole list that leaves a worker out | a call that waits for its connection: it goes to another worker, and nothing is written when the connection comes up after all
- SIGHUP that moves the bus | the old connection coming up, or the pause before a new one; the old bus's news after it
- a reload | open calls: attempts, cancels, cooldowns and classes go by the new figures

tests/module.rs: thirty front ends, asked for a third more than their workers do, some or all of them started anew just before or after a worker that starts cold: every window of 3 s stays within N + 2 sqrt(N) + 2 calls.

--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -147,6 +147,68 @@
     assert!(daemon.child.wait().unwrap().success());
 }
 
+/// SIGTERM with a call queued for a connection that comes up, the bus down, reloads good and bad, SIGTERM again, and
+/// a new client with a new call: all that was taken is served, and the end comes then.
+#[test]
+fn what_is_queued_at_sigterm_and_what_still_comes_is_served_through_reloads() {
+    let (shut, told) = Shut::new();
+    let down = TcpListener::bind("127.0.0.78:0").unwrap();
+    let at = Some(down.local_addr().unwrap());
+    drop(down);
+    let mut daemon = Daemon::with(&[&told], patient(), at, |_| String::new());
+    let mut client = Frames::connect(&daemon);
+    client.send(&frame(0, 1, &call("practice-check", &name(1), 20_000, b"")));
+    only_ready(&mut client, 79);
+    daemon.signal("TERM");
+    assert_eq!(client.next(), Some((9, 0, vec![])));
+    let config = daemon.config.to_string();
+    assert_eq!(daemon.reload("{"), "refused");
+    daemon.reload(&config);
+    daemon.signal("TERM");
+    daemon.reload(&config);
+    only_ready(&mut client, 66);
+    let mut late = Frames::connect(&daemon);
+    late.send(&frame(0, 1, &call("practice-check", &name(2), 20_000, b"")));
+    daemon.wait_counter("taken", 2);
+    let mut wire = shut.open();
+    for n in 1..=2 {
+        assert_eq!(line(&mut wire)["rid"], name(n));
+        wire.write_all(&ok(&name(n), "eA==")).unwrap();
+    }
+    assert_eq!(client.next(), Some((1, 1, vec![79, 0, b'x'])));
+    let answer = std::iter::from_fn(|| late.next()).find(|(kind, ..)| *kind == 1);
+    assert_eq!(answer, Some((1, 1, vec![79, 0, b'x'])));
+    assert!(daemon.child.wait().unwrap().success());
+    assert!(daemon.wait_log("ended").contains(" served=2 "));
+}
+
+/// SIGHUP and SIGTERM before the daemon looks, in either order, and a bus that moves with it.
+#[test]
+fn a_reload_and_the_end_in_one_turn_harm_neither() {
+    for signals in [["HUP", "TERM"], ["TERM", "HUP"]] {
+        let (worker, bus, moved) = (Worker::agent(), Bus::new(), Bus::new());
+        let at = |bus: &Bus| bus.0.local_addr().unwrap();
+        let mut daemon = Daemon::with(&[&worker], settings(), Some(at(&bus)), |_| String::new());
+        let (mut feed, _) = bus.accept();
+        let mut client = Frames::connect(&daemon);
+        client.send(&frame(0, 1, &call("practice-check", &name(1), 20_000, b"")));
+        let mut heard = go(&worker);
+        let mut config = daemon.config.clone();
+        config["bus"] = json!(at(&moved).to_string());
+        std::fs::write(daemon.folder.at("config.json"), config.to_string()).unwrap();
+        daemon.signal("STOP");
+        signals.iter().for_each(|signal| daemon.signal(signal));
+        daemon.signal("CONT");
+        let (_new, offset) = moved.accept();
+        assert_eq!(offset, 1);
+        assert_eq!(feed.read(&mut [0; 64]).unwrap_or(0), 0, "the old bus is left");
+        assert_eq!(client.next(), Some((9, 0, vec![])));
+        heard.answer("200", "eA==");
+        assert_eq!(client.next(), Some((1, 1, vec![79, 0, b'x'])));
+        assert!(daemon.child.wait().unwrap().success(), "{signals:?}");
+    }
+}
+
 // ---- Connections to workers
 
 /// An answer, and a reset right behind it: what came whole counts.
@@ -299,6 +361,37 @@
     let second = go(&worker);
     assert_ne!(first.connection, second.connection);
 }
+/// Attempts, cancels and cooldowns of calls that are open go by the new figures, and a class of the customer before
+/// is unknown to new calls.
+#[test]
+fn open_calls_go_by_the_limits_of_a_new_configuration() {
+    let worker = Worker::agent();
+    let daemon = Daemon::with(&[&worker], shared(), None, |_| String::new());
+    let mut client = Frames::connect(&daemon);
+    client.send(&frame(0, 1, &call("practice-check", &name(1), 20_000, b"")));
+    let mut first = go(&worker);
+    client.send(&frame(0, 2, &call("practice-check", &name(2), 20_000, b"")));
+    let second = go(&worker);
+    let mut config = daemon.config.clone();
+    let bounds = &mut config["settings"]["bounds"];
+    (bounds["mostTries"], bounds["mayCancel"], bounds["retryAfter"]) = (json!(1), json!(false), json!(false));
+    config["settings"]["classes"][0]["name"] = json!("other-check");
+    config["settings"]["classes"].as_array_mut().unwrap().reverse();
+    daemon.reload(&config.to_string());
+    first.answer("503", "");
+    assert_eq!(client.next(), Some((1, 1, vec![66, 0])), "no further attempt, no cooldown");
+    client.send(&frame(2, 2, &[]));
+    client.send(&frame(0, 3, &call("practice-check", &name(3), 3_000, b"")));
+    assert_eq!(client.next(), Some((1, 3, vec![69, 0])), "the class has gone");
+    client.send(&frame(0, 4, &call("other-check", &name(4), 3_000, b"")));
+    let mut next = worker.next();
+    assert_eq!((next.word(), next.name()), ("go", name(4)), "no halt before it");
+    next.answer("200", "eA==");
+    assert_eq!(client.next(), Some((1, 4, vec![79, 0, b'x'])));
+    assert_eq!(second.name(), name(2));
+    only_ready(&mut client, 79);
+}
+
 // ---- The list of workers
 
 /// A request to `function`, for a test that wants calls at several homes.
@@ -362,6 +455,82 @@
     assert_eq!(offset, 1);
 }
 
+/// An event breaks off in the middle, comes whole and twice on the next connection, and a whole list then leaves out
+/// the worker for whose connection a call waits: the call goes to the other worker.
+#[test]
+fn a_call_does_not_follow_a_worker_that_a_whole_list_leaves_out() {
+    let ((shut, told), second, bus) = (Shut::new(), Worker::agent(), Bus::new());
+    let at = Some(bus.0.local_addr().unwrap());
+    let daemon = Daemon::with(&[&told], patient(), at, |_| String::new());
+    let (mut feed, offset) = bus.accept();
+    assert_eq!(offset, 1);
+    let mut client = Frames::connect(&daemon);
+    client.send(&frame(0, 1, &call("practice-check", &name(1), 20_000, b"")));
+    only_ready(&mut client, 79);
+    let mut whole = event(2, 2, &second, 0);
+    whole[12] = 1;
+    feed.write_all(&whole[..30]).unwrap();
+    drop(feed);
+    let (mut feed, offset) = bus.accept();
+    assert_eq!(offset, 1, "half an event is none");
+    feed.write_all(&[&whole[..], &whole].concat()).unwrap();
+    daemon.wait_counter("list_events", 2);
+    let mut wire = shut.open();
+    let mut heard = go(&second);
+    assert_eq!(heard.name(), name(1));
+    heard.answer("200", "eA==");
+    assert_eq!(client.next(), Some((1, 1, vec![79, 0, b'x'])));
+    assert_eq!((daemon.counter("sent"), daemon.counter("list_events")), (1, 2));
+    wire.set_nonblocking(true).unwrap();
+    assert!(wire.read(&mut [0]).is_err(), "nothing went to the worker that was left out");
+}
+
+/// SIGHUP moves the bus while the old one's connection is coming up, or while the daemon waits to try again.
+#[test]
+fn a_bus_that_moves_is_asked_at_once_whatever_the_old_connection_does() {
+    let ((shut, _), down) = (Shut::new(), TcpListener::bind("127.0.0.79:0").unwrap());
+    let old = [shut.listener.local_addr().unwrap(), down.local_addr().unwrap()];
+    drop(down);
+    for old in old {
+        let (worker, second, moved) = (Worker::agent(), Worker::agent(), Bus::new());
+        let daemon = Daemon::with(&[&worker], settings(), Some(old), |_| String::new());
+        let mut config = daemon.config.clone();
+        config["bus"] = json!(moved.0.local_addr().unwrap().to_string());
+        daemon.reload(&config.to_string());
+        let (mut feed, offset) = moved.accept();
+        assert_eq!(offset, 1);
+        feed.write_all(&[event(2, 2, &second, 0), event(3, 1, &worker, 1)].concat()).unwrap();
+        daemon.wait_counter("list_events", 3);
+        let mut client = Frames::connect(&daemon);
+        client.send(&frame(0, 1, &call("practice-check", &name(1), 3_000, b"")));
+        go(&second).answer("200", "eA==");
+        assert_eq!(client.next(), Some((1, 1, vec![79, 0, b'x'])));
+    }
+}
+
+/// What the old bus says after the move is not heard, also not if it stands before the daemon looks.
+#[test]
+fn news_of_the_old_bus_after_the_move_is_not_heard() {
+    let (worker, second, bus, moved) = (Worker::agent(), Worker::agent(), Bus::new(), Bus::new());
+    let at = |bus: &Bus| bus.0.local_addr().unwrap();
+    let daemon = Daemon::with(&[&worker], settings(), Some(at(&bus)), |_| String::new());
+    let (mut old, _) = bus.accept();
+    let mut config = daemon.config.clone();
+    config["bus"] = json!(at(&moved).to_string());
+    daemon.reload(&config.to_string());
+    let (mut feed, offset) = moved.accept();
+    assert_eq!(offset, 1);
+    // It says that the worker has gone; the new one says otherwise under the same number.
+    let _ = old.write_all(&event(2, 1, &worker, 2));
+    feed.write_all(&event(2, 2, &second, 1)).unwrap();
+    daemon.wait_counter("list_events", 2);
+    let mut client = Frames::connect(&daemon);
+    client.send(&frame(0, 1, &call("practice-check", &name(1), 3_000, b"")));
+    go(&worker).answer("200", "eA==");
+    assert_eq!(client.next(), Some((1, 1, vec![79, 0, b'x'])));
+    assert_eq!(daemon.counter("list_events"), 2);
+}
+
 // ---- Clients
 
 /// A request comes in pieces, late in the life of an idle connection: the connection is not idle any more.
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -643,3 +643,76 @@
         assert!(once > 0 && twice == 0, "{once} and {twice} within the span of the rule");
     }
 }
+
+/// Thirty front ends with more calls than the workers are good for, one worker that starts cold and front ends that
+/// start anew, some or all, just before or after it: what all of them send it keeps to the budget, with its slack.
+#[test]
+fn all_front_ends_together_keep_a_cold_workers_budget_also_after_restarts() {
+    const FRONT_ENDS: u32 = 30;
+    const WORKERS: u64 = 8;
+    // What a warm worker does in a second, and all calls in a second: a third more than all of them do.
+    let (rate, asked) = (10.0, 10.0 * WORKERS as f64 * 1.3);
+    let restarts: [&[(u64, u32)]; 4] =
+        [&[], &[(5_900, FRONT_ENDS)], &[(6_500, 20)], &[(6_100, 15), (7_000, 30)]];
+    for (seed, restarts) in restarts.into_iter().enumerate() {
+        let settings = |index| {
+            let mut settings = Settings { fleet_size: FRONT_ENDS, index, ..settings(OnMiss::Load) };
+            (settings.rules.fall_multiple, settings.rules.fall_span) = (4.0, Span::millis(3_000));
+            (settings.rules.cold_from, settings.rules.cold_span) = (0.16, Span::millis(17_000));
+            settings
+        };
+        let mut rigs: Vec<Rig> = (0..FRONT_ENDS).map(|index| Rig::new(settings(index), WORKERS)).collect();
+        let begin = rigs[0].now;
+        let cold = Member { started: Some(begin + Span::millis(6_000)), ..member(1) };
+        let mut drawn = 0x9e37_79b9_7f4a_7c15u64 ^ seed as u64;
+        let mut draw = || {
+            drawn = drawn.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+            (drawn >> 33) as f64 / (1u64 << 31) as f64
+        };
+        let (mut out, mut to_cold, mut id) = (std::collections::VecDeque::new(), vec![], 0);
+        for ms in (0..14_000).step_by(10) {
+            for (at, count) in restarts.iter().filter(|(at, _)| *at == ms) {
+                for index in 0..*count {
+                    let now = rigs[index as usize].now;
+                    rigs[index as usize] = Rig::new(settings(index), WORKERS);
+                    rigs[index as usize].now = now;
+                    let list = (1..=WORKERS).map(|w| if w == 1 && *at >= 6_000 { cold } else { member(w) });
+                    rigs[index as usize].give(Event::Members(ListKind::Full, list.collect()));
+                    out.retain(|(_, owner, ..): &(u64, u32, RequestId, u16)| *owner != index);
+                }
+            }
+            for (index, rig) in rigs.iter_mut().enumerate() {
+                if ms == 6_000 {
+                    rig.give(Event::Members(ListKind::Delta, vec![cold]));
+                }
+                let before = rig.sent.len();
+                rig.pass(Span::millis(10));
+                if draw() < asked / f64::from(FRONT_ENDS) / 100.0 {
+                    id += 1;
+                    // A few functions draw most calls.
+                    let function = (draw() * draw() * 40.0) as u64;
+                    rig.give(Event::Call(call(id, function, 0)));
+                }
+                for (request, attempt, worker) in &rig.sent[before..] {
+                    out.push_back((ms + 200, index as u32, *request, *attempt));
+                    if *worker == WorkerId(1) && ms >= 6_000 {
+                        to_cold.push(ms);
+                    }
+                }
+            }
+            while out.front().is_some_and(|(at, ..)| *at <= ms) {
+                if let Some((_, owner, request, attempt)) = out.pop_front() {
+                    rigs[owner as usize].outcome(request, attempt, Status::Ok);
+                }
+            }
+        }
+        for (n, start) in to_cold.iter().enumerate() {
+            let part = 0.16 + 0.84 * (*start - 6_000) as f64 / 17_000.0;
+            let calls = 4.0 * part * rate * 3.0;
+            let most = calls + 2.0 * calls.sqrt() + 2.0;
+            let sent = to_cold[n..].iter().filter(|at| **at < start + 3_000).count();
+            assert!(sent as f64 <= most, "{sent} calls of {most:.0} from {start} ms, restarts {restarts:?}");
+        }
+        assert!(to_cold.len() > 10, "and it is not left idle: {} calls", to_cold.len());
+    }
+}
