Call off what is open on a client's connection that ends in an error

FrameConnection::malformed told the client and had this half of the connection shut; the calls open there ran on, were tried again and took room at workers until the client closed or 2 s had passed, though no answer could reach anybody. An answer that came while the error still waited to be written would even have followed it.

Lines at fault: src/front/frames.rs, FrameConnection::malformed. It now withdraws what is open, as a close does.

Test: tests/crossings.rs, a_call_is_called_off_when_its_connection_ends_in_an_error: the worker hears the halt before a call that another client sends after the error. Before, it heard that call first.

--- a/src/front/frames.rs
+++ b/src/front/frames.rs
@@ -312,9 +312,18 @@
         if self.used { IDLE } else { FIRST }
     }
 
+    /// Nobody waits any more for what is open here.
+    fn withdraw_all(&mut self, link: &Link, hub: &mut Hub) {
+        for stream in std::mem::take(&mut self.open) {
+            hub.core.withdraw(hub.now, Owner { connection: link.id(), stream: u64::from(stream) });
+        }
+    }
+
     /// Tells the client what is wrong; the connection ends once that has gone out.
     fn malformed(&mut self, why: &str, link: &mut Link, hub: &mut Hub) -> Flow {
         hub.core.counters().malformed += 1;
+        // This half is shut: what is open here can have no answer any more.
+        self.withdraw_all(link, hub);
         if hub.core.may_log(hub.now) {
             eprintln!("mintgate: malformed front=frames connection={} why=\"{why}\"", link.id());
         }
@@ -397,9 +406,7 @@
     }
 
     fn closed(&mut self, link: &Link, hub: &mut Hub) {
-        for stream in std::mem::take(&mut self.open) {
-            hub.core.withdraw(hub.now, Owner { connection: link.id(), stream: u64::from(stream) });
-        }
+        self.withdraw_all(link, hub);
     }
 
     fn answer(&mut self, stream: u64, answer: &Answer, link: &mut Link, hub: &mut Hub) -> Flow {
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -669,6 +669,28 @@
     }
 }
 
+/// A client sends what cannot be read while a call of its is open: it is told and its connection ends, so the call
+/// is called off at once and no answer follows the error.
+#[test]
+fn a_call_is_called_off_when_its_connection_ends_in_an_error() {
+    let worker = Worker::agent();
+    let daemon = Daemon::start(&[&worker]);
+    let (mut client, mut other) = (Frames::connect(&daemon), Frames::connect(&daemon));
+    client.send(&frame(0, 1, &call("practice-check", &name(1), 20_000, b"")));
+    let mut heard = go(&worker);
+    client.send(&[0; 4]);
+    assert_eq!(client.next(), Some((1, 0, vec![69, 0])));
+    // The client has not closed: the daemon knows by itself that it cannot be answered.
+    other.send(&frame(0, 1, &call("practice-check", &name(2), 20_000, b"")));
+    let halt = worker.next();
+    assert_eq!((halt.word(), halt.name()), ("halt", name(1)));
+    heard.answer("200", "eA==");
+    assert_eq!(client.next(), None);
+    go(&worker).answer("200", "eA==");
+    assert_eq!(other.next(), Some((1, 1, vec![79, 0, b'x'])));
+    assert_eq!(daemon.counter("served"), 1);
+}
+
 /// The time of a call is over and its client cancels, both before the daemon looks: no answer is owed or given.
 #[test]
 fn a_cancel_in_the_turn_of_the_deadline_is_answered_by_nothing() {
