Forget orders to load of long ago also where no ration is set

Core::may_write_order noted the time of each order, rightly also without a ration, for a reload may bring one whose span reaches back. But only a ration's span dropped old ones: where none is set, as here, the notes grew with every order for as long as the program ran.

Lines at fault: src/core/mod.rs, Core::may_write_order, the `retain` inside `if let Some(ration)`. Without a ration those of the last minute are kept.

Test: tests/crossings.rs, orders_before_a_ration_count_and_are_not_kept_for_ever (before: 700 after 699 orders over 70 s); it also shows that orders of the ration's span count once a reload brings it, which held before.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -28,6 +28,8 @@
 /// Functions remembered as called: those of the present span, up to a number, and of the one before. Clients may
 /// name ever new ones, and only orders for what is called are of use.
 const CALLED: (Span, usize) = (Span::millis(60_000), 1 << 14);
+/// Orders to load that are remembered where no ration is set.
+const ORDERED: Span = Span::millis(60_000);
 /// A keyed repeat must be written this long before its group forgets.
 const KEY_MARGIN: Span = Span::millis(50);
 
@@ -379,6 +381,11 @@
         self.requests.len()
     }
 
+    /// Orders to load that are remembered for the ration.
+    pub fn orders_remembered(&self) -> usize {
+        self.ordered.len()
+    }
+
     /// Attempts that are out or wait to go out.
     pub fn attempts_out(&self) -> usize {
         self.attempts.len()
@@ -635,9 +642,12 @@
         {
             return false;
         }
-        if let Some(ration) = self.site.settings.rules.ration {
+        // Without a ration too, for a new configuration may bring one; but none looks back for ever.
+        let ration = self.site.settings.rules.ration;
+        let since = now - ration.map_or(ORDERED, |ration| ration.span);
+        self.ordered.retain(|at| *at >= since);
+        if let Some(ration) = ration {
             let since = now - ration.span;
-            self.ordered.retain(|at| *at >= since);
             self.taken.retain(|at| *at > since);
             let room = ration.free + ration.share * self.taken.len() as f64;
             if self.ordered.len() as f64 + 1.0 > room {
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -3,9 +3,9 @@
 mod rig;
 
 use mintgate::backend::{Endpoint, Limits, Pool};
-use mintgate::core::{Command, Core, Incoming, Owner, Reply};
+use mintgate::core::{Command, Core, Incoming, Owner, Reply, Standing};
 use mintgate::net::{Reactor, SystemClock};
-use mintgate::{FunctionId, ListKind, Member, Span, Time, WorkerId};
+use mintgate::{FunctionId, ListKind, Member, Span, Status, Time, WorkerId};
 use rig::*;
 use serde_json::{Value, json};
 use socket2::{Domain, Socket, Type};
@@ -392,6 +392,46 @@
     only_ready(&mut client, 79);
 }
 
+/// Orders to load go out without a ration, and a new configuration brings one: those of its span count, and those
+/// of long ago are not kept for that day.
+#[test]
+fn orders_before_a_ration_count_and_are_not_kept_for_ever() {
+    let mut text = settings();
+    text["familyInfo"]["notLoaded"] = json!("miss");
+    text["familyInfo"]["loadSpanNs"] = json!(0);
+    let site = |text: &Value| mintgate::settings::read_site(text.to_string().as_bytes()).unwrap();
+    let mut core = Core::new(site(&text), 7);
+    let begin = Time(1_000_000_000_000);
+    core.members(begin, ListKind::Full, vec![Member { worker: WorkerId(1), ..Member::default() }]);
+    // A call finds its function missing, and an order to load follows.
+    let order = |core: &mut Core, n: u64| {
+        let now = begin + Span::millis(n * 100);
+        core.wake(now);
+        core.call(now, Incoming { function: FunctionId(n), ..incoming(n, now) });
+        while let Some(command) = core.next_command() {
+            match command {
+                Command::Send { attempt, .. } => core.attempt_ended(now, attempt, Ok(Reply::Miss)),
+                Command::Stage { order, .. } => {
+                    let may = core.may_write_order(now, order);
+                    core.order_ended(now, order, Ok(Standing { status: Status::Full, copies: 0 }));
+                    core.withdraw(now, Owner { connection: 1, stream: n });
+                    return may;
+                }
+                _ => {}
+            }
+        }
+        panic!("no order for call {n}");
+    };
+    for n in 0..2_000 {
+        assert!(order(&mut core, n), "no ration yet");
+        assert!(core.orders_remembered() < 700, "{} after {n}", core.orders_remembered());
+    }
+    text["familyInfo"]["loadSpanNs"] = json!(5_000_000_000u64);
+    text["familyInfo"]["loadsAnyway"] = json!(40);
+    core.replace_site(begin + Span::millis(200_000), site(&text));
+    assert!(!order(&mut core, 2_000), "some fifty went out within the ration's span");
+}
+
 // ---- The list of workers
 
 /// A request to `function`, for a test that wants calls at several homes.
