--- a/src/bin/mintgate-simhost/codec.rs
+++ b/src/bin/function-scheduler-sim/codec.rs
@@ -1,6 +1,6 @@
 //! The wire's frames and records to and from the library's events and actions.
 
-use mintgate::*;
+use function_scheduler::*;
 use std::fmt;
 use std::io::{self, Read};
 
--- a/src/bin/mintgate-simhost/main.rs
+++ b/src/bin/function-scheduler-sim/main.rs
@@ -4,7 +4,7 @@
 mod codec;
 
 use codec::{Record, Reply, WireError, read_frame, read_records};
-use mintgate::{Action, Balancer, Event, Member, settings};
+use function_scheduler::{Action, Balancer, Event, Member, settings};
 use std::collections::BTreeMap;
 use std::io::{self, BufReader, Write};
 use std::process::ExitCode;
@@ -20,7 +20,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("mintgate-simhost: {error}");
+            eprintln!("function-scheduler-sim: {error}");
             ExitCode::FAILURE
         }
     }
@@ -43,7 +43,13 @@
 }
 
 impl Host {
-    fn take(&mut self, now: mintgate::Time, record: Record, actions: &mut Vec<Action>, reply: &mut Reply) {
+    fn take(
+        &mut self,
+        now: function_scheduler::Time,
+        record: Record,
+        actions: &mut Vec<Action>,
+        reply: &mut Reply,
+    ) {
         let (instance, event) = match record {
             Record::Open { instance, seed, settings } => {
                 match settings::read(&settings) {
@@ -57,7 +63,7 @@
             Record::Skipped => return,
             Record::Sync { instance, kind, roster } => {
                 let entries = match kind {
-                    mintgate::ListKind::Failed => Vec::new(),
+                    function_scheduler::ListKind::Failed => Vec::new(),
                     _ => self.rosters.get(&roster).cloned().unwrap_or_default(),
                 };
                 (instance, Event::Members(kind, entries))
--- a/src/bus.rs
+++ b/src/bus.rs
@@ -137,7 +137,7 @@
                 }
                 Err(why) => {
                     hub.core.counters().unreadable += 1;
-                    eprintln!("mintgate: bus unreadable why=\"{why}\"");
+                    eprintln!("function-scheduler: bus unreadable why=\"{why}\"");
                     return Flow::Close;
                 }
             }
@@ -148,7 +148,7 @@
 
     fn due(&mut self, _link: &mut Link, hub: &mut Hub) -> Flow {
         if self.silent_at <= hub.now {
-            eprintln!("mintgate: bus silent");
+            eprintln!("function-scheduler: bus silent");
             return Flow::Close;
         }
         Flow::Go
--- a/src/client.rs
+++ b/src/client.rs
@@ -1,13 +1,13 @@
 //! The plug-in for an RPC client: the scheduler and its back ends in the caller's own thread, without the daemon.
 //!
 //! ```
-//! use mintgate::backend::Endpoint;
-//! use mintgate::client::{Client, Outgoing};
-//! use mintgate::core::Verdict;
-//! use mintgate::{FunctionId, Member, Span, WorkerId, settings};
+//! use function_scheduler::backend::Endpoint;
+//! use function_scheduler::client::{Client, Outgoing};
+//! use function_scheduler::core::Verdict;
+//! use function_scheduler::{FunctionId, Member, Span, WorkerId, settings};
 //! use std::io::{BufRead, BufReader, Write};
 //!
-//! # let folder = std::env::temp_dir().join(format!("mintgate-doc-{}", std::process::id()));
+//! # let folder = std::env::temp_dir().join(format!("function-scheduler-doc-{}", std::process::id()));
 //! # std::fs::create_dir(&folder)?;
 //! # let path = folder.join("checker.sock");
 //! // A checker that answers each call with one body.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -263,10 +263,10 @@
 /// The scheduler. See the module's page.
 ///
 /// ```
-/// use mintgate::core::{Command, Core, Incoming, Owner, Reply, Verdict};
-/// use mintgate::{FunctionId, ListKind, Member, Time, WorkerId};
+/// use function_scheduler::core::{Command, Core, Incoming, Owner, Reply, Verdict};
+/// use function_scheduler::{FunctionId, ListKind, Member, Time, WorkerId};
 ///
-/// let site = mintgate::settings::read_site(br#"{"fleetSize": 1, "index": 0,
+/// let site = function_scheduler::settings::read_site(br#"{"fleetSize": 1, "index": 0,
 ///   "classes": [{"name": "check", "deadlineNs": 3000000000, "effect": "retryable",
 ///                "objectiveNs": 1000000000}],
 ///   "bounds": {"mostTries": 3},
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -156,7 +156,7 @@
         self.vrrp(Event::Startup);
         let at = self.config.listen;
         eprintln!(
-            "mintgate: serving name={} listen={at} offset={}",
+            "function-scheduler: serving name={} listen={at} offset={}",
             self.config.name,
             self.inbox.borrow().offset
         );
@@ -169,7 +169,7 @@
                     Signal::Client(listener) => self.accept(listener),
                     Signal::Pipe(pipe) if pipe == self.pipes.0 => self.begin_end(),
                     Signal::Pipe(pipe) if pipe == self.pipes.1 => {
-                        eprintln!("mintgate: {}", self.core.counters())
+                        eprintln!("function-scheduler: {}", self.core.counters())
                     }
                     Signal::Pipe(_) => self.reload(),
                     Signal::Datagram(socket) => self.hear(socket),
@@ -182,8 +182,8 @@
             self.vrrp(Event::Timer);
             self.settle();
             if self.ended() {
-                eprintln!("mintgate: {}", self.core.counters());
-                eprintln!("mintgate: ended name={}", self.config.name);
+                eprintln!("function-scheduler: {}", self.core.counters());
+                eprintln!("function-scheduler: ended name={}", self.config.name);
                 return Ok(());
             }
         }
@@ -198,7 +198,7 @@
             let woken = catch_unwind(AssertUnwindSafe(|| self.core.wake(now)));
             if woken.is_err() {
                 self.core.counters().panics += 1;
-                eprintln!("mintgate: panic timer");
+                eprintln!("function-scheduler: panic timer");
             }
         }
         while let Some(command) = self.core.next_command() {
@@ -230,13 +230,13 @@
                     self.reactor.add(stream, connection, true, frames::LIMITS, &mut self.core);
                 }
                 Ok(Some(_)) if !self.core.may_log(self.reactor.now()) => {}
-                Ok(Some(_)) => eprintln!("mintgate: accept dropped why=\"no descriptors left\""),
+                Ok(Some(_)) => eprintln!("function-scheduler: accept dropped why=\"no descriptors left\""),
                 Ok(None) => return,
                 Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
                 Err(e) => {
                     let now = self.reactor.now();
                     if self.core.may_log(now) {
-                        eprintln!("mintgate: accept failed why=\"{e}\"");
+                        eprintln!("function-scheduler: accept failed why=\"{e}\"");
                     }
                     self.accept_again = Some(now + ACCEPT_AGAIN);
                     return;
@@ -261,7 +261,7 @@
             return;
         }
         if self.rpc_clients.len() >= front.max_clients {
-            return eprintln!("mintgate: accept dropped why=\"max_clients\"");
+            return eprintln!("function-scheduler: accept dropped why=\"max_clients\"");
         }
         let connection = Box::new(RpcConnection::new(now, front.max_line));
         let limits = RpcConnection::limits(front.max_line);
@@ -294,7 +294,7 @@
         if let Err(e) = &stream
             && self.core.may_log(now)
         {
-            eprintln!("mintgate: bus connection failed why=\"{e}\"");
+            eprintln!("function-scheduler: bus connection failed why=\"{e}\"");
         }
         let up = stream.ok().and_then(|stream| {
             self.reactor.add(stream, connection, false, (bus::FRAME + 4, 4096), &mut self.core)
@@ -348,10 +348,10 @@
     fn reload(&mut self) {
         let (mut config, operator) = match self.sources.read() {
             Ok(read) => read,
-            Err(why) => return eprintln!("mintgate: reload refused why=\"{why}\""),
+            Err(why) => return eprintln!("function-scheduler: reload refused why=\"{why}\""),
         };
         if let Err(why) = self.reload_fronts(&operator) {
-            return eprintln!("mintgate: reload refused why=\"{why}\"");
+            return eprintln!("function-scheduler: reload refused why=\"{why}\"");
         }
         let now = self.reactor.now();
         // What can only be had at a start stays as it is, and is said.
@@ -363,7 +363,7 @@
             ("vrrp", operator.vrrp != self.operator.vrrp),
         ];
         for (what, _) in fixed.iter().filter(|(_, differs)| *differs) {
-            eprintln!("mintgate: reload kept what={what}");
+            eprintln!("function-scheduler: reload kept what={what}");
         }
         (config.listen, config.name) = (self.config.listen, self.config.name.clone());
         config.site.zones.clone_from(&self.config.site.zones);
@@ -391,7 +391,7 @@
         if moved {
             self.move_bus(now);
         }
-        eprintln!("mintgate: reloaded offset={}", self.inbox.borrow().offset);
+        eprintln!("function-scheduler: reloaded offset={}", self.inbox.borrow().offset);
     }
 
     /// The bus has another address: the old one tells nothing more. The new one is asked at once, from the
@@ -456,7 +456,7 @@
         let state = router.machine.state();
         self.reactor.active = state == vrrp::State::Active;
         if state != before {
-            eprintln!("mintgate: vrrp vrid={} state={state:?} was={before:?}", router.setting.vrid);
+            eprintln!("function-scheduler: vrrp vrid={} state={state:?} was={before:?}", router.setting.vrid);
         }
     }
 
@@ -476,7 +476,7 @@
                 Ok(_) => self.core.counters().vrrp_dropped += 1,
                 Err(why) => {
                     self.core.counters().vrrp_dropped += 1;
-                    eprintln!("mintgate: vrrp dropped from={from} why=\"{why}\"");
+                    eprintln!("function-scheduler: vrrp dropped from={from} why=\"{why}\"");
                 }
             }
         }
@@ -489,7 +489,7 @@
         if self.ending.is_some() {
             return;
         }
-        eprintln!("mintgate: ending name={} owed={}", self.config.name, self.core.owed());
+        eprintln!("function-scheduler: ending name={} owed={}", self.config.name, self.core.owed());
         self.ending = Some(self.reactor.now());
         self.reactor.ready = false;
         self.vrrp(Event::Shutdown);
--- a/src/front/frames.rs
+++ b/src/front/frames.rs
@@ -325,7 +325,7 @@
         // This half is shut: what is open here can have no answer any more.
         self.withdraw_all(link, hub);
         if hub.core.may_log(hub.now) {
-            eprintln!("mintgate: malformed front=frames connection={} why=\"{why}\"", link.id());
+            eprintln!("function-scheduler: malformed front=frames connection={} why=\"{why}\"", link.id());
         }
         let mut bytes = Vec::new();
         put_answer(0, &Verdict::Failed, &mut bytes);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,7 +10,7 @@
 //! is due.
 //!
 //! ```
-//! use mintgate::*;
+//! use function_scheduler::*;
 //!
 //! let settings = Settings {
 //!     fleet_size: 2,
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,15 +1,15 @@
 //! The scheduler as a program: reads its configuration and serves until a signal ends it.
 #![forbid(unsafe_code)]
 
-use mintgate::config::Sources;
-use mintgate::daemon;
+use function_scheduler::config::Sources;
+use function_scheduler::daemon;
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
     match start() {
         Ok(()) => ExitCode::SUCCESS,
         Err(text) => {
-            eprintln!("mintgate: {text}");
+            eprintln!("function-scheduler: {text}");
             ExitCode::FAILURE
         }
     }
@@ -19,7 +19,7 @@
     let operator = match std::env::args_os().skip(1).collect::<Vec<_>>().as_slice() {
         [] => None,
         [flag, path] if flag == "--operator" => Some(path.into()),
-        _ => return Err("usage: mintgate [--operator FILE]".to_owned()),
+        _ => return Err("usage: function-scheduler [--operator FILE]".to_owned()),
     };
     let config = std::env::var_os("GW_CONFIG").ok_or("GW_CONFIG names no configuration")?.into();
     let sources = Sources { config, operator };
--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -321,7 +321,7 @@
         }));
         let flow = flow.unwrap_or_else(|_| {
             hub.core.counters().panics += 1;
-            eprintln!("mintgate: panic connection={} closed", token.0);
+            eprintln!("function-scheduler: panic connection={} closed", token.0);
             Flow::Close
         });
         let after = entry.link.waiting();
--- a/tests/codec.rs
+++ b/tests/codec.rs
@@ -1,11 +1,11 @@
 //! The wire codec and the binary around it.
 
 #[allow(dead_code)]
-#[path = "../src/bin/mintgate-simhost/codec.rs"]
+#[path = "../src/bin/function-scheduler-sim/codec.rs"]
 mod codec;
 
 use codec::{Record, Reply, read_frame, read_records};
-use mintgate::*;
+use function_scheduler::*;
 use std::io::Write;
 use std::process::{Command, Stdio};
 
@@ -40,7 +40,7 @@
 }
 
 fn run(input: &[u8]) -> (Option<i32>, Vec<u8>, String) {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_mintgate-simhost"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_function-scheduler-sim"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! A front end driven by hand: plain settings, one call a helper.
 #![allow(dead_code)]
 
-use mintgate::*;
+use function_scheduler::*;
 
 pub struct Rig {
     pub now: Time,
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -2,10 +2,10 @@
 
 mod rig;
 
-use mintgate::backend::{Endpoint, Limits, Pool};
-use mintgate::core::{Command, Core, Incoming, Owner, Reply, Standing};
-use mintgate::net::{Reactor, SystemClock};
-use mintgate::{FunctionId, ListKind, Member, Span, Status, Time, WorkerId};
+use function_scheduler::backend::{Endpoint, Limits, Pool};
+use function_scheduler::core::{Command, Core, Incoming, Owner, Reply, Standing};
+use function_scheduler::net::{Reactor, SystemClock};
+use function_scheduler::{FunctionId, ListKind, Member, Span, Status, Time, WorkerId};
 use rig::*;
 use serde_json::{Value, json};
 use socket2::{Domain, Socket, Type};
@@ -276,7 +276,7 @@
 #[test]
 fn attempts_that_have_ended_are_forgotten_while_their_connection_is_in_use() {
     let (_plain, told) = Plain::new();
-    let site = mintgate::settings::read_site(settings().to_string().as_bytes()).unwrap();
+    let site = function_scheduler::settings::read_site(settings().to_string().as_bytes()).unwrap();
     let mut core = Core::new(site, 7);
     let mut reactor = Reactor::new(SystemClock::new()).unwrap();
     let limits = Limits { multiplex: 1 << 20, idle: Span::millis(60_000), fleet: 100 };
@@ -399,7 +399,7 @@
     let mut text = settings();
     text["familyInfo"]["notLoaded"] = json!("miss");
     text["familyInfo"]["loadSpanNs"] = json!(0);
-    let site = |text: &Value| mintgate::settings::read_site(text.to_string().as_bytes()).unwrap();
+    let site = |text: &Value| function_scheduler::settings::read_site(text.to_string().as_bytes()).unwrap();
     let mut core = Core::new(site(&text), 7);
     let begin = Time(1_000_000_000_000);
     core.members(begin, ListKind::Full, vec![Member { worker: WorkerId(1), ..Member::default() }]);
--- a/tests/jsonrpc.rs
+++ b/tests/jsonrpc.rs
@@ -286,7 +286,7 @@
         std::fs::write(folder.at("operator.toml"), text).unwrap();
         let config = json!({"listen": "127.0.0.1:0", "settings": settings()});
         std::fs::write(folder.at("config.json"), config.to_string()).unwrap();
-        let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_mintgate"));
+        let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_function-scheduler"));
         command.env("GW_CONFIG", folder.at("config.json")).arg("--operator").arg(folder.at("operator.toml"));
         !command.stderr(std::process::Stdio::null()).status().unwrap().success()
     };
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use mintgate::*;
+use function_scheduler::*;
 
 const R: fn(u32) -> RequestId = RequestId;
 
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -199,7 +199,7 @@
     pub fn new() -> Folder {
         static NEXT: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
         let number = NEXT.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
-        let path = std::env::temp_dir().join(format!("mintgate-{}-{number}", std::process::id()));
+        let path = std::env::temp_dir().join(format!("function-scheduler-{}-{number}", std::process::id()));
         std::fs::create_dir(&path).unwrap();
         Folder(path)
     }
@@ -280,7 +280,7 @@
             config["bus"] = json!(bus.to_string());
         }
         std::fs::write(folder.at("config.json"), config.to_string()).unwrap();
-        let mut command = Command::new(env!("CARGO_BIN_EXE_mintgate"));
+        let mut command = Command::new(env!("CARGO_BIN_EXE_function-scheduler"));
         command.env("GW_CONFIG", folder.at("config.json")).stdin(Stdio::null()).stderr(Stdio::piped());
         let operator = operator(&folder);
         if !operator.is_empty() {
@@ -329,8 +329,9 @@
 
     /// Puts another configuration in place and has it read; the log's word for how that went.
     pub fn reload(&self, config: &str) -> String {
-        let count =
-            |log: &str| log.matches("mintgate: reloaded").count() + log.matches("reload refused").count();
+        let count = |log: &str| {
+            log.matches("function-scheduler: reloaded").count() + log.matches("reload refused").count()
+        };
         let before = count(&self.log.lock().unwrap());
         std::fs::write(self.folder.at("config.json"), config).unwrap();
         self.signal("HUP");
@@ -338,7 +339,7 @@
         loop {
             let log = self.log.lock().unwrap().clone();
             if count(&log) > before {
-                let line = log.lines().rfind(|line| line.contains("mintgate: reload"));
+                let line = log.lines().rfind(|line| line.contains("function-scheduler: reload"));
                 return line.unwrap().split(' ').take(3).last().unwrap_or_default().to_owned();
             }
             assert!(start.elapsed() < LONG, "no reload:\n{log}");
@@ -348,13 +349,13 @@
 
     /// A counter, as printed on request.
     pub fn counter(&self, name: &str) -> u64 {
-        let before = self.log.lock().unwrap().matches("mintgate: counters").count();
+        let before = self.log.lock().unwrap().matches("function-scheduler: counters").count();
         self.signal("USR1");
         let start = Instant::now();
         loop {
             let log = self.log.lock().unwrap().clone();
-            if log.matches("mintgate: counters").count() > before {
-                let line = log.lines().rfind(|line| line.contains("mintgate: counters")).unwrap();
+            if log.matches("function-scheduler: counters").count() > before {
+                let line = log.lines().rfind(|line| line.contains("function-scheduler: counters")).unwrap();
                 let word = line.split(' ').find_map(|word| word.strip_prefix(&format!("{name}="))).unwrap();
                 return word.parse().unwrap();
             }
--- a/tests/vrrp.rs
+++ b/tests/vrrp.rs
@@ -2,7 +2,7 @@
 
 mod rig;
 
-use mintgate::vrrp::packet::Advertisement;
+use function_scheduler::vrrp::packet::Advertisement;
 use rig::*;
 use serde_json::{Value, json};
 use std::net::{SocketAddr, UdpSocket};
