--- a/src/backend/agent.rs
+++ b/src/backend/agent.rs
@@ -1,8 +1,8 @@
 //! The node agents' wire: JSON objects, one a line, bodies in base64.
 
 use super::{Codec, Said, Unreadable};
-use crate::core::{Reply, Work};
-use crate::interface::{FunctionId, Time};
+use crate::model::{FunctionId, Time};
+use crate::scheduler::{Reply, Work};
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use serde::Deserialize;
--- a/src/backend/jsonrpc.rs
+++ b/src/backend/jsonrpc.rs
@@ -1,8 +1,8 @@
 //! Checkers on Unix sockets: JSON-RPC 2.0, one object a line.
 
 use super::{Codec, Said, Unreadable};
-use crate::core::{Reply, Work};
-use crate::interface::{FunctionId, Time};
+use crate::model::{FunctionId, Time};
+use crate::scheduler::{Reply, Work};
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use serde_json::{Value, json};
--- a/src/backend/mod.rs
+++ b/src/backend/mod.rs
@@ -10,9 +10,9 @@
 
 pub use pool::{Endpoint, Pool};
 
-use crate::core::{AttemptId, Broken, OrderId, ProbeId, Reached, Reply, Standing, Work};
-use crate::interface::{FunctionId, Span, Time};
+use crate::model::{FunctionId, Span, Time};
 use crate::net::{Connection, Flow, Hub, Link};
+use crate::scheduler::{AttemptId, Broken, OrderId, ProbeId, Reached, Reply, Standing, Work};
 use std::cell::Cell;
 use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
@@ -276,7 +276,7 @@
             }
             Some(Open::Order(order)) => {
                 let standing = reply.map(|reply| Standing {
-                    status: crate::core::status_of(&reply),
+                    status: crate::scheduler::status_of(&reply),
                     copies: copies.unwrap_or(0),
                 });
                 hub.core.order_ended(hub.now, order, standing);
--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -1,9 +1,9 @@
 //! Which connections lead to which worker.
 
 use super::{Codec, Job, Limits, WorkerConnection};
-use crate::core::{AttemptId, Broken, Command, Core, Reached};
-use crate::interface::{Span, Time, WorkerId};
+use crate::model::{Span, Time, WorkerId};
 use crate::net::{Flow, Reactor};
+use crate::scheduler::{AttemptId, Broken, Command, Core, Reached};
 use std::cell::Cell;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
--- a/src/client.rs
+++ b/src/client.rs
@@ -3,7 +3,7 @@
 //! ```
 //! use function_scheduler::backend::Endpoint;
 //! use function_scheduler::client::{Client, Outgoing};
-//! use function_scheduler::core::Verdict;
+//! use function_scheduler::scheduler::Verdict;
 //! use function_scheduler::{FunctionId, Member, Span, WorkerId, settings};
 //! use std::io::{BufRead, BufReader, Write};
 //!
@@ -44,9 +44,9 @@
 //! ```
 
 use crate::backend::{Endpoint, Limits, Pool};
-use crate::core::{Answer, Command, Core, Counters, Incoming, Owner};
-use crate::interface::{FunctionId, ListKind, Member, Span, State, Time};
+use crate::model::{FunctionId, ListKind, Member, Span, State, Time};
 use crate::net::{Reactor, SystemClock};
+use crate::scheduler::{Answer, Command, Core, Counters, Incoming, Owner};
 use crate::settings::Site;
 use std::io;
 
--- a/src/config.rs
+++ b/src/config.rs
@@ -1,7 +1,7 @@
 //! What a scheduler is told at its start, and the operator's file for the second front.
 
-use crate::bus::{Entry, News, started_at};
-use crate::interface::*;
+use crate::discovery::{Entry, News, started_at};
+use crate::model::*;
 use crate::settings::{Site, read_site};
 use serde::Deserialize;
 use serde_json::Value;
@@ -258,7 +258,7 @@
 }
 
 fn default_line() -> usize {
-    crate::front::jsonrpc::LINE
+    crate::frontend::jsonrpc::LINE
 }
 
 fn read_mode<'de, D: serde::Deserializer<'de>>(from: D) -> Result<u32, D::Error> {
--- a/src/bus.rs
+++ b/src/discovery/mod.rs
@@ -1,6 +1,6 @@
 //! The event bus: a pure codec, and the connection that follows the list of workers.
 
-use crate::interface::*;
+use crate::model::*;
 use crate::net::{Connection, Flow, Hub, Link};
 use std::cell::RefCell;
 use std::collections::VecDeque;
--- a/src/front/frames.rs
+++ b/src/frontend/frames.rs
@@ -1,9 +1,9 @@
 //! The platform's front: binary frames over TCP. A pure codec, and the connection object over it.
 
 use super::{BODY, LINGER, OPEN, OUTBOX, TRANSIT, WHOLE, read_function};
-use crate::core::{Answer, Incoming, Owner, Verdict};
-use crate::interface::{FunctionId, Span, Time};
+use crate::model::{FunctionId, Span, Time};
 use crate::net::{Connection, Flow, Hub, Link};
+use crate::scheduler::{Answer, Incoming, Owner, Verdict};
 use std::collections::BTreeSet;
 
 /// Largest length field.
--- a/src/front/jsonrpc.rs
+++ b/src/frontend/jsonrpc.rs
@@ -10,9 +10,9 @@
 //! half it writes on, waits for nothing more: its calls are withdrawn.
 
 use super::{BODY, IDLE, LINGER, OPEN, OUTBOX, TRANSIT, WHOLE, read_function};
-use crate::core::{Answer, Incoming, Owner, Verdict};
-use crate::interface::{FunctionId, Span, Time};
+use crate::model::{FunctionId, Span, Time};
 use crate::net::{Connection, Flow, Hub, Link};
+use crate::scheduler::{Answer, Incoming, Owner, Verdict};
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use serde_json::{Map, Value, json};
--- a/src/front/mod.rs
+++ b/src/frontend/mod.rs
@@ -1,10 +1,10 @@
-//! Fronts: what clients speak. Each turns bytes into [`crate::core::Incoming`] calls and answers into bytes.
+//! Fronts: what clients speak. Each turns bytes into [`crate::scheduler::Incoming`] calls and answers into bytes.
 
 pub mod frames;
 pub mod jsonrpc;
 pub mod socket;
 
-use crate::interface::Span;
+use crate::model::Span;
 
 /// Calls open at a time on one connection.
 pub const OPEN: usize = 32;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,7 +1,7 @@
 //! A scheduler of calls to workers which load programs on demand.
 //!
-//! An RPC client that wants the scheduler inside itself starts at [`client`]. [`core`] is the scheduler without
-//! sockets or a clock, [`backend`] and [`front`] are what workers and clients speak, [`daemon`] is the program.
+//! An RPC client that wants the scheduler inside itself starts at [`client`]. [`scheduler`] is the scheduler without
+//! sockets or a clock, [`backend`] and [`frontend`] are what workers and clients speak, [`server`] is the program.
 //!
 //! # The decisions
 //!
@@ -70,17 +70,17 @@
 #![forbid(unsafe_code)]
 
 pub mod backend;
-mod brain;
-pub mod bus;
 pub mod client;
 pub mod config;
-pub mod core;
-pub mod daemon;
-pub mod front;
-mod interface;
+pub mod discovery;
+pub mod frontend;
+mod model;
 pub mod net;
+mod policy;
+pub mod scheduler;
+pub mod server;
 pub mod settings;
 pub mod vrrp;
 
-pub use brain::Balancer;
-pub use interface::*;
+pub use model::*;
+pub use policy::Balancer;
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,7 +2,7 @@
 #![forbid(unsafe_code)]
 
 use function_scheduler::config::Sources;
-use function_scheduler::daemon;
+use function_scheduler::server;
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
@@ -24,5 +24,5 @@
     let config = std::env::var_os("GW_CONFIG").ok_or("GW_CONFIG names no configuration")?.into();
     let sources = Sources { config, operator };
     let (config, operator) = sources.read()?;
-    daemon::run(config, operator, sources).map_err(|e| format!("cannot serve: {e}"))
+    server::run(config, operator, sources).map_err(|e| format!("cannot serve: {e}"))
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -4,7 +4,7 @@
 
 pub use reactor::{Connection, Flow, Hub, Reactor, Signal};
 
-use crate::interface::{Span, Time};
+use crate::model::{Span, Time};
 use mio::event::Source;
 use mio::net::{TcpStream, UnixStream};
 use mio::{Interest, Registry, Token};
--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -1,8 +1,8 @@
 //! The reactor: one poll, all connections, their timers. Connections are objects that it calls back.
 
 use super::{Link, Stream, SystemClock};
-use crate::core::{Answer, Core};
-use crate::interface::{Span, Time};
+use crate::model::{Span, Time};
+use crate::scheduler::{Answer, Core};
 use mio::net::{TcpListener, TcpStream, UnixListener, UnixStream};
 use mio::{Events, Interest, Poll, Token};
 use std::collections::{BTreeSet, HashMap};
--- a/src/brain.rs
+++ b/src/policy/mod.rs
@@ -1,7 +1,7 @@
-//! Every decision of a front end. Its types, events, actions and settings are in `src/interface.rs`. Parts:
+//! Every decision of a front end. Its types, events, actions and settings are in `src/model/mod.rs`. Parts:
 //! constants; state; events in; ranking; placement; gates; answers; holds; cold starts.
 
-use crate::interface::*;
+use crate::model::*;
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
--- a/src/core/counters.rs
+++ b/src/scheduler/counters.rs
@@ -1,6 +1,6 @@
 //! What the scheduler counts: taken in, sent, answered.
 
-use crate::interface::Status;
+use crate::model::Status;
 use std::fmt;
 
 macro_rules! counters {
--- a/src/core/mod.rs
+++ b/src/scheduler/mod.rs
@@ -8,8 +8,8 @@
 
 pub use counters::Counters;
 
-use crate::brain::Balancer;
-use crate::interface::*;
+use crate::model::*;
+use crate::policy::Balancer;
 use crate::settings::Site;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::rc::Rc;
@@ -263,7 +263,7 @@
 /// The scheduler. See the module's page.
 ///
 /// ```
-/// use function_scheduler::core::{Command, Core, Incoming, Owner, Reply, Verdict};
+/// use function_scheduler::scheduler::{Command, Core, Incoming, Owner, Reply, Verdict};
 /// use function_scheduler::{FunctionId, ListKind, Member, Time, WorkerId};
 ///
 /// let site = function_scheduler::settings::read_site(br#"{"fleetSize": 1, "index": 0,
--- a/src/daemon.rs
+++ b/src/server/mod.rs
@@ -1,14 +1,14 @@
 //! The daemon: the core with its fronts, back ends, bus, clock and signals round it.
 
 use crate::backend::{self, Pool};
-use crate::bus::{self, BusConnection, Inbox, News};
 use crate::config::{self, Config, Operator, Sources};
-use crate::core::{Command, Core};
-use crate::front::frames::{self, FrameConnection};
-use crate::front::jsonrpc::RpcConnection;
-use crate::front::socket::{self, SocketFile};
-use crate::interface::{ListKind, Member, Span, State, Time};
+use crate::discovery::{self, BusConnection, Inbox, News};
+use crate::frontend::frames::{self, FrameConnection};
+use crate::frontend::jsonrpc::RpcConnection;
+use crate::frontend::socket::{self, SocketFile};
+use crate::model::{ListKind, Member, Span, State, Time};
 use crate::net::{Reactor, Signal, Stream, SystemClock};
+use crate::scheduler::{Command, Core};
 use crate::vrrp::packet::{Advertisement, LARGEST};
 use crate::vrrp::{self, Event};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
@@ -280,7 +280,7 @@
             let failures = self.inbox.borrow().failures;
             let pause = match failures {
                 0 => Span(0),
-                n => Span(bus::BACKOFF.0.0 << (n - 1).min(bus::BACKOFF.1)),
+                n => Span(discovery::BACKOFF.0.0 << (n - 1).min(discovery::BACKOFF.1)),
             };
             self.bus_again = Some(now + pause);
         }
@@ -297,12 +297,12 @@
             eprintln!("function-scheduler: bus connection failed why=\"{e}\"");
         }
         let up = stream.ok().and_then(|stream| {
-            self.reactor.add(stream, connection, false, (bus::FRAME + 4, 4096), &mut self.core)
+            self.reactor.add(stream, connection, false, (discovery::FRAME + 4, 4096), &mut self.core)
         });
         if up.is_none() {
             let mut inbox = self.inbox.borrow_mut();
             (inbox.down, inbox.failures) = (false, inbox.failures + 1);
-            let pause = Span(bus::BACKOFF.0.0 << inbox.failures.min(bus::BACKOFF.1));
+            let pause = Span(discovery::BACKOFF.0.0 << inbox.failures.min(discovery::BACKOFF.1));
             self.bus_again = Some(now + pause);
         }
         self.bus_id = up;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,6 +1,6 @@
 //! The settings text of the wire, turned into the library's settings.
 
-use crate::interface::*;
+use crate::model::*;
 use serde::Deserialize;
 
 #[derive(Deserialize)]
--- a/src/vrrp/mod.rs
+++ b/src/vrrp/mod.rs
@@ -6,7 +6,7 @@
 
 pub mod packet;
 
-use crate::interface::{Span, Time};
+use crate::model::{Span, Time};
 use std::net::SocketAddr;
 
 /// States of a virtual router.
--- a/src/vrrp/packet.rs
+++ b/src/vrrp/packet.rs
@@ -1,6 +1,6 @@
 //! Version 3's advertisement, as bytes.
 
-use crate::interface::Span;
+use crate::model::Span;
 use std::net::Ipv4Addr;
 
 /// Largest datagram that can hold one: 255 addresses.
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -3,8 +3,8 @@
 mod rig;
 
 use function_scheduler::backend::{Endpoint, Limits, Pool};
-use function_scheduler::core::{Command, Core, Incoming, Owner, Reply, Standing};
 use function_scheduler::net::{Reactor, SystemClock};
+use function_scheduler::scheduler::{Command, Core, Incoming, Owner, Reply, Standing};
 use function_scheduler::{FunctionId, ListKind, Member, Span, Status, Time, WorkerId};
 use rig::*;
 use serde_json::{Value, json};
