--- a/src/backend/agent.rs
+++ b/src/backend/agent.rs
@@ -1,8 +1,8 @@
 //! The node agents' wire: JSON objects, one a line, bodies in base64.
 
-use super::{Codec, Said, Unreadable};
+use super::{Codec, DecodeError, WorkerMessage};
 use crate::model::{FunctionId, Time};
-use crate::scheduler::{Reply, Work};
+use crate::scheduler::{RequestPayload, WorkerResponse};
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use serde::Deserialize;
@@ -45,7 +45,7 @@
 }
 
 impl Codec for AgentCodec {
-    fn go(&self, work: &Work, now: Time, deadline: Time) -> Vec<u8> {
+    fn go(&self, work: &RequestPayload, now: Time, deadline: Time) -> Vec<u8> {
         let ttl = super::left_ms(now, deadline);
         let name = format!("{:016x}", work.function.0);
         let mut attrs = json!({"lane": work.class, "name": name, "ttl": ttl});
@@ -53,49 +53,51 @@
             attrs["dedupe"] = json!(key);
         }
         let content = STANDARD.encode(&work.body);
-        line(&json!({"verb": "go", "rid": work.reference, "attrs": attrs, "content": content}))
+        line(&json!({"verb": "go", "rid": work.correlation_id, "attrs": attrs, "content": content}))
     }
 
-    fn halt(&self, rid: &str) -> Vec<u8> {
-        line(&json!({"verb": "halt", "rid": rid}))
+    fn halt(&self, correlation_id: &str) -> Vec<u8> {
+        line(&json!({"verb": "halt", "rid": correlation_id}))
     }
 
-    fn stage(&self, rid: &str, function: FunctionId, copies: u8) -> Vec<u8> {
+    fn stage(&self, correlation_id: &str, function: FunctionId, copies: u8) -> Vec<u8> {
         let name = format!("{:016x}", function.0);
-        line(&json!({"verb": "stage", "rid": rid, "attrs": {"name": name, "replicas": copies}}))
+        line(&json!({"verb": "stage", "rid": correlation_id, "attrs": {"name": name, "replicas": copies}}))
     }
 
     fn purge(&self, function: FunctionId) -> Vec<u8> {
         line(&json!({"verb": "purge", "rid": format!("{:016x}", function.0)}))
     }
 
-    fn probe(&self, rid: &str) -> Vec<u8> {
-        line(&json!({"verb": "stat", "rid": rid}))
+    fn probe(&self, correlation_id: &str) -> Vec<u8> {
+        line(&json!({"verb": "stat", "rid": correlation_id}))
     }
 
-    fn read(&self, line: &[u8]) -> Result<Said, Unreadable> {
-        let parsed: Line =
-            serde_json::from_slice(line).map_err(|_| Unreadable { rid: None, cause: "not a JSON answer" })?;
-        let Some(rid) = word(&parsed.rid) else { return Err(Unreadable { rid: None, cause: "no rid" }) };
-        let bad = |cause| Unreadable { rid: Some(rid.clone()), cause };
+    fn read(&self, line: &[u8]) -> Result<WorkerMessage, DecodeError> {
+        let parsed: Line = serde_json::from_slice(line)
+            .map_err(|_| DecodeError { correlation_id: None, cause: "not a JSON answer" })?;
+        let Some(correlation_id) = word(&parsed.rid) else {
+            return Err(DecodeError { correlation_id: None, cause: "no rid" });
+        };
+        let bad = |cause| DecodeError { correlation_id: Some(correlation_id.clone()), cause };
         let verb = word(&parsed.verb).ok_or_else(|| bad("no verb"))?;
         let reply = match verb.as_str() {
             "200" => {
                 let content = parsed.content.unwrap_or_default();
-                Reply::Ok(STANDARD.decode(content).map_err(|_| bad("content is not base64"))?)
+                WorkerResponse::Ok(STANDARD.decode(content).map_err(|_| bad("content is not base64"))?)
             }
-            "404" => Reply::Miss,
-            "503" => Reply::Full,
-            "500" => Reply::Error,
-            "504" => Reply::Expired,
-            "alive" => return Ok(Said::Alive { rid }),
+            "404" => WorkerResponse::Miss,
+            "503" => WorkerResponse::Full,
+            "500" => WorkerResponse::Error,
+            "504" => WorkerResponse::Expired,
+            "alive" => return Ok(WorkerMessage::Alive { correlation_id }),
             // It answers, but its process takes no work.
-            "dead" => Reply::Error,
+            "dead" => WorkerResponse::Error,
             _ => return Err(bad("unknown verb")),
         };
         let copies = parsed.attrs.get("replicas").and_then(word).and_then(|text| text.parse().ok());
         let load = parsed.attrs.get("rep").and_then(Value::as_str).map(read_load).unwrap_or_default();
-        Ok(Said::Answer { rid, reply, copies, load })
+        Ok(WorkerMessage::Response { correlation_id, response: reply, instances: copies, load_report: load })
     }
 }
 
@@ -105,24 +107,49 @@
 
     #[test]
     fn lines_are_read() {
-        let loaded =
-            |rid: &str, reply, copies, load| Ok(Said::Answer { rid: rid.into(), reply, copies, load });
-        let answer = |rid: &str, reply, copies| loaded(rid, reply, copies, vec![]);
-        let bad = |rid: Option<&str>, cause| Err(Unreadable { rid: rid.map(str::to_owned), cause });
-        let cases: Vec<(&str, Result<Said, Unreadable>)> = vec![
-            (r#"{"verb":"200","rid":"a1","content":"aGk="}"#, answer("a1", Reply::Ok(b"hi".into()), None)),
-            (r#"{"verb":200,"rid":"a1"}"#, answer("a1", Reply::Ok(vec![]), None)),
-            (r#"{"verb":"200","rid":7,"attrs":{"replicas":"2"}}"#, answer("7", Reply::Ok(vec![]), Some(2))),
+        let loaded = |correlation_id: &str, reply, copies, load| {
+            Ok(WorkerMessage::Response {
+                correlation_id: correlation_id.into(),
+                response: reply,
+                instances: copies,
+                load_report: load,
+            })
+        };
+        let answer = |correlation_id: &str, reply, copies| loaded(correlation_id, reply, copies, vec![]);
+        let bad = |correlation_id: Option<&str>, cause| {
+            Err(DecodeError { correlation_id: correlation_id.map(str::to_owned), cause })
+        };
+        let cases: Vec<(&str, Result<WorkerMessage, DecodeError>)> = vec![
+            (
+                r#"{"verb":"200","rid":"a1","content":"aGk="}"#,
+                answer("a1", WorkerResponse::Ok(b"hi".into()), None),
+            ),
+            (r#"{"verb":200,"rid":"a1"}"#, answer("a1", WorkerResponse::Ok(vec![]), None)),
+            (
+                r#"{"verb":"200","rid":7,"attrs":{"replicas":"2"}}"#,
+                answer("7", WorkerResponse::Ok(vec![]), Some(2)),
+            ),
             (
                 r#"{"verb":"200","rid":"a","attrs":{"rep":"inflight:7;util: 0.5;x1:NaN;x1;x1:-1;x1:"}}"#,
-                loaded("a", Reply::Ok(vec![]), None, vec![("inflight".into(), 7.0), ("util".into(), 0.5)]),
+                loaded(
+                    "a",
+                    WorkerResponse::Ok(vec![]),
+                    None,
+                    vec![("inflight".into(), 7.0), ("util".into(), 0.5)],
+                ),
+            ),
+            (
+                r#"{"verb":"503","rid":"l","attrs":{"replicas":1}}"#,
+                answer("l", WorkerResponse::Full, Some(1)),
+            ),
+            (r#"{"verb":"404","rid":"a"}"#, answer("a", WorkerResponse::Miss, None)),
+            (r#"{"verb":"500","rid":"a","attrs":null}"#, answer("a", WorkerResponse::Error, None)),
+            (r#"{"verb":"504","rid":"a"}"#, answer("a", WorkerResponse::Expired, None)),
+            (
+                r#"{"verb":"alive","rid":"p","attrs":{"rep":"util:0.5"}}"#,
+                Ok(WorkerMessage::Alive { correlation_id: "p".into() }),
             ),
-            (r#"{"verb":"503","rid":"l","attrs":{"replicas":1}}"#, answer("l", Reply::Full, Some(1))),
-            (r#"{"verb":"404","rid":"a"}"#, answer("a", Reply::Miss, None)),
-            (r#"{"verb":"500","rid":"a","attrs":null}"#, answer("a", Reply::Error, None)),
-            (r#"{"verb":"504","rid":"a"}"#, answer("a", Reply::Expired, None)),
-            (r#"{"verb":"alive","rid":"p","attrs":{"rep":"util:0.5"}}"#, Ok(Said::Alive { rid: "p".into() })),
-            (r#"{"verb":"dead","rid":"p"}"#, answer("p", Reply::Error, None)),
+            (r#"{"verb":"dead","rid":"p"}"#, answer("p", WorkerResponse::Error, None)),
             (r#"{"verb":"200","rid":"a","content":"%"}"#, bad(Some("a"), "content is not base64")),
             (r#"{"verb":"207","rid":"a"}"#, bad(Some("a"), "unknown verb")),
             (r#"{"verb":null,"rid":"a"}"#, bad(Some("a"), "no verb")),
@@ -154,8 +181,8 @@
 
     #[test]
     fn a_call_passes_on_its_fields_unchanged() {
-        let work = Work {
-            reference: "9b1f03aa5c7e2d41".into(),
+        let work = RequestPayload {
+            correlation_id: "9b1f03aa5c7e2d41".into(),
             class: "credit-submit".into(),
             function: FunctionId(0x7f),
             key: Some("5c0f".into()),
--- a/src/backend/jsonrpc.rs
+++ b/src/backend/jsonrpc.rs
@@ -1,8 +1,8 @@
 //! Checkers on Unix sockets: JSON-RPC 2.0, one object a line.
 
-use super::{Codec, Said, Unreadable};
+use super::{Codec, DecodeError, WorkerMessage};
 use crate::model::{FunctionId, Time};
-use crate::scheduler::{Reply, Work};
+use crate::scheduler::{RequestPayload, WorkerResponse};
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use serde_json::{Value, json};
@@ -26,8 +26,8 @@
     bytes
 }
 
-fn request(rid: &str, method: &str, params: Value) -> Vec<u8> {
-    line(&json!({"jsonrpc": "2.0", "id": rid, "method": method, "params": params}))
+fn request(correlation_id: &str, method: &str, params: Value) -> Vec<u8> {
+    line(&json!({"jsonrpc": "2.0", "id": correlation_id, "method": method, "params": params}))
 }
 
 fn notice(method: &str, params: Value) -> Vec<u8> {
@@ -35,7 +35,7 @@
 }
 
 impl Codec for CheckerCodec {
-    fn go(&self, work: &Work, now: Time, deadline: Time) -> Vec<u8> {
+    fn go(&self, work: &RequestPayload, now: Time, deadline: Time) -> Vec<u8> {
         let mut params = json!({
             "class": work.class,
             "function": format!("{:016x}", work.function.0),
@@ -45,39 +45,41 @@
         if let Some(key) = &work.key {
             params["key"] = json!(key);
         }
-        request(&work.reference, "call", params)
+        request(&work.correlation_id, "call", params)
     }
 
-    fn halt(&self, rid: &str) -> Vec<u8> {
-        notice("cancel", json!({"id": rid}))
+    fn halt(&self, correlation_id: &str) -> Vec<u8> {
+        notice("cancel", json!({"id": correlation_id}))
     }
 
-    fn stage(&self, rid: &str, function: FunctionId, copies: u8) -> Vec<u8> {
-        request(rid, "load", json!({"function": format!("{:016x}", function.0), "copies": copies}))
+    fn stage(&self, correlation_id: &str, function: FunctionId, copies: u8) -> Vec<u8> {
+        request(correlation_id, "load", json!({"function": format!("{:016x}", function.0), "copies": copies}))
     }
 
     fn purge(&self, function: FunctionId) -> Vec<u8> {
         notice("unload", json!({"function": format!("{:016x}", function.0)}))
     }
 
-    fn probe(&self, rid: &str) -> Vec<u8> {
-        request(rid, "probe", json!({}))
+    fn probe(&self, correlation_id: &str) -> Vec<u8> {
+        request(correlation_id, "probe", json!({}))
     }
 
-    fn read(&self, line: &[u8]) -> Result<Said, Unreadable> {
-        let unread = |cause| Unreadable { rid: None, cause };
+    fn read(&self, line: &[u8]) -> Result<WorkerMessage, DecodeError> {
+        let unread = |cause| DecodeError { correlation_id: None, cause };
         let parsed: Value = serde_json::from_slice(line).map_err(|_| unread("not JSON"))?;
         let Value::Object(object) = parsed else { return Err(unread("not an object")) };
-        let Some(Value::String(rid)) = object.get("id") else { return Err(unread("no id of ours")) };
-        let bad = |cause| Unreadable { rid: Some(rid.clone()), cause };
+        let Some(Value::String(correlation_id)) = object.get("id") else {
+            return Err(unread("no id of ours"));
+        };
+        let bad = |cause| DecodeError { correlation_id: Some(correlation_id.clone()), cause };
         if object.get("jsonrpc").and_then(Value::as_str) != Some("2.0") {
             return Err(bad("not JSON-RPC 2.0"));
         }
-        let rid = rid.clone();
+        let correlation_id = correlation_id.clone();
         match (object.get("result"), object.get("error")) {
             (Some(result), None) => {
                 if result.get("load").is_some() {
-                    return Ok(Said::Alive { rid });
+                    return Ok(WorkerMessage::Alive { correlation_id });
                 }
                 let copies = result.get("copies").and_then(Value::as_u64).map(|n| n as u32);
                 let body = match result.get("body") {
@@ -87,18 +89,28 @@
                     }
                     _ => return Err(bad("no body")),
                 };
-                Ok(Said::Answer { rid, reply: Reply::Ok(body), copies, load: vec![] })
+                Ok(WorkerMessage::Response {
+                    correlation_id,
+                    response: WorkerResponse::Ok(body),
+                    instances: copies,
+                    load_report: vec![],
+                })
             }
             (None, Some(error)) => {
                 let reply = match error.get("code").and_then(Value::as_i64) {
-                    Some(codes::MISS) => Reply::Miss,
-                    Some(codes::FULL) => Reply::Full,
-                    Some(codes::EXPIRED) => Reply::Expired,
-                    Some(_) => Reply::Error,
+                    Some(codes::MISS) => WorkerResponse::Miss,
+                    Some(codes::FULL) => WorkerResponse::Full,
+                    Some(codes::EXPIRED) => WorkerResponse::Expired,
+                    Some(_) => WorkerResponse::Error,
                     None => return Err(bad("an error without a code")),
                 };
                 let copies = error.pointer("/data/copies").and_then(Value::as_u64).map(|n| n as u32);
-                Ok(Said::Answer { rid, reply, copies, load: vec![] })
+                Ok(WorkerMessage::Response {
+                    correlation_id,
+                    response: reply,
+                    instances: copies,
+                    load_report: vec![],
+                })
             }
             _ => Err(bad("neither a result nor an error")),
         }
@@ -112,7 +124,13 @@
     #[test]
     fn commands_are_worded() {
         let (reference, class, key) = ("9b1f".to_owned(), "c".to_owned(), Some("k".to_owned()));
-        let work = Work { reference, class, function: FunctionId(0x7f), key, body: b"hi".to_vec() };
+        let work = RequestPayload {
+            correlation_id: reference,
+            class,
+            function: FunctionId(0x7f),
+            key,
+            body: b"hi".to_vec(),
+        };
         let name = "000000000000007f";
         let params = json!({"class": "c", "function": name, "ttl_ms": 2, "body": "aGk=", "key": "k"});
         let cases = [
@@ -136,22 +154,37 @@
 
     #[test]
     fn answers_are_read() {
-        let answer = |reply, copies| Ok(Said::Answer { rid: "a".into(), reply, copies, load: vec![] });
-        let bad = |rid: Option<&str>, cause| Err(Unreadable { rid: rid.map(str::to_owned), cause });
-        let cases: Vec<(&str, Result<Said, Unreadable>)> = vec![
-            (r#"{"jsonrpc":"2.0","id":"a","result":{"body":"aGk="}}"#, answer(Reply::Ok(b"hi".into()), None)),
-            (r#"{"jsonrpc":"2.0","id":"a","result":{"copies":2}}"#, answer(Reply::Ok(vec![]), Some(2))),
+        let answer = |reply, copies| {
+            Ok(WorkerMessage::Response {
+                correlation_id: "a".into(),
+                response: reply,
+                instances: copies,
+                load_report: vec![],
+            })
+        };
+        let bad = |correlation_id: Option<&str>, cause| {
+            Err(DecodeError { correlation_id: correlation_id.map(str::to_owned), cause })
+        };
+        let cases: Vec<(&str, Result<WorkerMessage, DecodeError>)> = vec![
+            (
+                r#"{"jsonrpc":"2.0","id":"a","result":{"body":"aGk="}}"#,
+                answer(WorkerResponse::Ok(b"hi".into()), None),
+            ),
+            (
+                r#"{"jsonrpc":"2.0","id":"a","result":{"copies":2}}"#,
+                answer(WorkerResponse::Ok(vec![]), Some(2)),
+            ),
             (
                 r#"{"jsonrpc":"2.0","id":"a","result":{"load":{"util":0.5}}}"#,
-                Ok(Said::Alive { rid: "a".into() }),
+                Ok(WorkerMessage::Alive { correlation_id: "a".into() }),
             ),
-            (r#"{"jsonrpc":"2.0","id":"a","error":{"code":-32010}}"#, answer(Reply::Miss, None)),
+            (r#"{"jsonrpc":"2.0","id":"a","error":{"code":-32010}}"#, answer(WorkerResponse::Miss, None)),
             (
                 r#"{"jsonrpc":"2.0","id":"a","error":{"code":-32011,"data":{"copies":1}}}"#,
-                answer(Reply::Full, Some(1)),
+                answer(WorkerResponse::Full, Some(1)),
             ),
-            (r#"{"jsonrpc":"2.0","id":"a","error":{"code":-32012}}"#, answer(Reply::Expired, None)),
-            (r#"{"jsonrpc":"2.0","id":"a","error":{"code":-32601}}"#, answer(Reply::Error, None)),
+            (r#"{"jsonrpc":"2.0","id":"a","error":{"code":-32012}}"#, answer(WorkerResponse::Expired, None)),
+            (r#"{"jsonrpc":"2.0","id":"a","error":{"code":-32601}}"#, answer(WorkerResponse::Error, None)),
             (r#"{"jsonrpc":"2.0","id":"a","error":{}}"#, bad(Some("a"), "an error without a code")),
             (r#"{"jsonrpc":"2.0","id":"a","result":{}}"#, bad(Some("a"), "no body")),
             (r#"{"jsonrpc":"2.0","id":"a","result":{"body":"%"}}"#, bad(Some("a"), "body is not base64")),
--- a/src/backend/mod.rs
+++ b/src/backend/mod.rs
@@ -2,17 +2,20 @@
 //!
 //! A [`WorkerConnection`] keeps the rule on repeats honest: it writes one command at a time and only once
 //! the one before has gone to the system whole, so that for every attempt it knows how far it had come when
-//! the connection broke; and it asks the core right before the first byte whether the command may still go.
+//! the connection broke; and it asks the scheduler right before the first byte whether the command may still go.
 
 pub mod agent;
 pub mod jsonrpc;
 mod pool;
 
-pub use pool::{Endpoint, Pool};
+pub use pool::{Pool, WorkerAddress};
 
 use crate::model::{FunctionId, Span, Time};
-use crate::net::{Connection, Flow, Hub, Link};
-use crate::scheduler::{AttemptId, Broken, OrderId, ProbeId, Reached, Reply, Standing, Work};
+use crate::net::{BufferedStream, Connection, ConnectionFlow, Context};
+use crate::scheduler::{
+    AttemptError, AttemptId, HealthCheckId, LoadOrderId, LoadResult, RequestPayload, WorkerResponse,
+    WriteProgress,
+};
 use std::cell::Cell;
 use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
@@ -21,37 +24,37 @@
 #[derive(Clone, Debug)]
 pub enum Job {
     /// Start an attempt.
-    Go {
+    Start {
         /// Which.
         attempt: AttemptId,
         /// What it carries.
-        work: Rc<Work>,
+        payload: Rc<RequestPayload>,
         /// When its answer is no longer waited for.
         deadline: Time,
     },
     /// Give an attempt up.
-    Halt {
+    Cancel {
         /// Which.
         attempt: AttemptId,
     },
     /// Order a load.
-    Stage {
+    Load {
         /// Which order.
-        order: OrderId,
+        order: LoadOrderId,
         /// What.
         function: FunctionId,
         /// How many copies.
-        copies: u8,
+        instances: u8,
     },
     /// Ask whether the worker lives.
-    Probe {
+    HealthCheck {
         /// Which probe.
-        probe: ProbeId,
+        check: HealthCheckId,
         /// When its answer is no longer waited for.
         deadline: Time,
     },
     /// Unload the idle copies.
-    Purge {
+    Unload {
         /// What.
         function: FunctionId,
     },
@@ -59,30 +62,30 @@
 
 /// What a worker's line says.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Said {
+pub enum WorkerMessage {
     /// An answer to a call or, for orders, with the copies that stand.
-    Answer {
+    Response {
         /// The name under which the command went out.
-        rid: String,
+        correlation_id: String,
         /// What it says.
-        reply: Reply,
+        response: WorkerResponse,
         /// Copies that stand, where told.
-        copies: Option<u32>,
+        instances: Option<u32>,
         /// The load report: its values by name, where there is one.
-        load: Vec<(String, f32)>,
+        load_report: Vec<(String, f32)>,
     },
     /// The answer to a probe.
     Alive {
         /// The name under which the probe went out.
-        rid: String,
+        correlation_id: String,
     },
 }
 
 /// A line that cannot be read; with the name it answers, where that much could be read.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Unreadable {
+pub struct DecodeError {
     /// The name under which the command went out.
-    pub rid: Option<String>,
+    pub correlation_id: Option<String>,
     /// What is wrong.
     pub cause: &'static str,
 }
@@ -90,17 +93,17 @@
 /// The words of one kind of worker: pure functions from commands to lines and back.
 pub trait Codec {
     /// The line that starts an attempt at `now`, whose answer is waited for until the deadline.
-    fn go(&self, work: &Work, now: Time, deadline: Time) -> Vec<u8>;
+    fn go(&self, work: &RequestPayload, now: Time, deadline: Time) -> Vec<u8>;
     /// The line that gives it up.
-    fn halt(&self, rid: &str) -> Vec<u8>;
+    fn halt(&self, correlation_id: &str) -> Vec<u8>;
     /// The line that orders a load.
-    fn stage(&self, rid: &str, function: FunctionId, copies: u8) -> Vec<u8>;
+    fn stage(&self, correlation_id: &str, function: FunctionId, copies: u8) -> Vec<u8>;
     /// The line that unloads idle copies.
     fn purge(&self, function: FunctionId) -> Vec<u8>;
     /// The line that probes under this name.
-    fn probe(&self, rid: &str) -> Vec<u8>;
+    fn probe(&self, correlation_id: &str) -> Vec<u8>;
     /// Reads a line, without its line feed.
-    fn read(&self, line: &[u8]) -> Result<Said, Unreadable>;
+    fn read(&self, line: &[u8]) -> Result<WorkerMessage, DecodeError>;
 }
 
 /// What remains until a deadline in whole milliseconds, as the wires tell it; never 0, which could mean none.
@@ -114,16 +117,16 @@
 const QUEUE: usize = 4096;
 /// For how long the name of an attempt that was given up or not served is kept from use on its connection, and
 /// how many such names: clients may withdraw calls by hundreds.
-const SHADOW: (Span, usize) = (Span::millis(10_000), 1024);
+const SHADOW: (Span, usize) = (Span::from_millis(10_000), 1024);
 /// A worker's line that has begun must have come whole within this time. One that stops short would swallow
 /// the start of every later answer on its connection.
-const WHOLE_LINE: Span = Span::millis(300);
+const WHOLE_LINE: Span = Span::from_millis(300);
 
 #[derive(Clone, Copy, Debug)]
 enum Open {
     Attempt(AttemptId),
-    Order(OrderId),
-    Probe(ProbeId),
+    Order(LoadOrderId),
+    Probe(HealthCheckId),
     /// Given up or answered at this time: an answer that still comes belongs to nobody.
     Shadow(Time),
 }
@@ -154,7 +157,7 @@
     idle_since: Time,
     shadows: VecDeque<(Time, String)>,
     /// When the probe that is out here has failed.
-    probe_by: Option<(Time, ProbeId)>,
+    probe_by: Option<(Time, HealthCheckId)>,
     /// Until when the line that has begun must have ended.
     line_by: Option<Time>,
     /// A probe got no answer and nothing has come since. A connection through a cut stays up and silent, and
@@ -182,115 +185,124 @@
         }
     }
 
-    fn order_name(order: OrderId) -> String {
+    fn order_name(order: LoadOrderId) -> String {
         format!("load-{}", order.0)
     }
 
-    fn probe_name(probe: ProbeId) -> String {
+    fn probe_name(probe: HealthCheckId) -> String {
         format!("probe-{}", probe.0)
     }
 
     /// Writes commands one after another, each once the one before has gone whole.
-    fn pump(&mut self, link: &mut Link, hub: &mut Hub) -> Flow {
-        while link.is_up() && link.waiting() == 0 {
+    fn pump(&mut self, socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow {
+        while socket.is_up() && socket.waiting() == 0 {
             if let Some(Open::Attempt(attempt)) = self.writing.take() {
-                hub.core.written(hub.now, attempt);
+                context.scheduler.attempt_written(context.now, attempt);
             }
             let Some(job) = self.pending.pop_front() else { break };
             match job {
-                Job::Go { attempt, work, deadline } => {
-                    if !hub.core.may_write(hub.now, attempt) {
+                Job::Start { attempt, payload: work, deadline } => {
+                    if !context.scheduler.admits_write(context.now, attempt) {
                         self.attempts -= 1;
-                        self.open.remove(&work.reference);
+                        self.open.remove(&work.correlation_id);
                         self.names.remove(&attempt);
-                        hub.core.attempt_held(hub.now, attempt);
+                        context.scheduler.attempt_not_sent(context.now, attempt);
                         continue;
                     }
-                    link.put(&self.codec.go(&work, hub.now, deadline));
+                    socket.enqueue(&self.codec.go(&work, context.now, deadline));
                     self.writing = Some(Open::Attempt(attempt));
                 }
-                Job::Halt { attempt } => {
+                Job::Cancel { attempt } => {
                     if let Some(name) = self.names.remove(&attempt) {
-                        link.put(&self.codec.halt(&name));
+                        socket.enqueue(&self.codec.halt(&name));
                     }
                 }
-                Job::Stage { order, function, copies } => {
-                    if !hub.core.may_write_order(hub.now, order) {
+                Job::Load { order, function, instances: copies } => {
+                    if !context.scheduler.admits_load_order(context.now, order) {
                         self.open.remove(&Self::order_name(order));
-                        hub.core.order_held(hub.now, order);
+                        context.scheduler.load_order_not_sent(context.now, order);
                         continue;
                     }
-                    link.put(&self.codec.stage(&Self::order_name(order), function, copies));
+                    socket.enqueue(&self.codec.stage(&Self::order_name(order), function, copies));
                     self.writing = Some(Open::Order(order));
                 }
-                Job::Probe { probe, .. } => link.put(&self.codec.probe(&Self::probe_name(probe))),
-                Job::Purge { function } => link.put(&self.codec.purge(function)),
+                Job::HealthCheck { check: probe, .. } => {
+                    socket.enqueue(&self.codec.probe(&Self::probe_name(probe)))
+                }
+                Job::Unload { function } => socket.enqueue(&self.codec.purge(function)),
             }
-            match link.flush() {
+            match socket.flush() {
                 Ok(true) => {}
                 Ok(false) => break,
-                Err(_) => return Flow::Close,
+                Err(_) => return ConnectionFlow::Close,
             }
         }
-        Flow::Go
+        ConnectionFlow::Continue
     }
 
-    fn line(&mut self, line: &[u8], hub: &mut Hub) -> Flow {
+    fn line(&mut self, line: &[u8], context: &mut Context) -> ConnectionFlow {
         self.silent = false;
-        let (rid, reply, copies, load) = match self.codec.read(line) {
-            Ok(Said::Alive { rid }) => {
-                if let Some(Open::Probe(probe)) = self.open.get(&rid) {
+        let (correlation_id, reply, copies, load) = match self.codec.read(line) {
+            Ok(WorkerMessage::Alive { correlation_id }) => {
+                if let Some(Open::Probe(probe)) = self.open.get(&correlation_id) {
                     let probe = *probe;
-                    self.open.remove(&rid);
+                    self.open.remove(&correlation_id);
                     self.probe_by = None;
-                    hub.core.probe_ended(hub.now, probe, Ok(()));
+                    context.scheduler.health_check_ended(context.now, probe, Ok(()));
                 }
-                return Flow::Go;
+                return ConnectionFlow::Continue;
             }
-            Ok(Said::Answer { rid, reply, copies, load }) => (rid, Ok(reply), copies, load),
-            Err(Unreadable { rid, cause }) => {
-                hub.core.counters().unreadable += 1;
-                if let Some(Open::Attempt(attempt)) = rid.as_ref().and_then(|rid| self.open.remove(rid)) {
+            Ok(WorkerMessage::Response {
+                correlation_id,
+                response: reply,
+                instances: copies,
+                load_report: load,
+            }) => (correlation_id, Ok(reply), copies, load),
+            Err(DecodeError { correlation_id, cause }) => {
+                context.scheduler.counters().unreadable += 1;
+                if let Some(Open::Attempt(attempt)) =
+                    correlation_id.as_ref().and_then(|correlation_id| self.open.remove(correlation_id))
+                {
                     self.attempts -= 1;
                     self.names.remove(&attempt);
-                    let broken = Broken { reached: Reached::Answered, cause };
-                    hub.core.attempt_ended(hub.now, attempt, Err(broken));
+                    let broken = AttemptError { progress: WriteProgress::Answered, cause };
+                    context.scheduler.attempt_ended(context.now, attempt, Err(broken));
                 }
                 // Where a line ends and the next begins is no longer sure: nothing more comes of use on this
                 // connection, and whatever is open on it would wait in vain until its deadline.
-                return Flow::Close;
+                return ConnectionFlow::Close;
             }
         };
         // A name that is not open belongs to nobody (any more); a worker may say what it likes.
-        match self.open.remove(&rid) {
+        match self.open.remove(&correlation_id) {
             Some(Open::Attempt(attempt)) => {
                 self.attempts -= 1;
                 self.names.remove(&attempt);
                 // The call may go out again under this name. Its next attempt takes another connection, so that
                 // this answer's late twin is not taken for its own.
-                if !matches!(reply, Ok(Reply::Ok(_))) {
-                    self.shadow(rid, hub.now);
+                if !matches!(reply, Ok(WorkerResponse::Ok(_))) {
+                    self.shadow(correlation_id, context.now);
                 }
-                hub.core.load_told(attempt, &load);
-                hub.core.attempt_ended(hub.now, attempt, reply);
+                context.scheduler.record_load_report(attempt, &load);
+                context.scheduler.attempt_ended(context.now, attempt, reply);
             }
             Some(Open::Order(order)) => {
-                let standing = reply.map(|reply| Standing {
+                let standing = reply.map(|reply| LoadResult {
                     status: crate::scheduler::status_of(&reply),
-                    copies: copies.unwrap_or(0),
+                    instances: copies.unwrap_or(0),
                 });
-                hub.core.order_ended(hub.now, order, standing);
+                context.scheduler.load_order_ended(context.now, order, standing);
             }
             // An answer, but not that it lives.
             Some(Open::Probe(probe)) => {
                 self.probe_by = None;
-                let broken = Broken { reached: Reached::Answered, cause: "not alive" };
-                hub.core.probe_ended(hub.now, probe, Err(broken));
+                let broken = AttemptError { progress: WriteProgress::Answered, cause: "not alive" };
+                context.scheduler.health_check_ended(context.now, probe, Err(broken));
             }
             Some(Open::Shadow(_)) | None => {}
         }
-        self.idle_since = hub.now;
-        Flow::Go
+        self.idle_since = context.now;
+        ConnectionFlow::Continue
     }
 
     /// Keeps a name from use here for a while.
@@ -307,58 +319,58 @@
         for _ in 0..gone {
             let Some((at, _)) = self.shadows.front() else { return };
             let at = *at;
-            let Some((_, rid)) = self.shadows.pop_front() else { return };
-            if matches!(self.open.get(&rid), Some(Open::Shadow(since)) if *since == at) {
-                self.open.remove(&rid);
+            let Some((_, correlation_id)) = self.shadows.pop_front() else { return };
+            if matches!(self.open.get(&correlation_id), Some(Open::Shadow(since)) if *since == at) {
+                self.open.remove(&correlation_id);
             }
         }
     }
 }
 
 impl Connection for WorkerConnection {
-    fn opened(&mut self, link: &mut Link, hub: &mut Hub) -> Flow {
+    fn opened(&mut self, socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow {
         self.connect_by = None;
-        self.idle_since = hub.now;
-        hub.core.counters().opened += 1;
-        self.pump(link, hub)
+        self.idle_since = context.now;
+        context.scheduler.counters().opened += 1;
+        self.pump(socket, context)
     }
 
-    fn received(&mut self, link: &mut Link, hub: &mut Hub) -> Flow {
+    fn received(&mut self, socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow {
         let mut from = 0;
-        while let Some(end) = link.inbox[from..].iter().position(|b| *b == b'\n') {
-            let line = link.inbox[from..from + end].to_vec();
+        while let Some(end) = socket.inbox[from..].iter().position(|b| *b == b'\n') {
+            let line = socket.inbox[from..from + end].to_vec();
             from += end + 1;
-            if self.line(&line, hub) == Flow::Close {
-                return Flow::Close;
+            if self.line(&line, context) == ConnectionFlow::Close {
+                return ConnectionFlow::Close;
             }
         }
-        link.used(from);
-        if link.inbox.len() > LINE || link.ended {
-            return Flow::Close;
+        socket.consume(from);
+        if socket.inbox.len() > LINE || socket.ended {
+            return ConnectionFlow::Close;
         }
-        self.line_by = match link.inbox.is_empty() {
+        self.line_by = match socket.inbox.is_empty() {
             true => None,
             // What is left after a whole line has only just begun.
-            false => self.line_by.filter(|_| from == 0).or(Some(hub.now + WHOLE_LINE)),
+            false => self.line_by.filter(|_| from == 0).or(Some(context.now + WHOLE_LINE)),
         };
-        self.pump(link, hub)
+        self.pump(socket, context)
     }
 
-    fn flushed(&mut self, link: &mut Link, hub: &mut Hub) -> Flow {
-        self.pump(link, hub)
+    fn flushed(&mut self, socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow {
+        self.pump(socket, context)
     }
 
-    fn due(&mut self, _link: &mut Link, hub: &mut Hub) -> Flow {
-        self.drop_shadows(hub.now);
-        if let Some((_, probe)) = self.probe_by.take_if(|(by, _)| *by <= hub.now) {
+    fn due(&mut self, _socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow {
+        self.drop_shadows(context.now);
+        if let Some((_, probe)) = self.probe_by.take_if(|(by, _)| *by <= context.now) {
             self.silent = true;
             self.open.remove(&Self::probe_name(probe));
-            let broken = Broken { reached: Reached::Out, cause: "no answer" };
-            hub.core.probe_ended(hub.now, probe, Err(broken));
+            let broken = AttemptError { progress: WriteProgress::Written, cause: "no answer" };
+            context.scheduler.health_check_ended(context.now, probe, Err(broken));
         }
-        let late = self.connect_by.into_iter().chain(self.line_by).any(|by| by <= hub.now);
-        let idle = self.idle().is_some_and(|since| since + self.limits.get().idle <= hub.now);
-        if late || idle { Flow::Close } else { Flow::Go }
+        let late = self.connect_by.into_iter().chain(self.line_by).any(|by| by <= context.now);
+        let idle = self.idle().is_some_and(|since| since + self.limits.get().idle <= context.now);
+        if late || idle { ConnectionFlow::Close } else { ConnectionFlow::Continue }
     }
 
     fn deadline(&self) -> Option<Time> {
@@ -369,21 +381,21 @@
         due.chain(idle).chain(shadow).min()
     }
 
-    fn closed(&mut self, link: &Link, hub: &mut Hub) {
+    fn closed(&mut self, socket: &BufferedStream, context: &mut Context) {
         let up = self.connect_by.is_none();
         let waiting: Vec<(bool, Open)> = self
             .pending
             .drain(..)
             .filter_map(|job| match job {
-                Job::Go { attempt, .. } => Some((false, Open::Attempt(attempt))),
-                Job::Stage { order, .. } => Some((false, Open::Order(order))),
-                Job::Probe { probe, .. } => Some((false, Open::Probe(probe))),
-                Job::Halt { .. } | Job::Purge { .. } => None,
+                Job::Start { attempt, .. } => Some((false, Open::Attempt(attempt))),
+                Job::Load { order, .. } => Some((false, Open::Order(order))),
+                Job::HealthCheck { check: probe, .. } => Some((false, Open::Probe(probe))),
+                Job::Cancel { .. } | Job::Unload { .. } => None,
             })
             .collect();
         let half = self.writing.take();
-        let mut ends: Vec<(Open, Reached)> =
-            waiting.iter().map(|(_, open)| (*open, Reached::NotSent)).collect();
+        let mut ends: Vec<(Open, WriteProgress)> =
+            waiting.iter().map(|(_, open)| (*open, WriteProgress::NotSent)).collect();
         let is = |a: &Open, b: &Open| match (a, b) {
             (Open::Attempt(a), Open::Attempt(b)) => a == b,
             (Open::Order(a), Open::Order(b)) => a == b,
@@ -395,53 +407,53 @@
                 continue;
             }
             // Bytes that never left our buffer: the line at the worker has no end, so it cannot have run.
-            let partly = half.as_ref().is_some_and(|half| is(half, open)) && link.waiting() > 0;
-            ends.push((*open, if partly { Reached::PartlyWritten } else { Reached::Out }));
+            let partly = half.as_ref().is_some_and(|half| is(half, open)) && socket.waiting() > 0;
+            ends.push((*open, if partly { WriteProgress::PartiallyWritten } else { WriteProgress::Written }));
         }
         let cause = if up { "connection ended" } else { "no connection" };
         for (open, reached) in ends {
-            let broken = Broken { reached, cause };
+            let broken = AttemptError { progress: reached, cause };
             match open {
-                Open::Attempt(attempt) => hub.core.attempt_ended(hub.now, attempt, Err(broken)),
-                Open::Order(order) => hub.core.order_ended(hub.now, order, Err(broken)),
-                Open::Probe(probe) => hub.core.probe_ended(hub.now, probe, Err(broken)),
+                Open::Attempt(attempt) => context.scheduler.attempt_ended(context.now, attempt, Err(broken)),
+                Open::Order(order) => context.scheduler.load_order_ended(context.now, order, Err(broken)),
+                Open::Probe(probe) => context.scheduler.health_check_ended(context.now, probe, Err(broken)),
                 Open::Shadow(_) => {}
             }
         }
     }
 
-    fn job(&mut self, job: Job, link: &mut Link, hub: &mut Hub) -> Flow {
+    fn job(&mut self, job: Job, socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow {
         match &job {
-            Job::Go { attempt, work, .. } => {
+            Job::Start { attempt, payload: work, .. } => {
                 self.attempts += 1;
-                self.open.insert(work.reference.clone(), Open::Attempt(*attempt));
-                self.names.insert(*attempt, work.reference.clone());
+                self.open.insert(work.correlation_id.clone(), Open::Attempt(*attempt));
+                self.names.insert(*attempt, work.correlation_id.clone());
             }
-            Job::Stage { order, .. } => {
+            Job::Load { order, .. } => {
                 self.open.insert(Self::order_name(*order), Open::Order(*order));
             }
-            Job::Halt { attempt } => {
-                let Some(name) = self.names.get(attempt).cloned() else { return Flow::Go };
+            Job::Cancel { attempt } => {
+                let Some(name) = self.names.get(attempt).cloned() else { return ConnectionFlow::Continue };
                 self.attempts -= 1;
                 // Still in line here: it never goes out, and neither does the word to stop it.
-                let waits = |job: &Job| matches!(job, Job::Go { attempt: a, .. } if a == attempt);
+                let waits = |job: &Job| matches!(job, Job::Start { attempt: a, .. } if a == attempt);
                 if let Some(place) = self.pending.iter().position(waits) {
                     self.pending.remove(place);
                     self.open.remove(&name);
                     self.names.remove(attempt);
-                    return Flow::Go;
+                    return ConnectionFlow::Continue;
                 }
-                self.shadow(name, hub.now);
+                self.shadow(name, context.now);
             }
-            Job::Probe { probe, deadline } => {
+            Job::HealthCheck { check: probe, deadline } => {
                 self.open.insert(Self::probe_name(*probe), Open::Probe(*probe));
                 self.probe_by = Some((*deadline, *probe));
             }
-            Job::Purge { .. } => {}
+            Job::Unload { .. } => {}
         }
-        self.idle_since = hub.now;
+        self.idle_since = context.now;
         self.pending.push_back(job);
-        self.pump(link, hub)
+        self.pump(socket, context)
     }
 
     fn accepts(&self, reference: Option<&str>) -> bool {
--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -2,8 +2,8 @@
 
 use super::{Codec, Job, Limits, WorkerConnection};
 use crate::model::{Span, Time, WorkerId};
-use crate::net::{Flow, Reactor};
-use crate::scheduler::{AttemptId, Broken, Command, Core, Reached};
+use crate::net::{ConnectionFlow, Reactor};
+use crate::scheduler::{AttemptError, AttemptId, Command, Scheduler, WriteProgress};
 use std::cell::Cell;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -24,7 +24,7 @@
 
 /// Where a worker listens.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Endpoint {
+pub enum WorkerAddress {
     /// A node agent.
     Agent(SocketAddr),
     /// A checker on a Unix socket.
@@ -33,7 +33,7 @@
 
 #[derive(Default)]
 struct Target {
-    endpoint: Option<Endpoint>,
+    endpoint: Option<WorkerAddress>,
     started: Option<Time>,
     connections: Vec<u64>,
 }
@@ -76,19 +76,19 @@
         connect_limit: Span,
         budget: usize,
         reactor: &mut Reactor,
-        core: &mut Core,
+        scheduler: &mut Scheduler,
     ) {
         self.limits.set(limits);
         (self.connect_limit, self.budget) = (connect_limit, budget);
         // Deadlines are asked for after a callback.
         for id in reactor.ids() {
-            reactor.with(id, core, |_, _, _| Flow::Go);
+            reactor.with(id, scheduler, |_, _, _| ConnectionFlow::Continue);
         }
     }
 
     /// The list says where a worker is. A new process has none of the old one's connections: what is open on
     /// them ends by itself, and nothing new goes out there.
-    pub fn place(&mut self, worker: WorkerId, endpoint: Endpoint, started: Option<Time>) {
+    pub fn set_address(&mut self, worker: WorkerId, endpoint: WorkerAddress, started: Option<Time>) {
         let target = self.targets.entry(worker).or_default();
         if target.endpoint.as_ref() != Some(&endpoint) || target.started != started {
             *target = Target { endpoint: Some(endpoint), started, connections: vec![] };
@@ -96,7 +96,11 @@
     }
 
     /// The worker of another id that the list has put there, with its start.
-    pub fn other_at(&self, endpoint: &Endpoint, worker: WorkerId) -> Option<(WorkerId, Option<Time>)> {
+    pub fn other_worker_at(
+        &self,
+        endpoint: &WorkerAddress,
+        worker: WorkerId,
+    ) -> Option<(WorkerId, Option<Time>)> {
         let at = |(id, target): &(&WorkerId, &Target)| {
             **id != worker && target.endpoint.as_ref() == Some(endpoint)
         };
@@ -113,45 +117,48 @@
         self.targets.retain(|worker, _| listed(*worker));
     }
 
-    /// Carries out what the core wants of a worker.
-    pub fn command(&mut self, command: Command, reactor: &mut Reactor, core: &mut Core) {
+    /// Carries out what the scheduler wants of a worker.
+    pub fn command(&mut self, command: Command, reactor: &mut Reactor, scheduler: &mut Scheduler) {
         match command {
-            Command::Send { attempt, worker, work, deadline } => {
-                let connection = self.connection(worker, Some(&work.reference), reactor, core);
+            Command::Send { attempt, worker, payload: work, deadline } => {
+                let connection = self.connection(worker, Some(&work.correlation_id), reactor, scheduler);
                 let Some(connection) = connection else {
-                    return core.attempt_held(reactor.now(), attempt);
+                    return scheduler.attempt_not_sent(reactor.now(), attempt);
                 };
                 self.went.insert(attempt, connection);
-                give(connection, Job::Go { attempt, work, deadline }, reactor, core);
+                give(connection, Job::Start { attempt, payload: work, deadline }, reactor, scheduler);
             }
-            Command::Halt { attempt, .. } => {
+            Command::Cancel { attempt, .. } => {
                 if let Some(connection) = self.went.remove(&attempt) {
-                    give(connection, Job::Halt { attempt }, reactor, core);
+                    give(connection, Job::Cancel { attempt }, reactor, scheduler);
                 }
             }
-            Command::Stage { order, worker, function, copies } => {
-                match self.connection(worker, None, reactor, core) {
+            Command::Load { order, worker, function, instances: copies } => {
+                match self.connection(worker, None, reactor, scheduler) {
                     Some(connection) => {
-                        give(connection, Job::Stage { order, function, copies }, reactor, core)
+                        give(connection, Job::Load { order, function, instances: copies }, reactor, scheduler)
                     }
-                    None => core.order_held(reactor.now(), order),
+                    None => scheduler.load_order_not_sent(reactor.now(), order),
                 }
             }
-            Command::Probe { probe, worker, deadline } => {
-                match self.connection(worker, None, reactor, core) {
-                    Some(connection) => give(connection, Job::Probe { probe, deadline }, reactor, core),
+            Command::HealthCheck { check: probe, worker, deadline } => {
+                match self.connection(worker, None, reactor, scheduler) {
+                    Some(connection) => {
+                        give(connection, Job::HealthCheck { check: probe, deadline }, reactor, scheduler)
+                    }
                     None => {
-                        let broken = Broken { reached: Reached::NotSent, cause: "no connection" };
-                        core.probe_ended(reactor.now(), probe, Err(broken));
+                        let broken =
+                            AttemptError { progress: WriteProgress::NotSent, cause: "no connection" };
+                        scheduler.health_check_ended(reactor.now(), probe, Err(broken));
                     }
                 }
             }
-            Command::Purge { worker, function } => {
-                if let Some(connection) = self.connection(worker, None, reactor, core) {
-                    give(connection, Job::Purge { function }, reactor, core);
+            Command::Unload { worker, function } => {
+                if let Some(connection) = self.connection(worker, None, reactor, scheduler) {
+                    give(connection, Job::Unload { function }, reactor, scheduler);
                 }
             }
-            Command::Answer { .. } => {}
+            Command::Respond { .. } => {}
         }
     }
 
@@ -162,7 +169,7 @@
         worker: WorkerId,
         name: Option<&str>,
         reactor: &mut Reactor,
-        core: &mut Core,
+        scheduler: &mut Scheduler,
     ) -> Option<u64> {
         // Clients may hold a third of the descriptors; what is left after them is for all workers alike.
         let own = (self.budget * 2 / 3 / self.targets.len().max(1))
@@ -182,35 +189,35 @@
             return Some(id);
         }
         if target.connections.len() >= PER_WORKER
-            || reactor.count() >= self.budget && !reactor.shed_idle(core)
+            || reactor.count() >= self.budget && !reactor.shed_idle(scheduler)
         {
             return None;
         }
         let (stream, codec) = match target.endpoint.as_ref()? {
-            Endpoint::Agent(address) => (reactor.connect(*address), &self.agent),
-            Endpoint::Checker(path) => (reactor.connect_unix(path), &self.checker),
+            WorkerAddress::Agent(address) => (reactor.connect(*address), &self.agent),
+            WorkerAddress::Checker(path) => (reactor.connect_unix(path), &self.checker),
         };
         let by = reactor.after(self.connect_limit);
         let connection = Box::new(WorkerConnection::new(codec.clone(), self.limits.clone(), by));
-        let id = reactor.add(stream.ok()?, connection, false, (super::LINE, 4 << 20), core)?;
+        let id = reactor.add(stream.ok()?, connection, false, (super::LINE, 4 << 20), scheduler)?;
         target.connections.push(id);
         Some(id)
     }
 
     /// Drops the notes of attempts that have ended, whenever they are most of all. To be called once no command
     /// waits: one to give an attempt up comes after its end.
-    pub fn forget_ended(&mut self, core: &Core) {
-        if self.went.len() > NOTES + 2 * core.attempts_out() {
-            self.went.retain(|attempt, _| core.is_out(*attempt));
+    pub fn forget_ended(&mut self, scheduler: &Scheduler) {
+        if self.went.len() > NOTES + 2 * scheduler.attempts_in_flight() {
+            self.went.retain(|attempt, _| scheduler.is_in_flight(*attempt));
         }
     }
 
     /// How many attempts there are notes of.
-    pub fn remembered(&self) -> usize {
+    pub fn routes_remembered(&self) -> usize {
         self.went.len()
     }
 }
 
-fn give(connection: u64, job: Job, reactor: &mut Reactor, core: &mut Core) {
-    reactor.with(connection, core, |object, link, hub| object.job(job, link, hub));
+fn give(connection: u64, job: Job, reactor: &mut Reactor, scheduler: &mut Scheduler) {
+    reactor.with(connection, scheduler, |object, socket, context| object.job(job, socket, context));
 }
--- a/src/bin/function-scheduler-sim/codec.rs
+++ b/src/bin/function-scheduler-sim/codec.rs
@@ -27,8 +27,8 @@
 pub enum Record {
     Open { instance: u16, seed: u64, settings: Vec<u8> },
     Kill { instance: u16 },
-    Roster { number: u16, entries: Vec<Member> },
-    Sync { instance: u16, kind: ListKind, roster: u16 },
+    Roster { number: u16, entries: Vec<Endpoint> },
+    Sync { instance: u16, kind: EndpointUpdateKind, roster: u16 },
     Event { instance: u16, event: Event },
     Skipped,
 }
@@ -213,49 +213,49 @@
             r.u32()?;
             let at = r.at;
             let kind = match r.u8()? {
-                0 => ListKind::Delta,
-                1 => ListKind::Full,
-                2 => ListKind::Cached,
-                3 => ListKind::Failed,
+                0 => EndpointUpdateKind::Delta,
+                1 => EndpointUpdateKind::Full,
+                2 => EndpointUpdateKind::Cached,
+                3 => EndpointUpdateKind::Failed,
                 other => return Err(r.odd("list kind", other, at)),
             };
             return Ok(Record::Sync { instance, kind, roster: r.u16()? });
         }
-        3 => Event::Call(read_call(r)?),
-        5 => Event::Outcome(read_outcome(r)?),
-        6 => Event::ClientGone(RequestId(r.u32()?)),
-        7 => Event::Wake,
+        3 => Event::RequestReceived(read_call(r)?),
+        5 => Event::AttemptFinished(read_outcome(r)?),
+        6 => Event::ClientDisconnected(RequestId(r.u32()?)),
+        7 => Event::TimerFired,
         8 => {
             r.u64()?;
             let status = r.status()?;
-            Event::Probed(r.worker()?, status)
+            Event::HealthCheckFinished(r.worker()?, status)
         }
         10 => return Ok(Record::Kill { instance }),
         _ => {
             let copies = u32::from(r.u8()?);
             let (worker, latency) = (r.worker()?, Span(r.u64()?));
             let (status, function) = (r.status()?, FunctionId(r.u64()?));
-            Event::Loaded(Loaded { worker, function, copies, status, latency })
+            Event::LoadFinished(LoadOutcome { worker, function, instances: copies, status, latency })
         }
     };
     Ok(Record::Event { instance, event })
 }
 
-fn read_entry(r: &mut Fields) -> Result<Member, WireError> {
+fn read_entry(r: &mut Fields) -> Result<Endpoint, WireError> {
     let (zone, cell) = (ZoneId(r.u8()?), CellId(r.u16()?));
     let at = r.at;
     let state = match r.u8()? {
-        0 => State::Ready,
-        1 => State::Draining,
-        2 => State::Gone,
+        0 => EndpointState::Ready,
+        1 => EndpointState::Draining,
+        2 => EndpointState::Gone,
         other => return Err(r.odd("mode", other, at)),
     };
     let (worker, weight) = (r.worker()?, f64::from(r.f32()?));
     let started = Some(Time(r.u64()?)).filter(|t| t.0 > 0);
-    Ok(Member { worker, zone, cell, state, weight, started, kind: KindId(r.u8()?) })
+    Ok(Endpoint { worker, zone, cell, state, weight, started_at: started, kind: KindId(r.u8()?) })
 }
 
-fn read_call(r: &mut Fields) -> Result<Call, WireError> {
+fn read_call(r: &mut Fields) -> Result<IncomingRequest, WireError> {
     let id = RequestId(r.u32()?);
     let lanes = f64::from(r.f32()?);
     let tenant = TenantId(r.u16()?);
@@ -267,10 +267,10 @@
     let memory_mb = f64::from(r.f32()?);
     let function = FunctionId(r.u64()?);
     let load_time = (load_ms > 0.0).then(|| Span((f64::from(load_ms) * 1e6) as u64));
-    Ok(Call { id, function, class, tenant, remaining, memory_mb, lanes, load_time })
+    Ok(IncomingRequest { id, function, class, tenant, remaining, memory_mb, concurrency: lanes, load_time })
 }
 
-fn read_outcome(r: &mut Fields) -> Result<Outcome, WireError> {
+fn read_outcome(r: &mut Fields) -> Result<AttemptOutcome, WireError> {
     let (id, attempt) = (RequestId(r.u32()?), r.u16()?);
     r.worker()?;
     let status = r.status()?;
@@ -280,13 +280,22 @@
         report.push(r.f32()?);
     }
     let copy = match remark & 7 {
-        1 => CopyNote::Stood,
-        2 => CopyNote::BeganLoad,
-        3 => CopyNote::WaitedForLoad,
-        4 => CopyNote::LoadFailed,
-        _ => CopyNote::Untold,
+        1 => InstanceState::Loaded,
+        2 => InstanceState::LoadStarted,
+        3 => InstanceState::LoadAwaited,
+        4 => InstanceState::LoadFailed,
+        _ => InstanceState::Unknown,
     };
-    Ok(Outcome { id, attempt, status, latency, finished, copy, company: u32::from(remark >> 3), report })
+    Ok(AttemptOutcome {
+        id,
+        attempt,
+        status,
+        latency,
+        request_finished: finished,
+        instance_state: copy,
+        function_in_flight: u32::from(remark >> 3),
+        load_report: report,
+    })
 }
 
 /// A reply under construction.
@@ -337,18 +346,18 @@
             Action::Cancel { id, attempt } => {
                 self.record(4, instance, &[&id.0.to_be_bytes(), &attempt.to_be_bytes()]);
             }
-            Action::Refuse { id, wait } => {
+            Action::Reject { id, retry_after: wait } => {
                 self.record(9, instance, &[&id.0.to_be_bytes(), &wait.0.to_be_bytes()]);
             }
             Action::Fail { id } => self.record(10, instance, &[&id.0.to_be_bytes()]),
-            Action::Load { worker, function, copies } => {
+            Action::Load { worker, function, instances: copies } => {
                 self.record(5, instance, &[&worker_bytes(worker), &[*copies], &function.0.to_be_bytes()]);
             }
             Action::Unload { worker, function } => {
                 self.record(11, instance, &[&worker_bytes(worker), &function.0.to_be_bytes()]);
             }
-            Action::Probe { worker } => self.record(6, instance, &[&worker_bytes(worker)]),
-            Action::Wake { after } => {
+            Action::HealthCheck { worker } => self.record(6, instance, &[&worker_bytes(worker)]),
+            Action::SetTimer { delay: after } => {
                 self.record(13, instance, &[&after.0.to_be_bytes(), &[0; 4]]);
             }
             Action::Subscribe => self.record(8, instance, &[&[1]]),
--- a/src/bin/function-scheduler-sim/main.rs
+++ b/src/bin/function-scheduler-sim/main.rs
@@ -1,10 +1,10 @@
-//! The decisions on the simulator's wire: reads batches, hosts one balancer for each instance, replies.
+//! The decisions on the simulator's wire: reads batches, hosts one policy for each instance, replies.
 #![forbid(unsafe_code)]
 
 mod codec;
 
 use codec::{Record, Reply, WireError, read_frame, read_records};
-use function_scheduler::{Action, Balancer, Event, Member, settings};
+use function_scheduler::{Action, Endpoint, Event, Policy, settings};
 use std::collections::BTreeMap;
 use std::io::{self, BufReader, Write};
 use std::process::ExitCode;
@@ -12,8 +12,8 @@
 /// Lists and instances; nothing else is kept between batches.
 #[derive(Default)]
 struct Host {
-    rosters: BTreeMap<u16, Vec<Member>>,
-    instances: BTreeMap<u16, Balancer>,
+    rosters: BTreeMap<u16, Vec<Endpoint>>,
+    instances: BTreeMap<u16, Policy>,
 }
 
 fn main() -> ExitCode {
@@ -53,7 +53,7 @@
         let (instance, event) = match record {
             Record::Open { instance, seed, settings } => {
                 match settings::read(&settings) {
-                    Ok(settings) => drop(self.instances.insert(instance, Balancer::new(settings, seed))),
+                    Ok(settings) => drop(self.instances.insert(instance, Policy::new(settings, seed))),
                     Err(text) => reply.fault(instance, &text),
                 }
                 return;
@@ -63,17 +63,17 @@
             Record::Skipped => return,
             Record::Sync { instance, kind, roster } => {
                 let entries = match kind {
-                    function_scheduler::ListKind::Failed => Vec::new(),
+                    function_scheduler::EndpointUpdateKind::Failed => Vec::new(),
                     _ => self.rosters.get(&roster).cloned().unwrap_or_default(),
                 };
-                (instance, Event::Members(kind, entries))
+                (instance, Event::EndpointsUpdated(kind, entries))
             }
             Record::Event { instance, event } => (instance, event),
         };
-        let Some(balancer) = self.instances.get_mut(&instance) else {
+        let Some(policy) = self.instances.get_mut(&instance) else {
             return;
         };
-        balancer.handle(now, event, actions);
+        policy.handle(now, event, actions);
         for action in actions.drain(..) {
             reply.action(instance, &action);
         }
--- a/src/client.rs
+++ b/src/client.rs
@@ -1,10 +1,10 @@
 //! The plug-in for an RPC client: the scheduler and its back ends in the caller's own thread, without the daemon.
 //!
 //! ```
-//! use function_scheduler::backend::Endpoint;
+//! use function_scheduler::backend::WorkerAddress;
 //! use function_scheduler::client::{Client, Outgoing};
-//! use function_scheduler::scheduler::Verdict;
-//! use function_scheduler::{FunctionId, Member, Span, WorkerId, settings};
+//! use function_scheduler::scheduler::Outcome;
+//! use function_scheduler::{FunctionId, Endpoint, Span, WorkerId, settings};
 //! use std::io::{BufRead, BufReader, Write};
 //!
 //! # let folder = std::env::temp_dir().join(format!("function-scheduler-doc-{}", std::process::id()));
@@ -28,25 +28,25 @@
 //!   "contract": {"coldFrom": 0.2, "coldNs": 9000000000, "fallMultiple": 3, "fallNs": 2000000000},
 //!   "familyInfo": {"keepNs": 9000000000, "notLoaded": "load", "loadSpanNs": 0}}"#).unwrap();
 //! let mut client = Client::new(site, 7)?;
-//! let worker = Member { worker: WorkerId(1), weight: 1.0, ..Member::default() };
-//! client.workers(vec![(worker, Endpoint::Checker(path))]);
+//! let worker = Endpoint { worker: WorkerId(1), weight: 1.0, ..Endpoint::default() };
+//! client.workers(vec![(worker, WorkerAddress::Checker(path))]);
 //!
-//! let deadline = client.now() + Span::millis(3000);
+//! let deadline = client.now() + Span::from_millis(3000);
 //! let call = client.call(Outgoing::new("check", FunctionId(9), deadline, b"my exercise".to_vec()));
 //! let (answered, answer) = loop {
 //!     if let Some(answer) = client.turn(deadline)?.pop() {
 //!         break answer;
 //!     }
 //! };
-//! assert_eq!((answered, answer.verdict), (call, Verdict::Served(b"4 of 5".to_vec())));
+//! assert_eq!((answered, answer.outcome), (call, Outcome::Served(b"4 of 5".to_vec())));
 //! # std::fs::remove_dir_all(&folder)?;
 //! # Ok::<(), std::io::Error>(())
 //! ```
 
-use crate::backend::{Endpoint, Limits, Pool};
-use crate::model::{FunctionId, ListKind, Member, Span, State, Time};
+use crate::backend::{Limits, Pool, WorkerAddress};
+use crate::model::{Endpoint, EndpointState, EndpointUpdateKind, FunctionId, Span, Time};
 use crate::net::{Reactor, SystemClock};
-use crate::scheduler::{Answer, Command, Core, Counters, Incoming, Owner};
+use crate::scheduler::{ClientRequest, Command, Counters, RequestOrigin, Response, Scheduler};
 use crate::settings::Site;
 use std::io;
 
@@ -88,13 +88,13 @@
 
 /// A scheduler inside its client. See the module's page.
 pub struct Client {
-    core: Core,
+    scheduler: Scheduler,
     reactor: Reactor,
     pool: Pool,
     next: u64,
     /// Makes names of calls unlike those of other clients of the same workers.
     salt: u32,
-    answers: Vec<(CallId, Answer)>,
+    answers: Vec<(CallId, Response)>,
 }
 
 impl Client {
@@ -102,10 +102,11 @@
     pub fn new(site: Site, seed: u64) -> io::Result<Client> {
         let reactor = Reactor::new(SystemClock::new())?;
         let fleet = site.settings.fleet_size as usize;
-        let limits = Limits { multiplex: site.multiplex, idle: site.idle_close.times(0.8), fleet };
-        let pool = Pool::new(limits, site.connect_limit, CONNECTIONS);
+        let limits =
+            Limits { multiplex: site.attempts_per_connection, idle: site.idle_timeout.mul_f64(0.8), fleet };
+        let pool = Pool::new(limits, site.connect_timeout, CONNECTIONS);
         let salt = (seed ^ seed >> 32) as u32 ^ std::process::id();
-        Ok(Client { core: Core::new(site, seed), reactor, pool, next: 0, salt, answers: vec![] })
+        Ok(Client { scheduler: Scheduler::new(site, seed), reactor, pool, next: 0, salt, answers: vec![] })
     }
 
     /// The present time, of which deadlines are points.
@@ -114,14 +115,14 @@
     }
 
     /// The whole list of workers, whenever it has changed. A worker absent from it is gone.
-    pub fn workers(&mut self, list: Vec<(Member, Endpoint)>) {
-        let listed = |worker| list.iter().any(|(m, _)| m.worker == worker && m.state != State::Gone);
+    pub fn workers(&mut self, list: Vec<(Endpoint, WorkerAddress)>) {
+        let listed = |worker| list.iter().any(|(m, _)| m.worker == worker && m.state != EndpointState::Gone);
         self.pool.retain(listed);
-        for (member, endpoint) in list.iter().filter(|(m, _)| m.state != State::Gone) {
-            self.pool.place(member.worker, endpoint.clone(), member.started);
+        for (member, endpoint) in list.iter().filter(|(m, _)| m.state != EndpointState::Gone) {
+            self.pool.set_address(member.worker, endpoint.clone(), member.started_at);
         }
         let members = list.into_iter().map(|(member, _)| member).collect();
-        self.core.members(self.reactor.now(), ListKind::Full, members);
+        self.scheduler.update_endpoints(self.reactor.now(), EndpointUpdateKind::Full, members);
         self.carry_out();
     }
 
@@ -130,26 +131,36 @@
         self.next += 1;
         let Outgoing { class, function, key, memory_mb, lanes, load_time, deadline, body } = call;
         let reference = format!("{:08x}{:08x}", self.salt, self.next as u32);
-        let owner = Owner { connection: 0, stream: self.next };
-        let call =
-            Incoming { owner, reference, class, function, key, memory_mb, lanes, load_time, deadline, body };
-        self.core.call(self.reactor.now(), call);
+        let origin = RequestOrigin { connection: 0, stream: self.next };
+        let call = ClientRequest {
+            origin,
+            correlation_id: reference,
+            class,
+            function,
+            key,
+            memory_mb,
+            concurrency: lanes,
+            load_time,
+            deadline,
+            body,
+        };
+        self.scheduler.submit(self.reactor.now(), call);
         self.carry_out();
         CallId(self.next)
     }
 
     /// Nobody waits for this call any more: no answer comes, and workers are told where that helps.
     pub fn cancel(&mut self, call: CallId) {
-        self.core.withdraw(self.reactor.now(), Owner { connection: 0, stream: call.0 });
+        self.scheduler.cancel(self.reactor.now(), RequestOrigin { connection: 0, stream: call.0 });
         self.answers.retain(|(id, _)| *id != call);
         self.carry_out();
     }
 
     /// Works until something has happened or `until` has come; the calls that have ended.
-    pub fn turn(&mut self, until: Time) -> io::Result<Vec<(CallId, Answer)>> {
+    pub fn turn(&mut self, until: Time) -> io::Result<Vec<(CallId, Response)>> {
         if self.answers.is_empty() {
-            let due = self.core.next_due().into_iter().chain([until]).min();
-            self.reactor.turn(due, &mut self.core)?;
+            let due = self.scheduler.next_timer().into_iter().chain([until]).min();
+            self.reactor.turn(due, &mut self.scheduler)?;
             self.carry_out();
         }
         Ok(std::mem::take(&mut self.answers))
@@ -157,17 +168,19 @@
 
     /// What has been counted so far.
     pub fn counters(&mut self) -> &Counters {
-        self.core.counters()
+        self.scheduler.counters()
     }
 
     fn carry_out(&mut self) {
-        self.core.wake(self.reactor.now());
-        while let Some(command) = self.core.next_command() {
+        self.scheduler.fire_timers(self.reactor.now());
+        while let Some(command) = self.scheduler.next_command() {
             match command {
-                Command::Answer { owner, answer } => self.answers.push((CallId(owner.stream), answer)),
-                command => self.pool.command(command, &mut self.reactor, &mut self.core),
+                Command::Respond { origin, response: answer } => {
+                    self.answers.push((CallId(origin.stream), answer))
+                }
+                command => self.pool.command(command, &mut self.reactor, &mut self.scheduler),
             }
         }
-        self.pool.forget_ended(&self.core);
+        self.pool.forget_ended(&self.scheduler);
     }
 }
--- a/src/config.rs
+++ b/src/config.rs
@@ -1,6 +1,6 @@
 //! What a scheduler is told at its start, and the operator's file for the second front.
 
-use crate::discovery::{Entry, News, started_at};
+use crate::discovery::{EndpointRecord, WatchEvent, started_at};
 use crate::model::*;
 use crate::settings::{Site, read_site};
 use serde::Deserialize;
@@ -50,7 +50,7 @@
     /// Where the event bus is, if there is one.
     pub bus: Option<SocketAddr>,
     /// The bus's events up to now.
-    pub known: Vec<News>,
+    pub known: Vec<WatchEvent>,
     /// The site.
     pub site: Site,
 }
@@ -126,8 +126,8 @@
     let mut known = Vec::new();
     for event in text.known.batch {
         let entries = event.topology.targets.iter().map(|target| read_target(target, &site));
-        let kind = if event.topology.all { ListKind::Full } else { ListKind::Delta };
-        known.push(News { offset: event.offset, kind, entries: entries.collect::<Result<_, _>>()? });
+        let kind = if event.topology.all { EndpointUpdateKind::Full } else { EndpointUpdateKind::Delta };
+        known.push(WatchEvent { offset: event.offset, kind, endpoints: entries.collect::<Result<_, _>>()? });
     }
     known.sort_by_key(|news| news.offset);
     Ok(Config {
@@ -149,24 +149,24 @@
     u64::from_str_radix(digits, 16).ok().map(WorkerId)
 }
 
-fn read_target(target: &Target, site: &Site) -> Result<Entry, String> {
+fn read_target(target: &Target, site: &Site) -> Result<EndpointRecord, String> {
     let place = |names: &[String], name: &str| names.iter().position(|n| n == name).unwrap_or(0) as u8;
     let odd = |what: &str, value: &str| format!("configuration: known: {what} is '{value}'");
-    let member = Member {
+    let member = Endpoint {
         worker: read_worker(&target.uid).ok_or_else(|| odd("uid", &target.uid))?,
         zone: ZoneId(place(&site.zones, &target.az)),
         cell: CellId(target.pod_group),
         state: match target.state.as_str() {
-            "SERVING" => State::Ready,
-            "DRAINING" => State::Draining,
-            "DELETED" => State::Gone,
+            "SERVING" => EndpointState::Ready,
+            "DRAINING" => EndpointState::Draining,
+            "DELETED" => EndpointState::Gone,
             other => return Err(odd("state", other)),
         },
         weight: target.capacity_hint,
-        started: started_at(target.boot_ms),
+        started_at: started_at(target.boot_ms),
         kind: KindId(place(&site.kinds, &target.model)),
     };
-    Ok(Entry { member, address: target.endpoint })
+    Ok(EndpointRecord { endpoint: member, address: target.endpoint })
 }
 
 // ---- The operator's file
@@ -295,15 +295,15 @@
 
 impl Operator {
     /// The checkers as lines of the list of workers.
-    pub fn members(&self, site: &Site) -> Vec<(Member, PathBuf)> {
+    pub fn members(&self, site: &Site) -> Vec<(Endpoint, PathBuf)> {
         let place = |names: &[String], name: &str| names.iter().position(|n| n == name).unwrap_or(0) as u8;
         let line = |checker: &Checker| {
-            let member = Member {
+            let member = Endpoint {
                 worker: read_worker(&checker.id)?,
                 zone: ZoneId(place(&site.zones, &checker.zone)),
                 kind: KindId(place(&site.kinds, &checker.kind)),
                 weight: checker.weight,
-                ..Member::default()
+                ..Endpoint::default()
             };
             Some((member, checker.socket.clone()))
         };
@@ -368,10 +368,10 @@
             "zones":["a","b"],"kinds":["std"],"classes":[],"bounds":{"mostTries":3},"contract":{"coldFrom":0.2,
             "coldNs":1,"fallMultiple":3,"fallNs":1},"familyInfo":{"keepNs":1,"notLoaded":"load","loadSpanNs":0}}}"#;
         let config = read(good.as_bytes()).unwrap();
-        let member = config.known[0].entries[0].member;
+        let member = config.known[0].endpoints[0].endpoint;
         assert_eq!((config.seed, config.sockets, config.known[0].offset), (0x8c1f_30d2_7a5b_e964, 4096, 41));
         assert_eq!(
-            (member.worker, member.zone, member.started),
+            (member.worker, member.zone, member.started_at),
             (WorkerId(0xc4_1f7a), ZoneId(1), Some(Time(5_000_000)))
         );
         let cases = [
--- a/src/frontend/frames.rs
+++ b/src/frontend/frames.rs
@@ -2,8 +2,8 @@
 
 use super::{BODY, LINGER, OPEN, OUTBOX, TRANSIT, WHOLE, read_function};
 use crate::model::{FunctionId, Span, Time};
-use crate::net::{Connection, Flow, Hub, Link};
-use crate::scheduler::{Answer, Incoming, Owner, Verdict};
+use crate::net::{BufferedStream, Connection, ConnectionFlow, Context};
+use crate::scheduler::{ClientRequest, Outcome, RequestOrigin, Response};
 use std::collections::BTreeSet;
 
 /// Largest length field.
@@ -15,9 +15,9 @@
 pub const LIMITS: (usize, usize) = (USABLE + 4, OUTBOX);
 /// A connection on which nothing is open and nothing comes is closed after this. Clients close theirs after
 /// 4 s, so no request crosses it.
-pub const IDLE: Span = Span::millis(5_000);
+pub const IDLE: Span = Span::from_millis(5_000);
 /// The same for one that has never sent a whole frame: some clients open connections by hundreds and send nothing.
-pub const FIRST: Span = Span::millis(2_200);
+pub const FIRST: Span = Span::from_millis(2_200);
 
 /// Types of frames.
 pub mod kinds {
@@ -122,7 +122,7 @@
 }
 
 /// Reads a request.
-pub fn read_request(payload: &[u8], owner: Owner, now: Time) -> Result<Incoming, Odd> {
+pub fn read_request(payload: &[u8], origin: RequestOrigin, now: Time) -> Result<ClientRequest, Odd> {
     let (list, body) = read_fields(payload).map_err(Odd::Malformed)?;
     let twice = |n: usize| list[..n].iter().any(|(name, _)| *name == list[n].0);
     if (1..list.len()).any(twice) {
@@ -158,14 +158,14 @@
         }
     }
     let deadline = now + Span((allow.min(3_600_000) * 1_000_000).saturating_sub(TRANSIT.0));
-    Ok(Incoming {
-        owner,
-        reference: reference.to_owned(),
+    Ok(ClientRequest {
+        origin,
+        correlation_id: reference.to_owned(),
         class: class.to_owned(),
         function,
         key: field("replay").map(str::to_owned),
         memory_mb,
-        lanes,
+        concurrency: lanes,
         load_time,
         deadline,
         body: body.to_vec(),
@@ -173,18 +173,18 @@
 }
 
 /// Writes an answer.
-pub fn put_answer(stream: u32, verdict: &Verdict, out: &mut Vec<u8>) {
-    match verdict {
-        Verdict::Served(body) => put_frame(kinds::ANSWER, stream, &[&[codes::SERVED, 0], body], out),
-        Verdict::Refused { cooldown } if cooldown.0 == 0 => {
+pub fn put_answer(stream: u32, outcome: &Outcome, out: &mut Vec<u8>) {
+    match outcome {
+        Outcome::Served(body) => put_frame(kinds::ANSWER, stream, &[&[codes::SERVED, 0], body], out),
+        Outcome::Rejected { retry_after } if retry_after.0 == 0 => {
             put_frame(kinds::ANSWER, stream, &[&[codes::REFUSED, 0]], out);
         }
-        Verdict::Refused { cooldown } => {
-            let ms = cooldown.0.div_ceil(1_000_000).to_string();
+        Outcome::Rejected { retry_after } => {
+            let ms = retry_after.0.div_ceil(1_000_000).to_string();
             let list = fields(&[("cooldown", &ms)]);
             put_frame(kinds::ANSWER, stream, &[&[codes::REFUSED], &list], out);
         }
-        Verdict::Failed => put_frame(kinds::ANSWER, stream, &[&[codes::FAILED, 0]], out),
+        Outcome::Failed => put_frame(kinds::ANSWER, stream, &[&[codes::FAILED, 0]], out),
     }
 }
 
@@ -246,43 +246,50 @@
         }
     }
 
-    fn frame(&mut self, frame: &Frame, link: &mut Link, hub: &mut Hub) -> Result<(), &'static str> {
+    fn frame(
+        &mut self,
+        frame: &Frame,
+        socket: &mut BufferedStream,
+        context: &mut Context,
+    ) -> Result<(), &'static str> {
         match frame.kind {
             kinds::REQUEST => {
                 if frame.stream == 0 || !self.seen.new_stream(frame.stream) {
                     return Err("stream is not new");
                 }
-                let owner = Owner { connection: link.id(), stream: u64::from(frame.stream) };
-                let call = match read_request(frame.payload, owner, hub.now) {
+                let origin = RequestOrigin { connection: socket.id(), stream: u64::from(frame.stream) };
+                let call = match read_request(frame.payload, origin, context.now) {
                     Err(Odd::Malformed(why)) => return Err(why),
                     other => other,
                 };
-                let verdict = match call {
-                    Ok(_) if self.open.len() >= OPEN => Verdict::Refused { cooldown: hub.core.advice() },
+                let outcome = match call {
+                    Ok(_) if self.open.len() >= OPEN => {
+                        Outcome::Rejected { retry_after: context.scheduler.default_retry_after() }
+                    }
                     Ok(call) => {
                         self.open.insert(frame.stream);
-                        hub.core.call(hub.now, call);
+                        context.scheduler.submit(context.now, call);
                         return Ok(());
                     }
-                    Err(_) => Verdict::Failed,
+                    Err(_) => Outcome::Failed,
                 };
-                hub.core.turned_away(&verdict);
+                context.scheduler.count_local_rejection(&outcome);
                 let mut bytes = Vec::new();
-                put_answer(frame.stream, &verdict, &mut bytes);
-                link.put(&bytes);
+                put_answer(frame.stream, &outcome, &mut bytes);
+                socket.enqueue(&bytes);
             }
             kinds::CANCEL => {
                 if self.open.remove(&frame.stream) {
-                    let owner = Owner { connection: link.id(), stream: u64::from(frame.stream) };
-                    hub.core.withdraw(hub.now, owner);
+                    let origin = RequestOrigin { connection: socket.id(), stream: u64::from(frame.stream) };
+                    context.scheduler.cancel(context.now, origin);
                 }
             }
             kinds::READY => {
                 read_fields(frame.payload)?;
-                let code = if hub.ready { codes::SERVED } else { codes::REFUSED };
+                let code = if context.ready { codes::SERVED } else { codes::REFUSED };
                 let mut bytes = Vec::new();
                 put_frame(kinds::READINESS, frame.stream, &[&[code, 0]], &mut bytes);
-                link.put(&bytes);
+                socket.enqueue(&bytes);
             }
             _ => return Err("unknown type"),
         }
@@ -291,7 +298,12 @@
 
     /// The size of the frame that begins here, if it is too long to be of use and its head is there: then it
     /// has had its answer.
-    fn too_long(&mut self, bytes: &[u8], link: &mut Link, hub: &mut Hub) -> Result<usize, &'static str> {
+    fn too_long(
+        &mut self,
+        bytes: &[u8],
+        socket: &mut BufferedStream,
+        context: &mut Context,
+    ) -> Result<usize, &'static str> {
         let Some(head) = bytes.first_chunk::<9>() else { return Ok(0) };
         let length = u32::from_be_bytes([head[0], head[1], head[2], head[3]]) as usize;
         if length <= USABLE {
@@ -301,10 +313,10 @@
         if head[4] != kinds::REQUEST || stream == 0 || !self.seen.new_stream(stream) {
             return Err("a long frame that is no request");
         }
-        hub.core.turned_away(&Verdict::Failed);
+        context.scheduler.count_local_rejection(&Outcome::Failed);
         let mut bytes = Vec::new();
-        put_answer(stream, &Verdict::Failed, &mut bytes);
-        link.put(&bytes);
+        put_answer(stream, &Outcome::Failed, &mut bytes);
+        socket.enqueue(&bytes);
         Ok(4 + length)
     }
 
@@ -313,36 +325,38 @@
     }
 
     /// Nobody waits any more for what is open here.
-    fn withdraw_all(&mut self, link: &Link, hub: &mut Hub) {
+    fn withdraw_all(&mut self, socket: &BufferedStream, context: &mut Context) {
         for stream in std::mem::take(&mut self.open) {
-            hub.core.withdraw(hub.now, Owner { connection: link.id(), stream: u64::from(stream) });
+            context
+                .scheduler
+                .cancel(context.now, RequestOrigin { connection: socket.id(), stream: u64::from(stream) });
         }
     }
 
     /// Tells the client what is wrong; the connection ends once that has gone out.
-    fn malformed(&mut self, why: &str, link: &mut Link, hub: &mut Hub) -> Flow {
-        hub.core.counters().malformed += 1;
+    fn malformed(&mut self, why: &str, socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow {
+        context.scheduler.counters().malformed += 1;
         // This half is shut: what is open here can have no answer any more.
-        self.withdraw_all(link, hub);
-        if hub.core.may_log(hub.now) {
-            eprintln!("function-scheduler: malformed front=frames connection={} why=\"{why}\"", link.id());
+        self.withdraw_all(socket, context);
+        if context.scheduler.may_log(context.now) {
+            eprintln!("function-scheduler: malformed front=frames connection={} why=\"{why}\"", socket.id());
         }
         let mut bytes = Vec::new();
-        put_answer(0, &Verdict::Failed, &mut bytes);
-        link.put(&bytes);
-        self.finish_by = Some(hub.now + LINGER);
-        Flow::Finish
+        put_answer(0, &Outcome::Failed, &mut bytes);
+        socket.enqueue(&bytes);
+        self.finish_by = Some(context.now + LINGER);
+        ConnectionFlow::Finish
     }
 }
 
 impl Connection for FrameConnection {
-    fn opened(&mut self, _link: &mut Link, hub: &mut Hub) -> Flow {
-        hub.core.counters().accepted += 1;
-        Flow::Go
+    fn opened(&mut self, _socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow {
+        context.scheduler.counters().accepted += 1;
+        ConnectionFlow::Continue
     }
 
-    fn received(&mut self, link: &mut Link, hub: &mut Hub) -> Flow {
-        let bytes = std::mem::take(&mut link.inbox);
+    fn received(&mut self, socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow {
+        let bytes = std::mem::take(&mut socket.inbox);
         let mut from = self.skip.min(bytes.len());
         self.skip -= from;
         // What is still passed over belongs to the frame that began before.
@@ -350,7 +364,7 @@
         let error = loop {
             match read_frame(&bytes[from..]) {
                 _ if self.skip > 0 => break None,
-                Ok(None) => match self.too_long(&bytes[from..], link, hub) {
+                Ok(None) => match self.too_long(&bytes[from..], socket, context) {
                     Ok(0) => break None,
                     Ok(size) => {
                         self.skip = size.saturating_sub(bytes.len() - from);
@@ -362,41 +376,41 @@
                 Ok(Some((frame, size))) => {
                     from += size;
                     begun = true;
-                    (self.used, self.last) = (true, hub.now);
-                    if let Err(why) = self.frame(&frame, link, hub) {
+                    (self.used, self.last) = (true, context.now);
+                    if let Err(why) = self.frame(&frame, socket, context) {
                         break Some(why);
                     }
                 }
                 Err(why) => break Some(why),
             }
         };
-        link.inbox = bytes;
-        link.used(from);
-        self.whole_by = match link.inbox.is_empty() && self.skip == 0 {
+        socket.inbox = bytes;
+        socket.consume(from);
+        self.whole_by = match socket.inbox.is_empty() && self.skip == 0 {
             true => None,
             // What is left after a whole frame has only just begun.
-            false => self.whole_by.filter(|_| !begun).or(Some(hub.now + WHOLE)),
+            false => self.whole_by.filter(|_| !begun).or(Some(context.now + WHOLE)),
         };
         // A request that has begun has its time to end, which is shorter. Who has never sent one is owed a word
         // within 3 s of connecting, whatever has begun.
-        if self.used && self.whole_by.is_some_and(|by| by == hub.now + WHOLE) {
-            self.last = hub.now;
+        if self.used && self.whole_by.is_some_and(|by| by == context.now + WHOLE) {
+            self.last = context.now;
         }
         match error {
-            Some(why) => self.malformed(why, link, hub),
+            Some(why) => self.malformed(why, socket, context),
             // A client that closes waits for nothing more.
-            None if link.ended => Flow::Close,
-            None => Flow::Go,
+            None if socket.ended => ConnectionFlow::Close,
+            None => ConnectionFlow::Continue,
         }
     }
 
-    fn due(&mut self, link: &mut Link, hub: &mut Hub) -> Flow {
-        if self.finish_by.is_none() && self.whole_by.is_some_and(|by| by <= hub.now) {
-            return self.malformed("a frame without an end", link, hub);
+    fn due(&mut self, socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow {
+        if self.finish_by.is_none() && self.whole_by.is_some_and(|by| by <= context.now) {
+            return self.malformed("a frame without an end", socket, context);
         }
-        let idle = self.open.is_empty() && self.last + self.patience() <= hub.now;
-        let over = self.finish_by.is_some_and(|by| by <= hub.now);
-        if idle || over { Flow::Close } else { Flow::Go }
+        let idle = self.open.is_empty() && self.last + self.patience() <= context.now;
+        let over = self.finish_by.is_some_and(|by| by <= context.now);
+        if idle || over { ConnectionFlow::Close } else { ConnectionFlow::Continue }
     }
 
     fn deadline(&self) -> Option<Time> {
@@ -405,30 +419,36 @@
         self.finish_by.into_iter().chain(whole).chain(idle).min()
     }
 
-    fn closed(&mut self, link: &Link, hub: &mut Hub) {
-        self.withdraw_all(link, hub);
+    fn closed(&mut self, socket: &BufferedStream, context: &mut Context) {
+        self.withdraw_all(socket, context);
     }
 
-    fn answer(&mut self, stream: u64, answer: &Answer, link: &mut Link, hub: &mut Hub) -> Flow {
+    fn answer(
+        &mut self,
+        stream: u64,
+        answer: &Response,
+        socket: &mut BufferedStream,
+        context: &mut Context,
+    ) -> ConnectionFlow {
         let stream = stream as u32;
         // Whoever withdrew is owed nothing.
         if self.open.remove(&stream) {
             let mut bytes = Vec::new();
-            put_answer(stream, &answer.verdict, &mut bytes);
-            link.put(&bytes);
-            self.last = hub.now;
+            put_answer(stream, &answer.outcome, &mut bytes);
+            socket.enqueue(&bytes);
+            self.last = context.now;
         }
-        Flow::Go
+        ConnectionFlow::Continue
     }
 
-    fn leave(&mut self, link: &mut Link, _hub: &mut Hub) -> Flow {
+    fn leave(&mut self, socket: &mut BufferedStream, _context: &mut Context) -> ConnectionFlow {
         if !self.leaving {
             self.leaving = true;
             let mut bytes = Vec::new();
             put_frame(kinds::LEAVE, 0, &[], &mut bytes);
-            link.put(&bytes);
+            socket.enqueue(&bytes);
         }
-        Flow::Go
+        ConnectionFlow::Continue
     }
 
     fn idle(&self) -> Option<Time> {
@@ -440,7 +460,7 @@
 mod tests {
     use super::*;
 
-    const OWNER: Owner = Owner { connection: 1, stream: 1 };
+    const OWNER: RequestOrigin = RequestOrigin { connection: 1, stream: 1 };
 
     #[test]
     fn frames_are_read_whole_or_not_at_all() {
@@ -470,7 +490,10 @@
             ("spec", "memory_mb:512;lanes:2;load_ms:640"),
         ];
         let call = read_request(&[fields(&good), b"body".to_vec()].concat(), OWNER, Time(0)).unwrap();
-        assert_eq!((call.memory_mb, call.lanes, call.load_time), (512.0, 2.0, Some(Span::millis(640))));
+        assert_eq!(
+            (call.memory_mb, call.concurrency, call.load_time),
+            (512.0, 2.0, Some(Span::from_millis(640)))
+        );
         assert_eq!((call.deadline, call.body), (Time(1_495_000_000), b"body".to_vec()));
         assert_eq!((call.function, call.key), (FunctionId(0x7f3a_9c21_e0b4_d655), None));
         let cases = [
@@ -512,20 +535,20 @@
 
     #[test]
     fn answers_are_written() {
-        let cases: Vec<(Verdict, Vec<u8>)> = vec![
-            (Verdict::Served(b"ok".to_vec()), vec![79, 0, b'o', b'k']),
-            (Verdict::Refused { cooldown: Span(0) }, vec![66, 0]),
+        let cases: Vec<(Outcome, Vec<u8>)> = vec![
+            (Outcome::Served(b"ok".to_vec()), vec![79, 0, b'o', b'k']),
+            (Outcome::Rejected { retry_after: Span(0) }, vec![66, 0]),
             (
-                Verdict::Refused { cooldown: Span(1_000_001) },
+                Outcome::Rejected { retry_after: Span(1_000_001) },
                 [&[66][..], &fields(&[("cooldown", "2")])].concat(),
             ),
-            (Verdict::Failed, vec![69, 0]),
+            (Outcome::Failed, vec![69, 0]),
         ];
-        for (verdict, payload) in cases {
+        for (outcome, payload) in cases {
             let mut bytes = Vec::new();
-            put_answer(5, &verdict, &mut bytes);
+            put_answer(5, &outcome, &mut bytes);
             let (frame, size) = read_frame(&bytes).unwrap().unwrap();
-            assert_eq!((frame.kind, frame.stream, frame.payload), (1, 5, &payload[..]), "{verdict:?}");
+            assert_eq!((frame.kind, frame.stream, frame.payload), (1, 5, &payload[..]), "{outcome:?}");
             assert_eq!(size, bytes.len());
         }
     }
--- a/src/frontend/jsonrpc.rs
+++ b/src/frontend/jsonrpc.rs
@@ -11,8 +11,8 @@
 
 use super::{BODY, IDLE, LINGER, OPEN, OUTBOX, TRANSIT, WHOLE, read_function};
 use crate::model::{FunctionId, Span, Time};
-use crate::net::{Connection, Flow, Hub, Link};
-use crate::scheduler::{Answer, Incoming, Owner, Verdict};
+use crate::net::{BufferedStream, Connection, ConnectionFlow, Context};
+use crate::scheduler::{ClientRequest, Outcome, RequestOrigin, Response};
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use serde_json::{Map, Value, json};
@@ -176,11 +176,11 @@
 }
 
 /// The response that tells a call's final answer.
-pub fn response(id: &Value, answer: &Answer) -> Value {
-    match &answer.verdict {
-        Verdict::Served(body) => result(id, json!({"body": STANDARD.encode(body)})),
-        Verdict::Refused { cooldown } => {
-            let wait = cooldown.0.div_ceil(1_000_000);
+pub fn response(id: &Value, answer: &Response) -> Value {
+    match &answer.outcome {
+        Outcome::Served(body) => result(id, json!({"body": STANDARD.encode(body)})),
+        Outcome::Rejected { retry_after } => {
+            let wait = retry_after.0.div_ceil(1_000_000);
             match answer.expired {
                 true => {
                     let data = json!({"outcome": "refused", "cooldown_ms": wait});
@@ -189,10 +189,10 @@
                 false => error(id, codes::REFUSED, "refused", Some(json!({"cooldown_ms": wait}))),
             }
         }
-        Verdict::Failed if answer.expired => {
+        Outcome::Failed if answer.expired => {
             error(id, codes::EXPIRED, "deadline passed", Some(json!({"outcome": "failed"})))
         }
-        Verdict::Failed => error(id, codes::FAILED, "failed", None),
+        Outcome::Failed => error(id, codes::FAILED, "failed", None),
     }
 }
 
@@ -241,31 +241,31 @@
         (line_limit + 1, OUTBOX)
     }
 
-    fn say(&mut self, batch: Option<u64>, reply: Value, link: &mut Link) {
-        let Some(number) = batch else { return put(link, &reply) };
+    fn say(&mut self, batch: Option<u64>, reply: Value, socket: &mut BufferedStream) {
+        let Some(number) = batch else { return put(socket, &reply) };
         let Some(entry) = self.batches.get_mut(&number) else { return };
         entry.replies.push(reply);
-        self.answered(number, link);
+        self.answered(number, socket);
     }
 
     /// One fewer owed in a batch; its reply goes out once all have come.
-    fn answered(&mut self, number: u64, link: &mut Link) {
+    fn answered(&mut self, number: u64, socket: &mut BufferedStream) {
         let Some(batch) = self.batches.get_mut(&number) else { return };
         batch.owed -= 1;
         if batch.owed == 0
             && let Some(batch) = self.batches.remove(&number)
             && !batch.replies.is_empty()
         {
-            put(link, &Value::Array(batch.replies));
+            put(socket, &Value::Array(batch.replies));
         }
     }
 
-    fn line(&mut self, line: &[u8], link: &mut Link, hub: &mut Hub) {
+    fn line(&mut self, line: &[u8], socket: &mut BufferedStream, context: &mut Context) {
         if line.iter().all(u8::is_ascii_whitespace) {
             return;
         }
         match read_line(line) {
-            Line::One(request) => self.request(request, None, link, hub),
+            Line::One(request) => self.request(request, None, socket, context),
             Line::Batch(requests) => {
                 let number = self.next;
                 self.next += 1;
@@ -273,101 +273,114 @@
                 let owed = 1 + requests.iter().filter(|r| has_reply(r)).count();
                 self.batches.insert(number, Batch { owed, replies: vec![] });
                 for request in requests {
-                    self.request(request, Some(number), link, hub);
+                    self.request(request, Some(number), socket, context);
                 }
-                self.answered(number, link);
+                self.answered(number, socket);
             }
         }
     }
 
-    fn request(&mut self, request: Request, batch: Option<u64>, link: &mut Link, hub: &mut Hub) {
+    fn request(
+        &mut self,
+        request: Request,
+        batch: Option<u64>,
+        socket: &mut BufferedStream,
+        context: &mut Context,
+    ) {
         match request {
             Request::Nothing => {}
             Request::Reply(reply) => {
-                hub.core.counters().malformed += 1;
-                self.say(batch, reply, link);
+                context.scheduler.counters().malformed += 1;
+                self.say(batch, reply, socket);
             }
             Request::Ready(id) => {
-                let ready = hub.ready && hub.active;
-                self.say(batch, result(&id, json!({"ready": ready})), link);
+                let ready = context.ready && context.active;
+                self.say(batch, result(&id, json!({"ready": ready})), socket);
             }
             Request::Cancel(id) => {
                 let Some(stream) = self.open.iter().find(|(_, open)| open.id == id).map(|(s, _)| *s) else {
                     return;
                 };
-                hub.core.withdraw(hub.now, Owner { connection: link.id(), stream });
+                context.scheduler.cancel(context.now, RequestOrigin { connection: socket.id(), stream });
                 if let Some(open) = self.open.remove(&stream) {
-                    self.say(open.batch, error(&open.id, codes::CANCELLED, "cancelled", None), link);
+                    self.say(open.batch, error(&open.id, codes::CANCELLED, "cancelled", None), socket);
                 }
             }
-            Request::Call(id, params) => self.call(id, *params, batch, link, hub),
+            Request::Call(id, params) => self.call(id, *params, batch, socket, context),
         }
     }
 
-    fn call(&mut self, id: Value, params: Params, batch: Option<u64>, link: &mut Link, hub: &mut Hub) {
+    fn call(
+        &mut self,
+        id: Value,
+        params: Params,
+        batch: Option<u64>,
+        socket: &mut BufferedStream,
+        context: &mut Context,
+    ) {
         // Two open calls of one id could not be told apart, neither by the client nor by a cancel.
         if self.open.values().any(|open| open.id == id) {
-            return self.say(batch, error(&id, codes::INVALID_REQUEST, "id is in use", None), link);
+            return self.say(batch, error(&id, codes::INVALID_REQUEST, "id is in use", None), socket);
         }
-        if self.open.len() >= OPEN || !hub.active {
-            let verdict = Verdict::Refused { cooldown: hub.core.advice() };
-            hub.core.turned_away(&verdict);
-            return self.say(batch, response(&id, &Answer { verdict, expired: false }), link);
+        if self.open.len() >= OPEN || !context.active {
+            let outcome = Outcome::Rejected { retry_after: context.scheduler.default_retry_after() };
+            context.scheduler.count_local_rejection(&outcome);
+            return self.say(batch, response(&id, &Response { outcome, expired: false }), socket);
         }
         let stream = self.next;
         self.next += 1;
-        let owner = Owner { connection: link.id(), stream };
+        let origin = RequestOrigin { connection: socket.id(), stream };
         self.open.insert(stream, Open { id, batch });
         let allow = params.allow_ms.min(3_600_000) * 1_000_000;
-        let made = || format!("{:08x}{:08x}", owner.connection as u32, stream as u32);
-        hub.core.call(
-            hub.now,
-            Incoming {
-                owner,
-                reference: params.reference.unwrap_or_else(made),
+        let made = || format!("{:08x}{:08x}", origin.connection as u32, stream as u32);
+        context.scheduler.submit(
+            context.now,
+            ClientRequest {
+                origin,
+                correlation_id: params.reference.unwrap_or_else(made),
                 class: params.class,
                 function: params.function,
                 key: params.key,
                 memory_mb: params.memory_mb,
-                lanes: params.lanes,
+                concurrency: params.lanes,
                 load_time: Some(Span((params.load_ms * 1e6) as u64)).filter(|span| span.0 > 0),
-                deadline: hub.now + Span(allow.saturating_sub(TRANSIT.0)),
+                deadline: context.now + Span(allow.saturating_sub(TRANSIT.0)),
                 body: params.body,
             },
         );
     }
 
-    fn lines(&mut self, link: &mut Link, hub: &mut Hub) {
+    fn lines(&mut self, socket: &mut BufferedStream, context: &mut Context) {
         // A client that does not read its answers is not read from either: see `flushed`.
-        while link.waiting() <= OUTBOX {
-            let Some(end) = link.inbox.iter().position(|b| *b == b'\n') else { break };
-            let line: Vec<u8> = link.inbox.drain(..=end).collect();
+        while socket.waiting() <= OUTBOX {
+            let Some(end) = socket.inbox.iter().position(|b| *b == b'\n') else { break };
+            let line: Vec<u8> = socket.inbox.drain(..=end).collect();
             if std::mem::take(&mut self.skipping) {
                 continue;
             }
             match end <= self.line_limit {
-                true => self.line(&line[..end], link, hub),
-                false => self.too_long(link, hub),
+                true => self.line(&line[..end], socket, context),
+                false => self.too_long(socket, context),
             }
         }
-        if link.inbox.len() > self.line_limit && !link.inbox.contains(&b'\n') {
-            link.inbox.clear();
+        if socket.inbox.len() > self.line_limit && !socket.inbox.contains(&b'\n') {
+            socket.inbox.clear();
             if !std::mem::replace(&mut self.skipping, true) {
-                self.too_long(link, hub);
+                self.too_long(socket, context);
             }
         }
     }
 
-    fn cut_short(&mut self, link: &mut Link, hub: &mut Hub) -> Flow {
-        hub.core.counters().malformed += 1;
-        put(link, &error(&Value::Null, codes::PARSE, "the line has no end", None));
-        self.finish_by = Some(hub.now + LINGER);
-        Flow::Finish
+    fn cut_short(&mut self, socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow {
+        context.scheduler.counters().malformed += 1;
+        put(socket, &error(&Value::Null, codes::PARSE, "the line has no end", None));
+        self.finish_by = Some(context.now + LINGER);
+        ConnectionFlow::Finish
     }
 
-    fn too_long(&mut self, link: &mut Link, hub: &mut Hub) {
-        hub.core.counters().malformed += 1;
-        put(link, &error(&Value::Null, codes::INVALID_REQUEST, "line too long", None));
+    fn too_long(&mut self, socket: &mut BufferedStream, context: &mut Context) {
+        context.scheduler.counters().malformed += 1;
+        put(socket, &error(&Value::Null, codes::INVALID_REQUEST, "line too long", None));
     }
 }
 
@@ -375,51 +388,51 @@
     !matches!(request, Request::Nothing | Request::Cancel(_))
 }
 
-fn put(link: &mut Link, reply: &Value) {
+fn put(socket: &mut BufferedStream, reply: &Value) {
     let mut bytes = reply.to_string().into_bytes();
     bytes.push(b'\n');
-    link.put(&bytes);
+    socket.enqueue(&bytes);
 }
 
 impl Connection for RpcConnection {
-    fn opened(&mut self, _link: &mut Link, hub: &mut Hub) -> Flow {
-        hub.core.counters().accepted += 1;
-        Flow::Go
+    fn opened(&mut self, _socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow {
+        context.scheduler.counters().accepted += 1;
+        ConnectionFlow::Continue
     }
 
-    fn received(&mut self, link: &mut Link, hub: &mut Hub) -> Flow {
-        self.last = hub.now;
-        let held = link.inbox.len();
-        self.lines(link, hub);
-        if !link.ended {
+    fn received(&mut self, socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow {
+        self.last = context.now;
+        let held = socket.inbox.len();
+        self.lines(socket, context);
+        if !socket.ended {
             // A line cut short is owed a word; one that is held back until its client reads is not cut short.
-            let part = self.skipping || !link.inbox.is_empty() && !link.inbox.contains(&b'\n');
+            let part = self.skipping || !socket.inbox.is_empty() && !socket.inbox.contains(&b'\n');
             self.whole_by = match part {
                 false => None,
                 // What is left after a whole line has only just begun.
-                true => self.whole_by.filter(|_| link.inbox.len() >= held).or(Some(hub.now + WHOLE)),
+                true => self.whole_by.filter(|_| socket.inbox.len() >= held).or(Some(context.now + WHOLE)),
             };
-            return Flow::Go;
+            return ConnectionFlow::Continue;
         }
-        if link.inbox.iter().all(u8::is_ascii_whitespace) || link.inbox.contains(&b'\n') {
-            return Flow::Close;
+        if socket.inbox.iter().all(u8::is_ascii_whitespace) || socket.inbox.contains(&b'\n') {
+            return ConnectionFlow::Close;
         }
         // A line cut short by the end: said, in case the client still reads.
-        self.cut_short(link, hub)
+        self.cut_short(socket, context)
     }
 
-    fn flushed(&mut self, link: &mut Link, hub: &mut Hub) -> Flow {
-        self.lines(link, hub);
-        Flow::Go
+    fn flushed(&mut self, socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow {
+        self.lines(socket, context);
+        ConnectionFlow::Continue
     }
 
-    fn due(&mut self, link: &mut Link, hub: &mut Hub) -> Flow {
-        if self.finish_by.is_none() && self.whole_by.is_some_and(|by| by <= hub.now) {
-            return self.cut_short(link, hub);
+    fn due(&mut self, socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow {
+        if self.finish_by.is_none() && self.whole_by.is_some_and(|by| by <= context.now) {
+            return self.cut_short(socket, context);
         }
-        let idle = self.open.is_empty() && self.last + IDLE <= hub.now;
-        let over = self.finish_by.is_some_and(|by| by <= hub.now);
-        if idle || over { Flow::Close } else { Flow::Go }
+        let idle = self.open.is_empty() && self.last + IDLE <= context.now;
+        let over = self.finish_by.is_some_and(|by| by <= context.now);
+        if idle || over { ConnectionFlow::Close } else { ConnectionFlow::Continue }
     }
 
     fn deadline(&self) -> Option<Time> {
@@ -428,18 +441,24 @@
         self.finish_by.into_iter().chain(whole).chain(idle).min()
     }
 
-    fn closed(&mut self, link: &Link, hub: &mut Hub) {
+    fn closed(&mut self, socket: &BufferedStream, context: &mut Context) {
         for stream in std::mem::take(&mut self.open).into_keys() {
-            hub.core.withdraw(hub.now, Owner { connection: link.id(), stream });
+            context.scheduler.cancel(context.now, RequestOrigin { connection: socket.id(), stream });
         }
     }
 
-    fn answer(&mut self, stream: u64, answer: &Answer, link: &mut Link, hub: &mut Hub) -> Flow {
+    fn answer(
+        &mut self,
+        stream: u64,
+        answer: &Response,
+        socket: &mut BufferedStream,
+        context: &mut Context,
+    ) -> ConnectionFlow {
         if let Some(open) = self.open.remove(&stream) {
-            self.last = hub.now;
-            self.say(open.batch, response(&open.id, answer), link);
+            self.last = context.now;
+            self.say(open.batch, response(&open.id, answer), socket);
         }
-        Flow::Go
+        ConnectionFlow::Continue
     }
 
     fn idle(&self) -> Option<Time> {
@@ -543,9 +562,9 @@
 
     #[test]
     fn answers_are_worded() {
-        let refused = Verdict::Refused { cooldown: Span::millis(250) };
+        let refused = Outcome::Rejected { retry_after: Span::from_millis(250) };
         let cases = [
-            (Verdict::Served(b"hi".to_vec()), false, json!({"result": {"body": "aGk="}})),
+            (Outcome::Served(b"hi".to_vec()), false, json!({"result": {"body": "aGk="}})),
             (
                 refused.clone(),
                 false,
@@ -557,17 +576,17 @@
                 json!({"error": {"code": -32003, "message": "deadline passed",
                 "data": {"outcome": "refused", "cooldown_ms": 250}}}),
             ),
-            (Verdict::Failed, false, json!({"error": {"code": -32002, "message": "failed"}})),
+            (Outcome::Failed, false, json!({"error": {"code": -32002, "message": "failed"}})),
             (
-                Verdict::Failed,
+                Outcome::Failed,
                 true,
                 json!({"error": {"code": -32003, "message": "deadline passed", "data": {"outcome": "failed"}}}),
             ),
         ];
-        for (verdict, expired, mut expected) in cases {
+        for (outcome, expired, mut expected) in cases {
             expected["jsonrpc"] = json!("2.0");
             expected["id"] = json!("7");
-            assert_eq!(response(&json!("7"), &Answer { verdict, expired }), expected);
+            assert_eq!(response(&json!("7"), &Response { outcome, expired }), expected);
         }
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,7 +5,7 @@
 //!
 //! # The decisions
 //!
-//! [`Balancer`] is a state machine without clock, I/O or threads: feed it events with the time at which
+//! [`Policy`] is a state machine without clock, I/O or threads: feed it events with the time at which
 //! they happened, carry out the actions that it appends, and call it again when a wake that it asked for
 //! is due.
 //!
@@ -16,61 +16,62 @@
 //!     fleet_size: 2,
 //!     index: 0,
 //!     zone: ZoneId(0),
-//!     tick: Span::millis(2),
-//!     classes: vec![Class {
-//!         aim: Span::millis(400),
-//!         deadline: Span::millis(2500),
-//!         worth: 1.0,
-//!         late_share: 0.1,
-//!         effect: Effect::Safe,
+//!     tick: Span::from_millis(2),
+//!     classes: vec![RequestClass {
+//!         latency_objective: Span::from_millis(400),
+//!         deadline: Span::from_millis(2500),
+//!         priority_weight: 1.0,
+//!         late_value: 0.1,
+//!         idempotency: Idempotency::Idempotent,
 //!     }],
 //!     tenants: vec![],
-//!     over_share_worth: 1.0,
-//!     rules: Rules {
-//!         cold_from: 0.2,
-//!         cold_span: Span::millis(18_000),
-//!         fall_multiple: 2.5,
-//!         fall_span: Span::millis(2_000),
-//!         ration: None,
+//!     over_quota_weight: 1.0,
+//!     safety_limits: SafetyLimits {
+//!         initial_capacity: 0.2,
+//!         warm_up_duration: Span::from_millis(18_000),
+//!         overload_multiple: 2.5,
+//!         overload_window: Span::from_millis(2_000),
+//!         load_rate_limit: None,
 //!     },
-//!     limits: Limits { max_attempts: 5, may_cancel: true, may_probe: true, may_order: true, retry_after: None },
-//!     loading: Loading { keep: Span::millis(8_000), on_miss: OnMiss::Load, memory_mb: vec![16_000.0] },
+//!     permissions: Permissions { max_attempts: 5, may_cancel: true, may_probe: true, may_order: true, max_retry_after: None },
+//!     loading: LoadingSettings { keep_alive: Span::from_millis(8_000), on_miss: OnMiss::Load, worker_memory_mb: vec![16_000.0] },
 //!     prices: Prices::default(),
-//!     gauges: vec![],
-//!     tells_company: false,
-//!     discovery: Discovery::Pushed,
-//!     weights_are_sizes: true,
+//!     load_metrics: vec![],
+//!     reports_function_in_flight: false,
+//!     discovery: DiscoveryMode::Pushed,
+//!     weights_are_capacities: true,
 //! };
-//! let mut balancer = Balancer::new(settings, 7);
+//! let mut policy = Policy::new(settings, 7);
 //! let mut actions = Vec::new();
-//! let worker = Member {
+//! let worker = Endpoint {
 //!     worker: WorkerId(1),
 //!     zone: ZoneId(0),
 //!     cell: CellId(0),
-//!     state: State::Ready,
+//!     state: EndpointState::Ready,
 //!     weight: 1.0,
-//!     started: None,
+//!     started_at: None,
 //!     kind: KindId(0),
 //! };
-//! balancer.handle(Time(0), Event::Members(ListKind::Full, vec![worker]), &mut actions);
+//! policy.handle(Time(0), Event::EndpointsUpdated(EndpointUpdateKind::Full, vec![worker]), &mut actions);
 //! actions.clear();
-//! let call = Call {
+//! let request = IncomingRequest {
 //!     id: RequestId(1),
 //!     function: FunctionId(9),
 //!     class: ClassId(0),
 //!     tenant: TenantId(0),
-//!     remaining: Span::millis(2500),
+//!     remaining: Span::from_millis(2500),
 //!     memory_mb: 400.0,
-//!     lanes: 2.0,
+//!     concurrency: 2.0,
 //!     load_time: None,
 //! };
-//! balancer.handle(Time(1_000_000), Event::Call(call), &mut actions);
+//! policy.handle(Time(1_000_000), Event::RequestReceived(request), &mut actions);
 //! assert!(matches!(actions[0], Action::Send { worker: WorkerId(1), .. }));
 //! ```
 #![forbid(unsafe_code)]
 
 pub mod backend;
 pub mod client;
+mod collections;
 pub mod config;
 pub mod discovery;
 pub mod frontend;
@@ -83,4 +84,4 @@
 pub mod vrrp;
 
 pub use model::*;
-pub use policy::Balancer;
+pub use policy::Policy;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -2,7 +2,7 @@
 
 mod reactor;
 
-pub use reactor::{Connection, Flow, Hub, Reactor, Signal};
+pub use reactor::{Connection, ConnectionFlow, Context, Reactor, Signal};
 
 use crate::model::{Span, Time};
 use mio::event::Source;
@@ -97,7 +97,7 @@
 
 /// A stream with its two buffers. Input beyond `inbox_limit` and output that nobody reads hold reading back.
 #[derive(Debug)]
-pub struct Link {
+pub struct BufferedStream {
     stream: Stream,
     token: Token,
     interest: Option<Interest>,
@@ -114,13 +114,25 @@
     held: bool,
 }
 
-impl Link {
-    fn new(stream: Stream, token: Token, up: bool, limits: (usize, usize)) -> Link {
+impl BufferedStream {
+    fn new(stream: Stream, token: Token, up: bool, limits: (usize, usize)) -> BufferedStream {
         let (inbox_limit, outbox_limit) = limits;
         let (inbox, outbox) = (Vec::new(), Vec::new());
         let (interest, sent, ended) = (None, 0, false);
         let held = false;
-        Link { stream, token, interest, inbox, outbox, sent, up, ended, inbox_limit, outbox_limit, held }
+        BufferedStream {
+            stream,
+            token,
+            interest,
+            inbox,
+            outbox,
+            sent,
+            up,
+            ended,
+            inbox_limit,
+            outbox_limit,
+            held,
+        }
     }
 
     /// The connection's own number.
@@ -139,12 +151,12 @@
     }
 
     /// Puts bytes in line to be written.
-    pub fn put(&mut self, bytes: &[u8]) {
+    pub fn enqueue(&mut self, bytes: &[u8]) {
         self.outbox.extend_from_slice(bytes);
     }
 
     /// Drops the first bytes of the input, which have been used.
-    pub fn used(&mut self, count: usize) {
+    pub fn consume(&mut self, count: usize) {
         self.inbox.drain(..count);
         // Hundreds of connections must not each keep the room of their largest message.
         if self.inbox.capacity() > CHUNK + 2 * self.inbox.len() {
@@ -241,17 +253,17 @@
         let (near, mut far) = UnixStream::pair().unwrap();
         let mut poll = Poll::new().unwrap();
         let mut events = Events::with_capacity(4);
-        let mut link = Link::new(Stream::Unix(near), Token(1), true, (100, 0));
-        link.register(poll.registry()).unwrap();
+        let mut socket = BufferedStream::new(Stream::Unix(near), Token(1), true, (100, 0));
+        socket.register(poll.registry()).unwrap();
         far.write_all(b"x").unwrap();
         poll.poll(&mut events, Some(Duration::from_secs(10))).unwrap();
-        link.put(b"y");
-        assert!(!link.fill().unwrap() && link.inbox.is_empty(), "held back");
-        assert!(link.flush().unwrap());
-        link.register(poll.registry()).unwrap();
+        socket.enqueue(b"y");
+        assert!(!socket.fill().unwrap() && socket.inbox.is_empty(), "held back");
+        assert!(socket.flush().unwrap());
+        socket.register(poll.registry()).unwrap();
         poll.poll(&mut events, Some(Duration::from_secs(10))).unwrap();
         assert!(events.iter().any(|event| event.is_readable()));
-        assert!(link.fill().unwrap());
-        assert_eq!(link.inbox, b"x");
+        assert!(socket.fill().unwrap());
+        assert_eq!(socket.inbox, b"x");
     }
 }
--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -1,8 +1,8 @@
 //! The reactor: one poll, all connections, their timers. Connections are objects that it calls back.
 
-use super::{Link, Stream, SystemClock};
+use super::{BufferedStream, Stream, SystemClock};
 use crate::model::{Span, Time};
-use crate::scheduler::{Answer, Core};
+use crate::scheduler::{Response, Scheduler};
 use mio::net::{TcpListener, TcpStream, UnixListener, UnixStream};
 use mio::{Events, Interest, Poll, Token};
 use std::collections::{BTreeSet, HashMap};
@@ -15,9 +15,9 @@
 
 /// Whether a connection goes on after a callback.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Flow {
+pub enum ConnectionFlow {
     /// It does.
-    Go,
+    Continue,
     /// Nothing more is read; it ends once what is owed has been written.
     Finish,
     /// It ends now.
@@ -25,9 +25,9 @@
 }
 
 /// What a callback may use.
-pub struct Hub<'a> {
+pub struct Context<'a> {
     /// The scheduler.
-    pub core: &'a mut Core,
+    pub scheduler: &'a mut Scheduler,
     /// The present time.
     pub now: Time,
     /// Whether new calls are taken.
@@ -39,30 +39,41 @@
 /// A connection as an object: the reactor calls it back with what happens to it.
 pub trait Connection {
     /// The connection stands.
-    fn opened(&mut self, link: &mut Link, hub: &mut Hub) -> Flow;
-    /// There is new input in the link, or the other side has ended its half.
-    fn received(&mut self, link: &mut Link, hub: &mut Hub) -> Flow;
+    fn opened(&mut self, socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow;
+    /// There is new input in the socket, or the other side has ended its half.
+    fn received(&mut self, socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow;
     /// Everything put in line has been handed to the system.
-    fn flushed(&mut self, _link: &mut Link, _hub: &mut Hub) -> Flow {
-        Flow::Go
+    fn flushed(&mut self, _socket: &mut BufferedStream, _context: &mut Context) -> ConnectionFlow {
+        ConnectionFlow::Continue
     }
     /// The time told by [`Connection::deadline`] has come.
-    fn due(&mut self, _link: &mut Link, _hub: &mut Hub) -> Flow {
-        Flow::Go
+    fn due(&mut self, _socket: &mut BufferedStream, _context: &mut Context) -> ConnectionFlow {
+        ConnectionFlow::Continue
     }
     /// When to be called back; asked after every callback.
     fn deadline(&self) -> Option<Time> {
         None
     }
     /// The connection has ended, by whichever side. Called once.
-    fn closed(&mut self, link: &Link, hub: &mut Hub);
+    fn closed(&mut self, socket: &BufferedStream, context: &mut Context);
     /// The final answer of a call that came in here.
-    fn answer(&mut self, _stream: u64, _answer: &Answer, _link: &mut Link, _hub: &mut Hub) -> Flow {
-        Flow::Go
+    fn answer(
+        &mut self,
+        _stream: u64,
+        _answer: &Response,
+        _socket: &mut BufferedStream,
+        _context: &mut Context,
+    ) -> ConnectionFlow {
+        ConnectionFlow::Continue
     }
     /// A job for the worker at the other end.
-    fn job(&mut self, _job: crate::backend::Job, _link: &mut Link, _hub: &mut Hub) -> Flow {
-        Flow::Go
+    fn job(
+        &mut self,
+        _job: crate::backend::Job,
+        _socket: &mut BufferedStream,
+        _context: &mut Context,
+    ) -> ConnectionFlow {
+        ConnectionFlow::Continue
     }
     /// Whether a job could be given now: its reference is not open here and there is room.
     fn accepts(&self, _reference: Option<&str>) -> bool {
@@ -73,8 +84,8 @@
         0
     }
     /// No new call is wanted here any more.
-    fn leave(&mut self, _link: &mut Link, _hub: &mut Hub) -> Flow {
-        Flow::Go
+    fn leave(&mut self, _socket: &mut BufferedStream, _context: &mut Context) -> ConnectionFlow {
+        ConnectionFlow::Continue
     }
     /// Since when nothing is open here, so that it may be closed to make room; none while something is.
     fn idle(&self) -> Option<Time> {
@@ -94,7 +105,7 @@
 }
 
 struct Entry {
-    link: Link,
+    socket: BufferedStream,
     connection: Box<dyn Connection>,
     due: Option<Time>,
     finishing: bool,
@@ -287,57 +298,62 @@
         connection: Box<dyn Connection>,
         up: bool,
         limits: (usize, usize),
-        core: &mut Core,
+        scheduler: &mut Scheduler,
     ) -> Option<u64> {
         let token = Token(self.next);
         self.next += 1;
-        let link = Link::new(stream, token, up, limits);
+        let socket = BufferedStream::new(stream, token, up, limits);
         self.entries
-            .insert(token, Entry { link, connection, due: None, finishing: false, shut: false, wasted: 0 });
-        self.call(token, core, |entry, hub| match entry.link.up {
-            true => entry.connection.opened(&mut entry.link, hub),
-            false => Flow::Go,
+            .insert(token, Entry { socket, connection, due: None, finishing: false, shut: false, wasted: 0 });
+        self.call(token, scheduler, |entry, context| match entry.socket.up {
+            true => entry.connection.opened(&mut entry.socket, context),
+            false => ConnectionFlow::Continue,
         });
         self.entries.contains_key(&token).then_some(token.0 as u64)
     }
 
     /// Calls a connection back, with panics caught: they end this connection alone.
-    fn call(&mut self, token: Token, core: &mut Core, what: impl FnOnce(&mut Entry, &mut Hub) -> Flow) {
+    fn call(
+        &mut self,
+        token: Token,
+        scheduler: &mut Scheduler,
+        what: impl FnOnce(&mut Entry, &mut Context) -> ConnectionFlow,
+    ) {
         let (now, ready, active) = (self.clock.now(), self.ready, self.active);
         let Some(entry) = self.entries.get_mut(&token) else { return };
-        let hub = &mut Hub { core, now, ready, active };
-        let before = entry.link.waiting();
+        let context = &mut Context { scheduler, now, ready, active };
+        let before = entry.socket.waiting();
         let flow = catch_unwind(AssertUnwindSafe(|| {
-            let mut flow = what(entry, hub);
+            let mut flow = what(entry, context);
             // What was put in line goes out at once; a connection may put more whenever all has gone.
-            while flow != Flow::Close && entry.link.up && entry.link.waiting() > 0 {
-                match entry.link.flush() {
-                    Ok(true) => flow = flow.and(entry.connection.flushed(&mut entry.link, hub)),
+            while flow != ConnectionFlow::Close && entry.socket.up && entry.socket.waiting() > 0 {
+                match entry.socket.flush() {
+                    Ok(true) => flow = flow.and(entry.connection.flushed(&mut entry.socket, context)),
                     Ok(false) => break,
-                    Err(_) => flow = Flow::Close,
+                    Err(_) => flow = ConnectionFlow::Close,
                 }
             }
             flow
         }));
         let flow = flow.unwrap_or_else(|_| {
-            hub.core.counters().panics += 1;
+            context.scheduler.counters().panics += 1;
             eprintln!("function-scheduler: panic connection={} closed", token.0);
-            Flow::Close
+            ConnectionFlow::Close
         });
-        let after = entry.link.waiting();
+        let after = entry.socket.waiting();
         self.waiting = (self.waiting + after).saturating_sub(before);
         // Memory is bounded, and so is what those who do not read may hold of it.
         let clogged = self.waiting > self.waiting_limit && after > before && after > CLOGGED;
-        let flow = if clogged { Flow::Close } else { flow };
-        entry.finishing |= flow == Flow::Finish;
+        let flow = if clogged { ConnectionFlow::Close } else { flow };
+        entry.finishing |= flow == ConnectionFlow::Finish;
         // Closed with input unread, the system would throw away what the other side has not read yet: this
         // half is shut, and the rest waits for the other side's end or the connection's own deadline.
-        if entry.finishing && entry.link.waiting() == 0 && !std::mem::replace(&mut entry.shut, true) {
-            entry.link.stream.shut();
+        if entry.finishing && entry.socket.waiting() == 0 && !std::mem::replace(&mut entry.shut, true) {
+            entry.socket.stream.shut();
         }
-        let done = flow == Flow::Close || entry.shut && entry.link.ended;
-        if done || entry.link.register(self.poll.registry()).is_err() {
-            return self.close(token, hub.core);
+        let done = flow == ConnectionFlow::Close || entry.shut && entry.socket.ended;
+        if done || entry.socket.register(self.poll.registry()).is_err() {
+            return self.close(token, context.scheduler);
         }
         let due = entry.connection.deadline();
         if due != entry.due {
@@ -351,35 +367,38 @@
         }
     }
 
-    fn close(&mut self, token: Token, core: &mut Core) {
+    fn close(&mut self, token: Token, scheduler: &mut Scheduler) {
         let Some(mut entry) = self.entries.remove(&token) else { return };
-        self.waiting = self.waiting.saturating_sub(entry.link.waiting());
+        self.waiting = self.waiting.saturating_sub(entry.socket.waiting());
         if let Some(at) = entry.due {
             self.timers.remove(&(at, token));
         }
-        let hub = &mut Hub { core, now: self.clock.now(), ready: self.ready, active: self.active };
-        let closed = catch_unwind(AssertUnwindSafe(|| entry.connection.closed(&entry.link, hub)));
+        let context =
+            &mut Context { scheduler, now: self.clock.now(), ready: self.ready, active: self.active };
+        let closed = catch_unwind(AssertUnwindSafe(|| entry.connection.closed(&entry.socket, context)));
         if closed.is_err() {
-            hub.core.counters().panics += 1;
+            context.scheduler.counters().panics += 1;
         }
-        let _ = self.poll.registry().deregister(entry.link.stream.source());
+        let _ = self.poll.registry().deregister(entry.socket.stream.source());
     }
 
     /// Ends a connection from outside.
-    pub fn end(&mut self, id: u64, core: &mut Core) {
-        self.close(Token(id as usize), core);
+    pub fn end(&mut self, id: u64, scheduler: &mut Scheduler) {
+        self.close(Token(id as usize), scheduler);
     }
 
     /// Gives a connection something to do; false if it has gone.
     pub fn with(
         &mut self,
         id: u64,
-        core: &mut Core,
-        what: impl FnOnce(&mut dyn Connection, &mut Link, &mut Hub) -> Flow,
+        scheduler: &mut Scheduler,
+        what: impl FnOnce(&mut dyn Connection, &mut BufferedStream, &mut Context) -> ConnectionFlow,
     ) -> bool {
         let token = Token(id as usize);
         let there = self.entries.contains_key(&token);
-        self.call(token, core, |entry, hub| what(entry.connection.as_mut(), &mut entry.link, hub));
+        self.call(token, scheduler, |entry, context| {
+            what(entry.connection.as_mut(), &mut entry.socket, context)
+        });
         there
     }
 
@@ -395,7 +414,7 @@
 
     /// Whether any connection still has something to write.
     pub fn unwritten(&self) -> bool {
-        self.entries.values().any(|entry| entry.link.up && entry.link.waiting() > 0)
+        self.entries.values().any(|entry| entry.socket.up && entry.socket.waiting() > 0)
     }
 
     /// Whether the last turn found nothing to do.
@@ -404,7 +423,7 @@
     }
 
     /// Waits until something happens or `until` comes, calls connections back, and returns the rest.
-    pub fn turn(&mut self, until: Option<Time>, core: &mut Core) -> io::Result<Vec<Signal>> {
+    pub fn turn(&mut self, until: Option<Time>, scheduler: &mut Scheduler) -> io::Result<Vec<Signal>> {
         let due = self.timers.first().map(|(at, _)| *at).into_iter().chain(until).min();
         // Rounded up, so that a timer is not asked for a little early again and again.
         let mut rest = due.map(|at| Duration::from_nanos((at - self.clock.now()).0 + 50_000));
@@ -433,7 +452,7 @@
                     self.empty(number - PIPES);
                     signals.push(Signal::Pipe(number - PIPES));
                 }
-                _ => self.happened(token, readable, core),
+                _ => self.happened(token, readable, scheduler),
             }
         }
         let now = self.clock.now();
@@ -442,7 +461,7 @@
             if let Some(entry) = self.entries.get_mut(&token) {
                 entry.due = None;
             }
-            self.call(token, core, |entry, hub| entry.connection.due(&mut entry.link, hub));
+            self.call(token, scheduler, |entry, context| entry.connection.due(&mut entry.socket, context));
         }
         Ok(signals)
     }
@@ -454,26 +473,26 @@
         {}
     }
 
-    fn happened(&mut self, token: Token, readable: bool, core: &mut Core) {
-        self.call(token, core, |entry, hub| {
-            let Entry { link, connection, finishing, wasted, .. } = entry;
-            if !link.up {
-                match link.stream.connected() {
-                    Ok(true) => link.up = true,
-                    Ok(false) => return Flow::Go,
-                    Err(_) => return Flow::Close,
+    fn happened(&mut self, token: Token, readable: bool, scheduler: &mut Scheduler) {
+        self.call(token, scheduler, |entry, context| {
+            let Entry { socket, connection, finishing, wasted, .. } = entry;
+            if !socket.up {
+                match socket.stream.connected() {
+                    Ok(true) => socket.up = true,
+                    Ok(false) => return ConnectionFlow::Continue,
+                    Err(_) => return ConnectionFlow::Close,
                 }
-                let flow = connection.opened(link, hub);
-                if flow != Flow::Go {
+                let flow = connection.opened(socket, context);
+                if flow != ConnectionFlow::Continue {
                     return flow;
                 }
             }
-            let mut flow = Flow::Go;
-            if link.waiting() > 0 {
-                match link.flush() {
-                    Ok(true) => flow = connection.flushed(link, hub),
+            let mut flow = ConnectionFlow::Continue;
+            if socket.waiting() > 0 {
+                match socket.flush() {
+                    Ok(true) => flow = connection.flushed(socket, context),
                     Ok(false) => {}
-                    Err(_) => return Flow::Close,
+                    Err(_) => return ConnectionFlow::Close,
                 }
             }
             if !readable {
@@ -483,26 +502,26 @@
             // with other connections.
             let mut taken = 0;
             loop {
-                let held = link.inbox.len();
-                let all = match link.fill() {
+                let held = socket.inbox.len();
+                let all = match socket.fill() {
                     Ok(all) => all,
-                    Err(_) => return Flow::Close,
+                    Err(_) => return ConnectionFlow::Close,
                 };
-                taken += link.inbox.len() - held;
+                taken += socket.inbox.len() - held;
                 if *finishing {
-                    *wasted += link.inbox.len();
-                    link.inbox.clear();
+                    *wasted += socket.inbox.len();
+                    socket.inbox.clear();
                     if *wasted > WASTE {
-                        return Flow::Close;
+                        return ConnectionFlow::Close;
                     }
-                } else if link.inbox.len() > held || link.ended {
-                    flow = flow.and(connection.received(link, hub));
+                } else if socket.inbox.len() > held || socket.ended {
+                    flow = flow.and(connection.received(socket, context));
                 }
-                if all || flow != Flow::Go || link.held_back() {
+                if all || flow != ConnectionFlow::Continue || socket.held_back() {
                     return flow;
                 }
                 if taken > TURN {
-                    link.hold();
+                    socket.hold();
                     return flow;
                 }
             }
@@ -511,9 +530,9 @@
 
     /// Closes the connection that has had nothing open for longest, if there is one: whoever will use it again
     /// has most likely done so before.
-    pub fn shed_idle(&mut self, core: &mut Core) -> bool {
+    pub fn shed_idle(&mut self, scheduler: &mut Scheduler) -> bool {
         let idle = self.entries.iter().filter_map(|(token, entry)| Some((entry.connection.idle()?, *token)));
-        idle.min().map(|(_, token)| token).map(|token| self.close(token, core)).is_some()
+        idle.min().map(|(_, token)| token).map(|token| self.close(token, scheduler)).is_some()
     }
 
     /// A span as the reactor's own absolute time.
@@ -522,13 +541,13 @@
     }
 }
 
-impl Flow {
+impl ConnectionFlow {
     /// The stricter of the two.
-    pub fn and(self, other: Flow) -> Flow {
+    pub fn and(self, other: ConnectionFlow) -> ConnectionFlow {
         match (self, other) {
-            (Flow::Close, _) | (_, Flow::Close) => Flow::Close,
-            (Flow::Finish, _) | (_, Flow::Finish) => Flow::Finish,
-            _ => Flow::Go,
+            (ConnectionFlow::Close, _) | (_, ConnectionFlow::Close) => ConnectionFlow::Close,
+            (ConnectionFlow::Finish, _) | (_, ConnectionFlow::Finish) => ConnectionFlow::Finish,
+            _ => ConnectionFlow::Continue,
         }
     }
 }
@@ -542,16 +561,16 @@
     struct Fragile;
 
     impl Connection for Fragile {
-        fn opened(&mut self, _link: &mut Link, _hub: &mut Hub) -> Flow {
-            Flow::Go
+        fn opened(&mut self, _socket: &mut BufferedStream, _context: &mut Context) -> ConnectionFlow {
+            ConnectionFlow::Continue
         }
-        fn received(&mut self, link: &mut Link, _hub: &mut Hub) -> Flow {
-            let bytes = std::mem::take(&mut link.inbox);
+        fn received(&mut self, socket: &mut BufferedStream, _context: &mut Context) -> ConnectionFlow {
+            let bytes = std::mem::take(&mut socket.inbox);
             assert!(!bytes.contains(&b'!'), "as the test wants");
-            link.put(&bytes);
-            Flow::Go
+            socket.enqueue(&bytes);
+            ConnectionFlow::Continue
         }
-        fn closed(&mut self, _link: &Link, _hub: &mut Hub) {}
+        fn closed(&mut self, _socket: &BufferedStream, _context: &mut Context) {}
     }
 
     /// Whoever reads nothing must not hold memory without bound.
@@ -560,17 +579,17 @@
         let site = br#"{"fleetSize": 1, "index": 0, "classes": [], "bounds": {"mostTries": 1},
             "contract": {"coldFrom": 1, "coldNs": 1, "fallMultiple": 1, "fallNs": 1},
             "familyInfo": {"keepNs": 1, "notLoaded": "load", "loadSpanNs": 0}}"#;
-        let mut core = Core::new(crate::settings::read_site(site).unwrap(), 1);
+        let mut scheduler = Scheduler::new(crate::settings::read_site(site).unwrap(), 1);
         let mut reactor = Reactor::new(SystemClock::new()).unwrap();
         reactor.waiting_limit = 8 << 20;
         let (near, _far) = StdUnixStream::pair().unwrap();
         near.set_nonblocking(true).unwrap();
         let stream = Stream::Unix(UnixStream::from_std(near));
-        let id = reactor.add(stream, Box::new(Fragile), true, (100, usize::MAX), &mut core).unwrap();
+        let id = reactor.add(stream, Box::new(Fragile), true, (100, usize::MAX), &mut scheduler).unwrap();
         let mut put = |bytes: usize| {
-            reactor.with(id, &mut core, |_, link, _| {
-                link.put(&vec![0; bytes]);
-                Flow::Go
+            reactor.with(id, &mut scheduler, |_, socket, _| {
+                socket.enqueue(&vec![0; bytes]);
+                ConnectionFlow::Continue
             });
             (reactor.count(), reactor.waiting > 0)
         };
@@ -583,26 +602,26 @@
         let site = br#"{"fleetSize": 1, "index": 0, "classes": [], "bounds": {"mostTries": 1},
             "contract": {"coldFrom": 1, "coldNs": 1, "fallMultiple": 1, "fallNs": 1},
             "familyInfo": {"keepNs": 1, "notLoaded": "load", "loadSpanNs": 0}}"#;
-        let mut core = Core::new(crate::settings::read_site(site).unwrap(), 1);
+        let mut scheduler = Scheduler::new(crate::settings::read_site(site).unwrap(), 1);
         let mut reactor = Reactor::new(SystemClock::new()).unwrap();
-        let mut add = |core: &mut Core| {
+        let mut add = |scheduler: &mut Scheduler| {
             let (near, far) = StdUnixStream::pair().unwrap();
             near.set_nonblocking(true).unwrap();
             let stream = Stream::Unix(UnixStream::from_std(near));
-            reactor.add(stream, Box::new(Fragile), true, (100, 100), core).unwrap();
+            reactor.add(stream, Box::new(Fragile), true, (100, 100), scheduler).unwrap();
             far
         };
-        let (mut first, mut second) = (add(&mut core), add(&mut core));
+        let (mut first, mut second) = (add(&mut scheduler), add(&mut scheduler));
         first.write_all(b"!").unwrap();
         second.write_all(b"x").unwrap();
-        while core.counters().panics == 0 || reactor.count() > 1 {
-            reactor.turn(None, &mut core).unwrap();
+        while scheduler.counters().panics == 0 || reactor.count() > 1 {
+            reactor.turn(None, &mut scheduler).unwrap();
         }
         let mut byte = [0];
         assert_eq!(first.read(&mut byte).unwrap(), 0, "ended");
-        let soon = Some(reactor.after(Span::millis(100)));
-        reactor.turn(soon, &mut core).unwrap();
+        let soon = Some(reactor.after(Span::from_millis(100)));
+        reactor.turn(soon, &mut scheduler).unwrap();
         second.read_exact(&mut byte).unwrap();
-        assert_eq!((byte, core.counters().panics), ([b'x'], 1));
+        assert_eq!((byte, scheduler.counters().panics), ([b'x'], 1));
     }
 }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -1,13 +1,14 @@
 //! Every decision of a front end. Its types, events, actions and settings are in `src/model/mod.rs`. Parts:
 //! constants; state; events in; ranking; placement; gates; answers; holds; cold starts.
 
+use crate::collections::{ExponentialBackoff, mix64, weighted_rendezvous_order};
 use crate::model::*;
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Time between two rankings; five of them make the moving window of ten seconds (design page).
-const RERANK: Span = Span::millis(2000);
+const RERANK: Span = Span::from_millis(2000);
 /// Rankings in a window, and calls that each waits for.
 const BUCKETS: usize = 5;
 const BUCKET_CALLS: u32 = 20;
@@ -18,39 +19,39 @@
 /// Calls a window below which a function is bronze (design page).
 const BRONZE_CALLS: u32 = 2;
 /// Time after its promotion from which gold is trusted to stand on workers that others hold for it.
-const GOLD_TRUST: Span = Span::millis(6000);
+const GOLD_TRUST: Span = Span::from_millis(6000);
 /// How often holds are looked at: short against any keep-alive.
-const HOLD_PACE: Span = Span::millis(200);
+const HOLD_PACE: Span = Span::from_millis(200);
 /// Part of the keep-alive that is left when a hold renews: room for a lost order and its repeat.
 const RENEW_AT: f64 = 0.3;
 /// Loads of ours under way at a worker; a rare function starts none where one is.
 const LOADS: usize = 3;
 /// How long a miss answer is believed.
-const MISS_BELIEVED: Span = Span::millis(1000);
+const MISS_BELIEVED: Span = Span::from_millis(1000);
 /// Wait for a load before another worker is tried.
-const LOAD_PATIENCE: Span = Span::millis(3000);
+const LOAD_PATIENCE: Span = Span::from_millis(3000);
 /// Pause before a call that found no way is placed again.
-const RETRY: Span = Span::millis(40);
+const RETRY: Span = Span::from_millis(40);
 /// A worker silent for this long while calls are out is probed; so many unanswered in a row make it lost.
-const SUSPECT: (Span, u32) = (Span::millis(800), 2);
+const SUSPECT: (Span, u32) = (Span::from_millis(800), 2);
 /// Part of the aim for which calls hear nothing, and at how many workers, before their zone is lost.
 const SILENT: (f64, usize) = (0.5, 3);
 /// Calls that break within this time broke with one connection; so many in a row make a worker lost.
-const RESETS: (Span, u32) = (Span::millis(30), 3);
+const RESETS: (Span, u32) = (Span::from_millis(30), 3);
 /// Weight of an outcome in a worker's failing part; the part from which it is left alone; what is left of it.
 const ERRORS: (f64, f64, f64) = (0.2, 0.4, 0.25);
 /// First pause after a failed load or lost worker, and how often it doubles.
-const BACKOFF: (Span, u32) = (Span::millis(400), 4);
+const BACKOFF: ExponentialBackoff = ExponentialBackoff::new(Span::from_millis(400), 4);
 /// A worker that turned a call away is left alone this long; cuts of a limit lie as far apart.
-const FULL_PAUSE: Span = Span::millis(150);
+const FULL_PAUSE: Span = Span::from_millis(150);
 /// Part of the cold budget used, and what of the bearable part of usual traffic is let in by chance.
 const COLD: (f64, f64) = (0.7, 0.25);
 /// Weight of a new latency in a worker's slowness and strain and in a class's usual one; bounds of slowness.
 const GAIN: (f64, f64) = (0.15, 0.02);
 const SLOW_RANGE: (f64, f64) = (0.5, 12.0);
 /// Time in which unrefreshed slowness and told calls halve.
-const SLOW_HALF: Span = Span::millis(4000);
-const RATE_SPAN: Span = Span::millis(5000);
+const SLOW_HALF: Span = Span::from_millis(4000);
+const RATE_SPAN: Span = Span::from_millis(5000);
 /// In-flight calls that crossing a zone weighs as, times its price as a part of one.
 const CROSS_WEIGHT: f64 = 10.0;
 
@@ -67,7 +68,7 @@
 /// Part of the aim that a call may wait for room in a crowd, and of its whole time that it may anywhere.
 const HOPE: (f64, f64) = (0.2, 0.4);
 /// How long a client whose call was given up is asked to stay away.
-const COOLDOWN: Span = Span::millis(250);
+const COOLDOWN: Span = Span::from_millis(250);
 /// Own calls for each copy in a keep-alive below which the common hash order says more of where copies stand.
 const BLIND_CALLS: f64 = 2.0;
 /// Workers of the hash order a call looks at, beyond twice those wanted.
@@ -81,7 +82,7 @@
 /// Part of the workers without room from which calls are shed.
 const CROWDED: f64 = 0.5;
 /// A keyed repeat must arrive this long before the group forgets.
-const KEY_MARGIN: Span = Span::millis(100);
+const KEY_MARGIN: Span = Span::from_millis(100);
 
 type Actions = Vec<Action>;
 
@@ -141,7 +142,7 @@
 
 #[derive(Default)]
 struct Worker {
-    member: Member,
+    member: Endpoint,
     born: Time,
     pairs: BTreeMap<FunctionId, Pair>,
     in_flight: u32,
@@ -174,7 +175,7 @@
 }
 
 /// The decisions of one front end.
-pub struct Balancer {
+pub struct Policy {
     settings: Settings,
     rng: Pcg64Mcg,
     now: Time,
@@ -201,11 +202,12 @@
     crowding: f64,
 }
 
-impl Balancer {
+impl Policy {
     /// A front end that knows nothing but its settings. The seed decides all its ties.
-    pub fn new(settings: Settings, seed: u64) -> Balancer {
-        let usual = settings.classes.iter().map(|class| class.aim.secs() / 4.0).collect();
-        Balancer {
+    pub fn new(settings: Settings, seed: u64) -> Policy {
+        let usual =
+            settings.classes.iter().map(|class| class.latency_objective.as_secs_f64() / 4.0).collect();
+        Policy {
             settings,
             rng: Pcg64Mcg::seed_from_u64(seed),
             now: Time(0),
@@ -229,7 +231,11 @@
 
     /// New settings. Classes keep their places; new ones come after them.
     pub fn configure(&mut self, settings: Settings) {
-        let more = settings.classes.iter().skip(self.usual.len()).map(|class| class.aim.secs() / 4.0);
+        let more = settings
+            .classes
+            .iter()
+            .skip(self.usual.len())
+            .map(|class| class.latency_objective.as_secs_f64() / 4.0);
         self.usual.extend(more);
         self.settings = settings;
     }
@@ -243,13 +249,13 @@
             self.subscribe(out);
         }
         match event {
-            Event::Members(kind, members) => self.members(kind, members, out),
-            Event::Call(call) => self.call(call, out),
-            Event::Outcome(outcome) => self.outcome(outcome, out),
-            Event::ClientGone(id) => self.client_gone(id, out),
-            Event::Loaded(loaded) => self.loaded(loaded, out),
-            Event::Probed(worker, status) => self.probed(worker, status, out),
-            Event::Wake => self.armed = None,
+            Event::EndpointsUpdated(kind, members) => self.members(kind, members, out),
+            Event::RequestReceived(call) => self.call(call, out),
+            Event::AttemptFinished(outcome) => self.outcome(outcome, out),
+            Event::ClientDisconnected(id) => self.client_gone(id, out),
+            Event::LoadFinished(loaded) => self.loaded(loaded, out),
+            Event::HealthCheckFinished(worker, status) => self.probed(worker, status, out),
+            Event::TimerFired => self.armed = None,
         }
         while let Some(&(at, due)) = self.due.first().filter(|(at, _)| *at <= self.now) {
             self.due.remove(&(at, due));
@@ -262,31 +268,31 @@
         let next = self.due.first().map(|(at, _)| *at);
         if let Some(at) = next.filter(|at| self.armed.is_none_or(|armed| *at < armed)) {
             self.armed = Some(at);
-            out.push(Action::Wake { after: at - self.now });
+            out.push(Action::SetTimer { delay: at - self.now });
         }
     }
 
     fn subscribe(&mut self, out: &mut Actions) {
-        out.extend((self.settings.discovery == Discovery::OnRequest).then_some(Action::Subscribe));
+        out.extend((self.settings.discovery == DiscoveryMode::OnRequest).then_some(Action::Subscribe));
     }
 
-    fn members(&mut self, kind: ListKind, members: Vec<Member>, out: &mut Actions) {
-        if kind == ListKind::Failed {
+    fn members(&mut self, kind: EndpointUpdateKind, members: Vec<Endpoint>, out: &mut Actions) {
+        if kind == EndpointUpdateKind::Failed {
             return self.subscribe(out);
         }
         self.listed += 1;
-        if kind != ListKind::Delta {
+        if kind != EndpointUpdateKind::Delta {
             let listed: BTreeSet<_> = members.iter().map(|m| m.worker).collect();
             let left = self.workers.extract_if(.., |id, _| !listed.contains(id));
             self.parted.extend(left.map(|(id, worker)| (id, worker.sends)));
         }
         for member in members {
-            if member.state == State::Gone {
+            if member.state == EndpointState::Gone {
                 self.parted.extend(self.workers.remove_entry(&member.worker).map(|(id, w)| (id, w.sends)));
                 continue;
             }
             let known = self.workers.get_mut(&member.worker);
-            if let Some(worker) = known.filter(|w| w.member.started == member.started) {
+            if let Some(worker) = known.filter(|w| w.member.started_at == member.started_at) {
                 worker.member = member;
                 continue;
             }
@@ -298,7 +304,7 @@
         }
     }
 
-    fn call(&mut self, call: Call, out: &mut Actions) {
+    fn call(&mut self, call: IncomingRequest, out: &mut Actions) {
         let class = usize::from(call.class.0);
         self.arrivals.push_back(self.now);
         if class >= self.settings.classes.len() {
@@ -307,10 +313,10 @@
         let now = self.now;
         let function = self.functions.entry(call.function).or_default();
         function.memory_mb = call.memory_mb.clamp(0.0, 1e12);
-        function.lanes = (call.lanes.clamp(1.0, 64.0) as u32).max(1);
+        function.lanes = (call.concurrency.clamp(1.0, 64.0) as u32).max(1);
         function.counts[0] += 1;
         let end = now + call.remaining;
-        let aim = self.settings.classes[class].aim.min(call.remaining);
+        let aim = self.settings.classes[class].latency_objective.min(call.remaining);
         let request = Request { function: call.function, class, came: now, aim, end, ..Request::default() };
         self.requests.insert(call.id, request);
         self.due.insert((end - self.settings.tick, Due::End(call.id)));
@@ -326,7 +332,7 @@
     /// Nobody waits any more: what is out is called off, so that it takes no place that others want.
     fn client_gone(&mut self, id: RequestId, out: &mut Actions) {
         let attempt = self.requests.remove(&id).and_then(|request| request.out);
-        let attempt = attempt.filter(|_| self.settings.limits.may_cancel);
+        let attempt = attempt.filter(|_| self.settings.permissions.may_cancel);
         out.extend(attempt.map(|attempt| Action::Cancel { id, attempt }));
     }
 
@@ -340,7 +346,7 @@
         let chosen = self.functions.iter().filter(|(_, f)| f.calls() >= BRONZE_CALLS);
         let mut ranks: Vec<_> = chosen.map(|(id, f)| (std::cmp::Reverse(f.calls()), *id)).collect();
         ranks.sort_unstable();
-        let memory = &self.settings.loading.memory_mb;
+        let memory = &self.settings.loading.worker_memory_mb;
         let mut room = memory.iter().copied().fold(f64::INFINITY, f64::min) * GOLD_MEMORY;
         let mut fits = |id: &FunctionId| {
             room -= self.functions[id].memory_mb;
@@ -357,7 +363,7 @@
             function.counts.rotate_right(1);
             function.counts[0] = 0;
         }
-        let keep = self.settings.loading.keep;
+        let keep = self.settings.loading.keep_alive;
         let asked: BTreeSet<FunctionId> = self.requests.values().map(|r| r.function).collect();
         self.functions.retain(|id, f| f.gold || f.calls() > 0 || asked.contains(id));
         for worker in self.workers.values_mut() {
@@ -376,15 +382,10 @@
     fn hash_order(&mut self, key: FunctionId) -> Vec<WorkerId> {
         let Some(function) = self.functions.get_mut(&key) else { return vec![] };
         if function.listed != self.listed {
-            let sized = self.settings.weights_are_sizes;
-            let mut order: Vec<(f64, WorkerId)> = Vec::with_capacity(self.workers.len());
-            for (id, worker) in &self.workers {
-                let unit = ((mix(key.0 ^ mix(id.0)) >> 11) as f64 + 1.0) / (1u64 << 53) as f64;
-                let size = if sized { worker.member.weight.clamp(0.01, 100.0) } else { 1.0 };
-                order.push((-unit.ln() / size, *id));
-            }
-            order.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
-            function.order = order.into_iter().map(|(_, id)| id).collect();
+            let sized = self.settings.weights_are_capacities;
+            let size = |w: &Worker| if sized { w.member.weight.clamp(0.01, 100.0) } else { 1.0 };
+            let nodes = self.workers.iter().map(|(id, worker)| (*id, id.0, size(worker)));
+            function.order = weighted_rendezvous_order(key.0, nodes);
             function.listed = self.listed;
         }
         function.order.clone()
@@ -394,7 +395,7 @@
         let salt = self.rng.next_u64();
         let Some(request) = self.requests.get_mut(&id).filter(|r| r.out.is_none()) else { return };
         request.waiting = false;
-        if request.attempts >= self.settings.limits.max_attempts {
+        if request.attempts >= self.settings.permissions.max_attempts {
             return self.give_up(id, out);
         }
         let (key, class, missed) = (request.function, request.class, request.missed.clone());
@@ -471,10 +472,10 @@
     fn hold_back(&mut self, id: RequestId, out: &mut Actions) {
         self.look_for_room();
         let Some(request) = self.requests.get(&id) else { return };
-        let crowded = self.crowding > CROWDED && self.now > request.came + request.aim.times(HOPE.0);
+        let crowded = self.crowding > CROWDED && self.now > request.came + request.aim.mul_f64(HOPE.0);
         let closed = !self.may_repeat(request.class, request.ran);
         // Past this part of its time, or once no repeat is allowed, there is no hope: the client is told now.
-        if crowded || closed || self.now > request.came + (request.end - request.came).times(HOPE.1) {
+        if crowded || closed || self.now > request.came + (request.end - request.came).mul_f64(HOPE.1) {
             return self.give_up(id, out);
         }
         self.later(id, RETRY);
@@ -486,7 +487,7 @@
         let began =
             |w: &Worker| w.pairs.get(&r.function).is_some_and(|p| p.in_flight > 0 && p.warm_until <= now);
         let allowed = self.settings.loading.on_miss == OnMiss::Load && self.crowding <= SPILL.1;
-        allowed && self.now - r.came >= r.aim.times(SPILL.0) && !self.workers.values().any(began)
+        allowed && self.now - r.came >= r.aim.mul_f64(SPILL.0) && !self.workers.values().any(began)
     }
 
     /// Notes the part of the workers that have no room.
@@ -499,12 +500,12 @@
     /// more copies only push others out. And whether our own calls are too few to know; two are chance.
     fn wanted_copies(&self, key: FunctionId, class: usize) -> (usize, bool) {
         let Some(function) = self.functions.get(&key) else { return (1, false) };
-        let window = (self.now - self.turned[BUCKETS - 1]).secs().max(RERANK.secs());
+        let window = (self.now - self.turned[BUCKETS - 1]).as_secs_f64().max(RERANK.as_secs_f64());
         let fleet = f64::from(self.settings.fleet_size.max(1));
         let room = BURST_ROOM.0 + (BURST_ROOM.1 - BURST_ROOM.0) * self.crowding;
         let at_a_time = f64::from(function.calls().saturating_sub(2)) / window * fleet * self.usual[class];
         let counted = (at_a_time * room / f64::from(function.lanes)).ceil().max(1.0);
-        let own = f64::from(function.calls()) / window * self.settings.loading.keep.secs();
+        let own = f64::from(function.calls()) / window * self.settings.loading.keep_alive.as_secs_f64();
         (counted as usize, own < counted * BLIND_CALLS)
     }
 
@@ -519,7 +520,7 @@
 
     /// Whether a class is worth clearly more than another for its work: it is given more room and shed last.
     fn worthy(&self, class: usize) -> bool {
-        let worth = |c: usize| self.settings.classes[c].worth / self.usual[c].max(0.001);
+        let worth = |c: usize| self.settings.classes[c].priority_weight / self.usual[c].max(0.001);
         (0..self.usual.len()).any(|other| worth(class) > worth(other) * WORTHY)
     }
 
@@ -557,7 +558,7 @@
     /// How much stands before a new call at a worker: the calls in flight there, weighed by its slowness.
     fn busy(&self, worker: WorkerId) -> f64 {
         let Some(w) = self.workers.get(&worker) else { return f64::INFINITY };
-        let faded = |since: Time| 0.5f64.powf((self.now - since).secs() / SLOW_HALF.secs());
+        let faded = |since: Time| 0.5f64.powf((self.now - since).as_secs_f64() / SLOW_HALF.as_secs_f64());
         let slow = 1.0 + (w.slow - 1.0) * faded(w.slow_at);
         let cross = if w.member.zone == self.settings.zone { 0.0 } else { self.settings.prices.cross_zone };
         (w.held() + 1.0) * slow + cross * CROSS_WEIGHT
@@ -568,7 +569,7 @@
         let lanes = self.functions.get(&key).map_or(1, |f| f.lanes);
         let over = |w: WorkerId| f64::from((self.lanes_taken(key, w) + 1).saturating_sub(lanes));
         let cost = |w: WorkerId| self.busy(w) + 2.0 * over(w);
-        let drawn = among.iter().map(|w| (cost(*w), mix(salt ^ w.0), *w));
+        let drawn = among.iter().map(|w| (cost(*w), mix64(salt ^ w.0), *w));
         drawn.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1))).map(|(_, _, w)| w)
     }
 
@@ -593,16 +594,20 @@
         let (Some(request), Some(w)) = (self.requests.get(&id), self.workers.get(&worker)) else {
             return false;
         };
-        if w.member.state != State::Ready
+        if w.member.state != EndpointState::Ready
             || request.out.is_some()
-            || request.attempts >= self.settings.limits.max_attempts
+            || request.attempts >= self.settings.permissions.max_attempts
             || !self.cold_room(w, self.usual[request.class], id)
         {
             return false;
         }
-        let same = match (self.settings.classes[request.class].effect, request.ran) {
-            (Effect::Keyed { group: Group::Zone, .. }, Some(ran)) => w.member.zone == ran.zone,
-            (Effect::Keyed { group: Group::Cell, .. }, Some(ran)) => w.member.cell == ran.cell,
+        let same = match (self.settings.classes[request.class].idempotency, request.ran) {
+            (Idempotency::Keyed { scope: DeduplicationScope::Zone, .. }, Some(ran)) => {
+                w.member.zone == ran.zone
+            }
+            (Idempotency::Keyed { scope: DeduplicationScope::Cell, .. }, Some(ran)) => {
+                w.member.cell == ran.cell
+            }
             _ => true,
         };
         same && self.may_repeat(request.class, request.ran)
@@ -610,10 +615,10 @@
 
     /// Whether the class allows a further attempt after one that may have run.
     fn may_repeat(&self, class: usize, ran: Option<Ran>) -> bool {
-        match (self.settings.classes[class].effect, ran) {
-            (Effect::Safe, _) | (_, None) => true,
-            (Effect::Keyed { window, .. }, Some(ran)) => self.now + KEY_MARGIN < ran.since + window,
-            (Effect::Unsafe, Some(_)) => false,
+        match (self.settings.classes[class].idempotency, ran) {
+            (Idempotency::Idempotent, _) | (_, None) => true,
+            (Idempotency::Keyed { window, .. }, Some(ran)) => self.now + KEY_MARGIN < ran.since + window,
+            (Idempotency::NonIdempotent, Some(_)) => false,
         }
     }
 
@@ -643,19 +648,19 @@
 
     /// Ready, not lately failed, one of our load slots free, and inside the ration.
     fn may_load(&self, worker: WorkerId, key: FunctionId) -> bool {
-        let known = self.workers.get(&worker).filter(|w| w.member.state == State::Ready);
-        let Some(w) = known.filter(|_| self.settings.limits.may_order) else { return false };
+        let known = self.workers.get(&worker).filter(|w| w.member.state == EndpointState::Ready);
+        let Some(w) = known.filter(|_| self.settings.permissions.may_order) else { return false };
         let pair = self.pair(key, worker).cloned().unwrap_or_default();
         let slots = if self.bronze(key) { 1 } else { LOADS };
         let starts = pair.warm_until > self.now || self.loads_under_way(w) < slots;
         if pair.ordered.is_some() || pair.retry_at > self.now || !starts {
             return false;
         }
-        let Some(ration) = self.settings.rules.ration else { return true };
-        let since = self.now - ration.span;
+        let Some(ration) = self.settings.safety_limits.load_rate_limit else { return true };
+        let since = self.now - ration.window;
         let orders = self.orders.iter().filter(|at| **at >= since).count() as f64;
         let calls = self.arrivals.iter().filter(|at| **at > since).count() as f64;
-        orders + 1.0 <= ration.free + ration.share * calls
+        orders + 1.0 <= ration.burst + ration.per_request * calls
     }
 
     fn order_load(&mut self, worker: WorkerId, key: FunctionId, out: &mut Actions) {
@@ -663,31 +668,31 @@
         let Some(w) = self.workers.get_mut(&worker).filter(|_| allowed) else { return };
         w.pairs.entry(key).or_default().ordered = Some(self.now);
         self.orders.push_back(self.now);
-        out.push(Action::Load { worker, function: key, copies: 1 });
+        out.push(Action::Load { worker, function: key, instances: 1 });
     }
 
     /// Ends a request unserved, at its end of time or before: refused where proven harmless, else failed.
     fn give_up(&mut self, id: RequestId, out: &mut Actions) {
         let Some(request) = self.requests.remove(&id) else { return };
-        let attempt = request.out.filter(|_| self.settings.limits.may_cancel);
+        let attempt = request.out.filter(|_| self.settings.permissions.may_cancel);
         out.extend(attempt.map(|attempt| Action::Cancel { id, attempt }));
         let may_have_run = request.ran.is_some() || request.out.is_some();
-        let harmless = match self.settings.classes[request.class].effect {
-            Effect::Safe => true,
-            Effect::Keyed { group, .. } => !may_have_run || group == Group::All,
-            Effect::Unsafe => !may_have_run,
+        let harmless = match self.settings.classes[request.class].idempotency {
+            Idempotency::Idempotent => true,
+            Idempotency::Keyed { scope: group, .. } => !may_have_run || group == DeduplicationScope::All,
+            Idempotency::NonIdempotent => !may_have_run,
         };
         // The client is told when to come back rather than kept waiting here.
-        let wait = self.settings.limits.retry_after.map_or(Span(0), |most| most.min(COOLDOWN));
-        out.push(if harmless { Action::Refuse { id, wait } } else { Action::Fail { id } });
+        let wait = self.settings.permissions.max_retry_after.map_or(Span(0), |most| most.min(COOLDOWN));
+        out.push(if harmless { Action::Reject { id, retry_after: wait } } else { Action::Fail { id } });
     }
 
-    fn outcome(&mut self, outcome: Outcome, out: &mut Actions) {
+    fn outcome(&mut self, outcome: AttemptOutcome, out: &mut Actions) {
         let Some(attempt) = self.attempts.remove(&(outcome.id, outcome.attempt)) else { return };
         let now = self.now;
         self.learn(&outcome, &attempt);
         let Some(request) = self.requests.get_mut(&outcome.id) else { return };
-        if outcome.finished {
+        if outcome.request_finished {
             self.requests.remove(&outcome.id);
             return;
         }
@@ -709,27 +714,29 @@
     }
 
     /// What an outcome says of the worker and of the copy there.
-    fn learn(&mut self, outcome: &Outcome, attempt: &Attempt) {
-        let (now, keep) = (self.now, self.settings.loading.keep);
-        let aim = self.settings.classes[attempt.class].aim;
+    fn learn(&mut self, outcome: &AttemptOutcome, attempt: &Attempt) {
+        let (now, keep) = (self.now, self.settings.loading.keep_alive);
+        let aim = self.settings.classes[attempt.class].latency_objective;
         let known = self.workers.get_mut(&attempt.worker);
         let Some(w) = known.filter(|w| attempt.place.since >= w.born) else { return };
         let silent = w.heard < attempt.place.since && outcome.latency >= aim;
         if matches!(outcome.status, Status::Ok | Status::Error | Status::Full | Status::Miss) {
             (w.heard, w.unanswered) = (now, 0);
         }
-        if let Some(held) = self.settings.gauge(Gauge::InFlight, &outcome.report) {
+        if let Some(held) = self.settings.load_metric(LoadMetric::InFlight, &outcome.load_report) {
             w.others = (held - f64::from(w.in_flight)).max(0.0);
         }
         w.in_flight = w.in_flight.saturating_sub(1);
         let pair = w.pairs.entry(attempt.function).or_default();
         pair.in_flight = pair.in_flight.saturating_sub(1);
-        if outcome.copy == CopyNote::LoadFailed {
+        if outcome.instance_state == InstanceState::LoadFailed {
             pair.fail(now);
         }
         let took = match outcome.status {
             // A wait for a load says nothing of how full workers are, nor a call's second refusal.
-            Status::Ok if attempt.warm => (outcome.latency.secs() / attempt.aim.secs().max(0.001)).min(1.0),
+            Status::Ok if attempt.warm => {
+                (outcome.latency.as_secs_f64() / attempt.aim.as_secs_f64().max(0.001)).min(1.0)
+            }
             Status::Full if !attempt.warm || outcome.attempt > 0 => self.strain,
             Status::Full | Status::Timeout => 1.0,
             _ => self.strain,
@@ -740,7 +747,7 @@
             let failed = if outcome.status == Status::Error { 1.0 } else { 0.0 };
             w.errors += (failed - w.errors) * ERRORS.0;
             if w.errors > ERRORS.1 {
-                (w.errors, w.shun_until) = (ERRORS.2, w.shun_until.max(now + backoff(w.failures)));
+                (w.errors, w.shun_until) = (ERRORS.2, w.shun_until.max(now + BACKOFF.delay(w.failures)));
                 w.failures += 1;
             }
         }
@@ -750,9 +757,9 @@
                 w.resets.1 = 0;
                 pair.stood(now + keep);
                 let usual = &mut self.usual[attempt.class];
-                let latency = outcome.latency.secs();
-                let stood =
-                    outcome.copy == CopyNote::Stood || outcome.copy == CopyNote::Untold && attempt.warm;
+                let latency = outcome.latency.as_secs_f64();
+                let stood = outcome.instance_state == InstanceState::Loaded
+                    || outcome.instance_state == InstanceState::Unknown && attempt.warm;
                 self.done += *usual;
                 if stood {
                     let ratio = (latency / *usual).clamp(0.0, SLOW_RANGE.1 * 2.0);
@@ -800,7 +807,7 @@
 
     /// Probes workers that are silent though calls are out: a machine that is cut off breaks no connection.
     fn suspect(&mut self, out: &mut Actions) {
-        if !self.settings.limits.may_probe || !self.settings.limits.may_cancel {
+        if !self.settings.permissions.may_probe || !self.settings.permissions.may_cancel {
             return;
         }
         let now = self.now;
@@ -809,7 +816,7 @@
             let since = attempt.place.since.max(w.heard);
             if !w.probed && attempt.place.since >= w.born && now - since >= SUSPECT.0 {
                 w.probed = true;
-                out.push(Action::Probe { worker: attempt.worker });
+                out.push(Action::HealthCheck { worker: attempt.worker });
             }
         }
     }
@@ -835,14 +842,15 @@
     /// Where no probe may go: a zone that has said nothing since several calls went there, half an aim ago
     /// or more, is cut off if another has answered. Once all of it is held lost, one call keeps it shut.
     fn suspect_zones(&mut self, out: &mut Actions) {
-        if self.settings.limits.may_probe || !self.settings.limits.may_cancel {
+        if self.settings.permissions.may_probe || !self.settings.permissions.may_cancel {
             return;
         }
         for zone in self.workers.values().map(|w| w.member.zone).collect::<BTreeSet<_>>() {
             let own = |w: &&Worker| w.member.zone == zone;
             let here = self.workers.values().filter(own).map(|w| w.heard).max();
             let elsewhere = self.workers.values().filter(|w| !own(w)).map(|w| w.heard).max();
-            let since = |a: &Attempt| Some(a.place.since).filter(|at| self.now - *at > a.aim.times(SILENT.0));
+            let since =
+                |a: &Attempt| Some(a.place.since).filter(|at| self.now - *at > a.aim.mul_f64(SILENT.0));
             let waits = |a: &Attempt| a.place.zone == zone && since(a) > here && since(a) < elsewhere;
             let silent: BTreeSet<_> = self.attempts.values().filter(|a| waits(a)).map(|a| a.worker).collect();
             let enough = if self.workers.values().filter(own).all(|w| w.failures > 0) { 1 } else { SILENT.1 };
@@ -859,14 +867,14 @@
         for ((id, number), attempt) in self.attempts.iter().filter(|(_, a)| a.worker == worker) {
             let Some(request) = self.requests.get(id).filter(|r| r.out == Some(*number)) else { continue };
             let again = self.may_repeat(request.class, request.ran.or(Some(attempt.place)));
-            if again && request.attempts < self.settings.limits.max_attempts {
+            if again && request.attempts < self.settings.permissions.max_attempts {
                 out.push(Action::Cancel { id: *id, attempt: *number });
             }
         }
     }
 
-    fn loaded(&mut self, loaded: Loaded, out: &mut Actions) {
-        let (now, keep) = (self.now, self.settings.loading.keep);
+    fn loaded(&mut self, loaded: LoadOutcome, out: &mut Actions) {
+        let (now, keep) = (self.now, self.settings.loading.keep_alive);
         let key = loaded.function;
         if let Some(w) = self.workers.get_mut(&loaded.worker) {
             if matches!(loaded.status, Status::Ok | Status::Full | Status::Error) {
@@ -879,7 +887,7 @@
                 (None, _) | (_, Status::Reset | Status::Moot) => {}
                 (Some(pair), _) => {
                     pair.fail(now);
-                    if loaded.copies == 0 {
+                    if loaded.instances == 0 {
                         (pair.missed, pair.warm_until) = (Some(now), Time(0));
                     }
                 }
@@ -900,11 +908,11 @@
         self.suspect(out);
         self.suspect_zones(out);
         let fleet = u64::from(self.settings.fleet_size.max(1));
-        let lead = self.settings.loading.keep.times(RENEW_AT);
+        let lead = self.settings.loading.keep_alive.mul_f64(RENEW_AT);
         let gold: Vec<_> = self.functions.iter().filter(|(_, f)| f.gold).map(|(id, _)| *id).collect();
         for key in gold {
             for worker in self.hash_order(key) {
-                if mix(key.0.rotate_left(32) ^ worker.0) % fleet != u64::from(self.settings.index) {
+                if mix64(key.0.rotate_left(32) ^ worker.0) % fleet != u64::from(self.settings.index) {
                     continue;
                 }
                 let w = &self.workers[&worker];
@@ -923,39 +931,40 @@
 
     /// Forgets what has left every window.
     fn prune(&mut self) {
-        let since = self.now - self.settings.rules.ration.map_or(Span(0), |r| r.span);
+        let since = self.now - self.settings.safety_limits.load_rate_limit.map_or(Span(0), |r| r.window);
         for times in [&mut self.orders, &mut self.arrivals] {
             times.retain(|at| *at >= since);
         }
         self.look_for_room();
-        let (now, fall) = (self.now, self.settings.rules.fall_span);
+        let (now, fall) = (self.now, self.settings.safety_limits.overload_window);
         self.parted.retain(|_, sends| sends.back().is_some_and(|(at, _)| now - *at <= fall));
         for w in self.workers.values_mut() {
             w.sends.retain(|(at, _)| now - *at <= fall);
-            w.others *= 0.5f64.powf(HOLD_PACE.secs() / SLOW_HALF.secs());
+            w.others *= 0.5f64.powf(HOLD_PACE.as_secs_f64() / SLOW_HALF.as_secs_f64());
         }
-        self.done *= (-HOLD_PACE.secs() / RATE_SPAN.secs()).exp();
+        self.done *= (-HOLD_PACE.as_secs_f64() / RATE_SPAN.as_secs_f64()).exp();
     }
 
     /// How long ago a worker that is still cold has started.
     fn cold_age(&self, worker: WorkerId) -> Option<Span> {
-        let started = self.workers.get(&worker)?.member.started?;
-        Some(self.now - started).filter(|age| *age < self.settings.rules.cold_span)
+        let started = self.workers.get(&worker)?.member.started_at?;
+        Some(self.now - started).filter(|age| *age < self.settings.safety_limits.warm_up_duration)
     }
 
     /// Whether one more call of this weight stays inside our share of what a cold worker bears.
     fn cold_room(&self, w: &Worker, weight: f64, id: RequestId) -> bool {
         let Some(age) = self.cold_age(w.member.worker) else { return true };
-        let rules = &self.settings.rules;
-        let part = rules.cold_from + (1.0 - rules.cold_from) * age.secs() / rules.cold_span.secs();
-        let rate = self.done / RATE_SPAN.secs() / self.workers.len().max(1) as f64;
-        let budget = rules.fall_multiple * part * rate * rules.fall_span.secs() * COLD.0;
-        let since = self.now - rules.fall_span;
+        let rules = &self.settings.safety_limits;
+        let part = rules.initial_capacity
+            + (1.0 - rules.initial_capacity) * age.as_secs_f64() / rules.warm_up_duration.as_secs_f64();
+        let rate = self.done / RATE_SPAN.as_secs_f64() / self.workers.len().max(1) as f64;
+        let budget = rules.overload_multiple * part * rate * rules.overload_window.as_secs_f64() * COLD.0;
+        let since = self.now - rules.overload_window;
         let spent: f64 = w.sends.iter().filter(|(at, _)| *at >= since).map(|(_, weight)| weight).sum();
         // One call is more than the share of a front end of many: each draws once for a worker, and what of
         // usual traffic is let in follows its capacity; less under strain, when more than the usual comes.
-        let drawn = mix(w.member.worker.0 ^ mix(u64::from(id.0) << 32 | u64::from(self.settings.index)));
-        let chance = rules.fall_multiple * part * COLD.1 * (1.0 - self.strain);
+        let drawn = mix64(w.member.worker.0 ^ mix64(u64::from(id.0) << 32 | u64::from(self.settings.index)));
+        let chance = rules.overload_multiple * part * COLD.1 * (1.0 - self.strain);
         let let_in = drawn as f64 / (u64::MAX as f64) < chance;
         spent + weight <= budget || budget < weight && spent == 0.0 && let_in
     }
@@ -974,7 +983,7 @@
     }
 
     fn fail(&mut self, now: Time) {
-        self.retry_at = now + backoff(self.failures);
+        self.retry_at = now + BACKOFF.delay(self.failures);
         self.failures += 1;
     }
 }
@@ -988,7 +997,7 @@
     /// It cannot be reached: nothing is believed to stand there.
     fn lost(&mut self, now: Time) {
         if self.shun_until <= now {
-            self.shun_until = now + backoff(self.failures);
+            self.shun_until = now + BACKOFF.delay(self.failures);
             self.failures += 1;
         }
         for pair in self.pairs.values_mut() {
@@ -1003,14 +1012,3 @@
         }
     }
 }
-
-fn backoff(failures: u32) -> Span {
-    Span(BACKOFF.0.0 << failures.min(BACKOFF.1))
-}
-
-/// A 64-bit finalizer: the same hash at every front end.
-fn mix(mut x: u64) -> u64 {
-    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    x ^ (x >> 31)
-}
--- a/src/scheduler/counters.rs
+++ b/src/scheduler/counters.rs
@@ -34,7 +34,7 @@
     turned_away_refused,
     /// Calls failed by their front, untaken: fields that cannot be used.
     turned_away_failed,
-    /// Calls that the core had to fail because the module had not ended them.
+    /// Calls that the scheduler had to fail because the module had not ended them.
     overdue,
     /// Calls that their clients withdrew, or left by closing.
     withdrawn,
