--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -1,7 +1,7 @@
 //! The scheduler round the decision module, without sockets or a clock of its own.
 //!
 //! Fronts hand in calls, back ends report how attempts and orders end, and the adapter round it carries out
-//! the [`Command`]s. Every method takes `now`. The core alone sees to it that each taken call has exactly
+//! the [`Command`]s. Every method takes `now`. The scheduler alone sees to it that each taken call has exactly
 //! one final answer, whatever the front or the back end.
 
 mod counters;
@@ -9,7 +9,7 @@
 pub use counters::Counters;
 
 use crate::model::*;
-use crate::policy::Balancer;
+use crate::policy::Policy;
 use crate::settings::Site;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::rc::Rc;
@@ -21,21 +21,21 @@
 /// The limit where none is told.
 const MEMORY: usize = 192 << 20;
 /// A probe that is not answered by then has failed: the simulator's limit and what sockets are allowed more.
-const PROBE_LIMIT: Span = Span::millis(300);
-/// So long after its deadline a call that the module has not ended is failed by the core: the one answer is
+const PROBE_LIMIT: Span = Span::from_millis(300);
+/// So long after its deadline a call that the module has not ended is failed by the scheduler: the one answer is
 /// owed whatever the module does, and clients allow 50 ms more than their deadline.
-const BACKSTOP: Span = Span::millis(20);
+const BACKSTOP: Span = Span::from_millis(20);
 /// Functions remembered as called: those of the present span, up to a number, and of the one before. Clients may
 /// name ever new ones, and only orders for what is called are of use.
-const CALLED: (Span, usize) = (Span::millis(60_000), 1 << 14);
+const CALLED: (Span, usize) = (Span::from_millis(60_000), 1 << 14);
 /// Orders to load that are remembered where no ration is set.
-const ORDERED: Span = Span::millis(60_000);
+const ORDERED: Span = Span::from_millis(60_000);
 /// A keyed repeat must be written this long before its group forgets.
-const KEY_MARGIN: Span = Span::millis(50);
+const KEY_MARGIN: Span = Span::from_millis(50);
 
 /// A call's place at its front: a connection and a number of the front's choosing there.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Owner {
+pub struct RequestOrigin {
     /// The connection, never used twice.
     pub connection: u64,
     /// The call on it.
@@ -44,11 +44,11 @@
 
 /// A call as a front has read it.
 #[derive(Clone, Debug)]
-pub struct Incoming {
+pub struct ClientRequest {
     /// Where the answer goes.
-    pub owner: Owner,
+    pub origin: RequestOrigin,
     /// The client's name for this try; workers see it unchanged.
-    pub reference: String,
+    pub correlation_id: String,
     /// Name of the class.
     pub class: String,
     /// The function called.
@@ -58,7 +58,7 @@
     /// Memory of one copy, in MB.
     pub memory_mb: f64,
     /// Calls that one copy runs at a time.
-    pub lanes: f64,
+    pub concurrency: f64,
     /// Usual time of a load, where told.
     pub load_time: Option<Span>,
     /// When the client gives up.
@@ -69,9 +69,9 @@
 
 /// What every attempt of a call carries to a worker.
 #[derive(Debug)]
-pub struct Work {
+pub struct RequestPayload {
     /// The client's name for the try.
-    pub reference: String,
+    pub correlation_id: String,
     /// Name of the class.
     pub class: String,
     /// The function.
@@ -93,37 +93,37 @@
 
 /// One order to load.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct OrderId(pub u64);
+pub struct LoadOrderId(pub u64);
 
 /// One probe.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct ProbeId(pub u64);
+pub struct HealthCheckId(pub u64);
 
 /// How far an attempt or an order had come when it broke. This alone decides whether a repeat is safe.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Reached {
+pub enum WriteProgress {
     /// No byte was handed to the system.
     NotSent,
     /// Some bytes, not all: what arrives cannot be read, so it never ran.
-    PartlyWritten,
+    PartiallyWritten,
     /// All of it: it may have run.
-    Out,
+    Written,
     /// An answer came that could not be used.
     Answered,
 }
 
 /// An attempt or order that ended without a usable answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Broken {
+pub struct AttemptError {
     /// How far it had come.
-    pub reached: Reached,
+    pub progress: WriteProgress,
     /// What broke, for the log.
     pub cause: &'static str,
 }
 
 /// What a worker said of an attempt.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Reply {
+pub enum WorkerResponse {
     /// Done, with its body.
     Ok(Vec<u8>),
     /// The function is not loaded there.
@@ -138,22 +138,22 @@
 
 /// What a worker said of an order to load.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Standing {
+pub struct LoadResult {
     /// How it ended.
     pub status: Status,
     /// Copies that stand.
-    pub copies: u32,
+    pub instances: u32,
 }
 
 /// How a call ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Verdict {
+pub enum Outcome {
     /// With a worker's body.
     Served(Vec<u8>),
-    /// Not done; trying again is harmless after the cooldown.
-    Refused {
+    /// Not done; trying again is harmless after the retry_after.
+    Rejected {
         /// How long to stay away.
-        cooldown: Span,
+        retry_after: Span,
     },
     /// Failed, promising nothing.
     Failed,
@@ -161,9 +161,9 @@
 
 /// The one final answer of a call.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Answer {
+pub struct Response {
     /// How it ended.
-    pub verdict: Verdict,
+    pub outcome: Outcome,
     /// It ended because its time was up.
     pub expired: bool,
 }
@@ -172,11 +172,11 @@
 #[derive(Clone, Debug)]
 pub enum Command {
     /// Give a call its final answer.
-    Answer {
+    Respond {
         /// Where to.
-        owner: Owner,
+        origin: RequestOrigin,
         /// What.
-        answer: Answer,
+        response: Response,
     },
     /// Start an attempt.
     Send {
@@ -185,39 +185,39 @@
         /// Where to.
         worker: WorkerId,
         /// What it carries.
-        work: Rc<Work>,
+        payload: Rc<RequestPayload>,
         /// When its answer is no longer waited for.
         deadline: Time,
     },
     /// Give an attempt up.
-    Halt {
+    Cancel {
         /// Which.
         attempt: AttemptId,
         /// Where it went.
         worker: WorkerId,
     },
     /// Order a load.
-    Stage {
+    Load {
         /// Which order.
-        order: OrderId,
+        order: LoadOrderId,
         /// Where.
         worker: WorkerId,
         /// What.
         function: FunctionId,
         /// How many copies are to stand.
-        copies: u8,
+        instances: u8,
     },
     /// Ask whether a worker lives.
-    Probe {
+    HealthCheck {
         /// Which probe.
-        probe: ProbeId,
+        check: HealthCheckId,
         /// Where.
         worker: WorkerId,
         /// When its answer is no longer waited for.
         deadline: Time,
     },
     /// Unload the idle copies.
-    Purge {
+    Unload {
         /// Where.
         worker: WorkerId,
         /// What.
@@ -226,9 +226,9 @@
 }
 
 struct Taken {
-    owner: Owner,
-    work: Rc<Work>,
-    effect: Effect,
+    origin: RequestOrigin,
+    work: Rc<RequestPayload>,
+    effect: Idempotency,
     deadline: Time,
     attempts: u16,
     /// When the first attempt that may have run was written.
@@ -256,15 +256,15 @@
     Wake,
     Call(RequestId),
     Attempt(AttemptId),
-    Order(OrderId),
-    Probe(ProbeId),
+    Order(LoadOrderId),
+    Probe(HealthCheckId),
 }
 
 /// The scheduler. See the module's page.
 ///
 /// ```
-/// use function_scheduler::scheduler::{Command, Core, Incoming, Owner, Reply, Verdict};
-/// use function_scheduler::{FunctionId, ListKind, Member, Time, WorkerId};
+/// use function_scheduler::scheduler::{Command, Scheduler, ClientRequest, RequestOrigin, WorkerResponse, Outcome};
+/// use function_scheduler::{FunctionId, EndpointUpdateKind, Endpoint, Time, WorkerId};
 ///
 /// let site = function_scheduler::settings::read_site(br#"{"fleetSize": 1, "index": 0,
 ///   "classes": [{"name": "check", "deadlineNs": 3000000000, "effect": "retryable",
@@ -272,33 +272,33 @@
 ///   "bounds": {"mostTries": 3},
 ///   "contract": {"coldFrom": 0.2, "coldNs": 9000000000, "fallMultiple": 3, "fallNs": 2000000000},
 ///   "familyInfo": {"keepNs": 9000000000, "notLoaded": "load", "loadSpanNs": 0}}"#).unwrap();
-/// let mut core = Core::new(site, 7);
-/// core.members(Time(0), ListKind::Full, vec![Member { worker: WorkerId(1), ..Member::default() }]);
-/// let owner = Owner { connection: 1, stream: 1 };
-/// core.call(Time(0), Incoming {
-///     owner, reference: "9b1f03aa5c7e2d41".into(), class: "check".into(), function: FunctionId(9), key: None,
-///     memory_mb: 400.0, lanes: 2.0, load_time: None, deadline: Time(3_000_000_000), body: vec![],
+/// let mut scheduler = Scheduler::new(site, 7);
+/// scheduler.update_endpoints(Time(0), EndpointUpdateKind::Full, vec![Endpoint { worker: WorkerId(1), ..Endpoint::default() }]);
+/// let origin = RequestOrigin { connection: 1, stream: 1 };
+/// scheduler.submit(Time(0), ClientRequest {
+///     origin, correlation_id: "9b1f03aa5c7e2d41".into(), class: "check".into(), function: FunctionId(9), key: None,
+///     memory_mb: 400.0, concurrency: 2.0, load_time: None, deadline: Time(3_000_000_000), body: vec![],
 /// });
-/// let Some(Command::Send { attempt, .. }) = core.next_command() else { panic!("it is sent") };
-/// core.written(Time(1), attempt);
-/// core.attempt_ended(Time(2), attempt, Ok(Reply::Ok(b"4 of 5".to_vec())));
-/// let Some(Command::Answer { answer, .. }) = core.next_command() else { panic!("it is answered") };
-/// assert_eq!(answer.verdict, Verdict::Served(b"4 of 5".to_vec()));
+/// let Some(Command::Send { attempt, .. }) = scheduler.next_command() else { panic!("it is sent") };
+/// scheduler.attempt_written(Time(1), attempt);
+/// scheduler.attempt_ended(Time(2), attempt, Ok(WorkerResponse::Ok(b"4 of 5".to_vec())));
+/// let Some(Command::Respond { response, .. }) = scheduler.next_command() else { panic!("it is answered") };
+/// assert_eq!(response.outcome, Outcome::Served(b"4 of 5".to_vec()));
 /// ```
-pub struct Core {
+pub struct Scheduler {
     site: Site,
-    balancer: Balancer,
+    policy: Policy,
     next_request: u32,
     next_order: u64,
     requests: BTreeMap<RequestId, Taken>,
-    owners: HashMap<Owner, RequestId>,
+    origins: HashMap<RequestOrigin, RequestId>,
     /// The clients' names for the open calls.
     names: HashSet<String>,
     attempts: BTreeMap<AttemptId, Attempt>,
-    orders: BTreeMap<OrderId, Order>,
-    probes: BTreeMap<ProbeId, (WorkerId, Time)>,
+    orders: BTreeMap<LoadOrderId, Order>,
+    probes: BTreeMap<HealthCheckId, (WorkerId, Time)>,
     /// What the list tells of each worker on it.
-    told: BTreeMap<WorkerId, State>,
+    told: BTreeMap<WorkerId, EndpointState>,
     due: BTreeSet<(Time, Due)>,
     commands: VecDeque<Command>,
     backlog: VecDeque<Event>,
@@ -314,16 +314,16 @@
     counters: Counters,
 }
 
-impl Core {
+impl Scheduler {
     /// A scheduler that knows nothing but its settings. The seed decides all ties.
-    pub fn new(site: Site, seed: u64) -> Core {
-        Core {
-            balancer: Balancer::new(site.settings.clone(), seed),
+    pub fn new(site: Site, seed: u64) -> Scheduler {
+        Scheduler {
+            policy: Policy::new(site.settings.clone(), seed),
             site,
             next_request: 0,
             next_order: 0,
             requests: BTreeMap::new(),
-            owners: HashMap::new(),
+            origins: HashMap::new(),
             names: HashSet::new(),
             attempts: BTreeMap::new(),
             orders: BTreeMap::new(),
@@ -349,14 +349,14 @@
     }
 
     /// Memory that the scheduler may take, in bytes.
-    pub fn limit_memory(&mut self, bytes: usize) {
+    pub fn set_memory_limit(&mut self, bytes: usize) {
         self.memory = bytes;
     }
 
     /// Whether a line that a client has caused is to be logged: clients at full speed must not have the
     /// scheduler write, and wait for whoever reads its log, all the time.
     pub fn may_log(&mut self, now: Time) -> bool {
-        if now - self.logged.0 >= Span::millis(1_000) {
+        if now - self.logged.0 >= Span::from_millis(1_000) {
             self.logged = (now, 0);
         }
         self.logged.1 += 1;
@@ -365,9 +365,9 @@
     }
 
     /// A new configuration: calls under way go on as they were taken, by the new figures.
-    pub fn replace_site(&mut self, now: Time, site: Site) {
+    pub fn reconfigure(&mut self, now: Time, site: Site) {
         self.site = self.site.replaced_by(site);
-        self.balancer.configure(self.site.settings.clone());
+        self.policy.configure(self.site.settings.clone());
         self.settle(now);
     }
 
@@ -377,22 +377,22 @@
     }
 
     /// Calls that are owed an answer.
-    pub fn owed(&self) -> usize {
+    pub fn open_requests(&self) -> usize {
         self.requests.len()
     }
 
     /// Orders to load that are remembered for the ration.
-    pub fn orders_remembered(&self) -> usize {
+    pub fn load_orders_remembered(&self) -> usize {
         self.ordered.len()
     }
 
     /// Attempts that are out or wait to go out.
-    pub fn attempts_out(&self) -> usize {
+    pub fn attempts_in_flight(&self) -> usize {
         self.attempts.len()
     }
 
     /// Whether an attempt is one of these.
-    pub fn is_out(&self, attempt: AttemptId) -> bool {
+    pub fn is_in_flight(&self, attempt: AttemptId) -> bool {
         self.attempts.contains_key(&attempt)
     }
 
@@ -402,43 +402,43 @@
     }
 
     /// When [`Core::wake`] is to be called next.
-    pub fn next_due(&self) -> Option<Time> {
+    pub fn next_timer(&self) -> Option<Time> {
         self.due.first().map(|(at, _)| *at)
     }
 
     // ---- Events in
 
     /// News of the list of workers.
-    pub fn members(&mut self, now: Time, kind: ListKind, members: Vec<Member>) {
-        if matches!(kind, ListKind::Full | ListKind::Cached) {
+    pub fn update_endpoints(&mut self, now: Time, kind: EndpointUpdateKind, members: Vec<Endpoint>) {
+        if matches!(kind, EndpointUpdateKind::Full | EndpointUpdateKind::Cached) {
             let listed: BTreeSet<WorkerId> = members.iter().map(|m| m.worker).collect();
             self.told.retain(|worker, _| listed.contains(worker));
         }
         for member in &members {
             match member.state {
-                State::Gone => drop(self.told.remove(&member.worker)),
+                EndpointState::Gone => drop(self.told.remove(&member.worker)),
                 state => drop(self.told.insert(member.worker, state)),
             }
         }
         self.counters.list_events += 1;
-        self.step(now, Event::Members(kind, members));
+        self.step(now, Event::EndpointsUpdated(kind, members));
     }
 
     /// A call has come in whole. From here on one final answer is owed.
-    pub fn call(&mut self, now: Time, call: Incoming) {
+    pub fn submit(&mut self, now: Time, call: ClientRequest) {
         self.counters.taken += 1;
         self.taken.push_back(now);
         let class = self.site.class(&call.class);
-        let Some(class) = class else { return self.answer(call.owner, Verdict::Failed, false) };
+        let Some(class) = class else { return self.answer(call.origin, Outcome::Failed, false) };
         // A name that is open already would make two calls' answers look alike at a worker.
-        if self.names.contains(&call.reference) {
-            return self.answer(call.owner, Verdict::Failed, false);
+        if self.names.contains(&call.correlation_id) {
+            return self.answer(call.origin, Outcome::Failed, false);
         }
-        let full =
-            self.requests.len() >= self.site.max_open || self.bodies + call.body.len() > self.memory / BODIES;
-        if full || call.deadline <= now || self.owners.contains_key(&call.owner) {
-            let cooldown = self.advice();
-            return self.answer(call.owner, Verdict::Refused { cooldown }, call.deadline <= now);
+        let full = self.requests.len() >= self.site.max_open_requests
+            || self.bodies + call.body.len() > self.memory / BODIES;
+        if full || call.deadline <= now || self.origins.contains_key(&call.origin) {
+            let retry_after = self.default_retry_after();
+            return self.answer(call.origin, Outcome::Rejected { retry_after }, call.deadline <= now);
         }
         let id = RequestId(self.next_request);
         self.next_request = self.next_request.wrapping_add(1);
@@ -448,44 +448,44 @@
         }
         self.called[0].insert(call.function);
         self.bodies += call.body.len();
-        self.names.insert(call.reference.clone());
-        let work = Rc::new(Work {
-            reference: call.reference,
+        self.names.insert(call.correlation_id.clone());
+        let work = Rc::new(RequestPayload {
+            correlation_id: call.correlation_id,
             class: call.class,
             function: call.function,
             key: call.key,
             body: call.body,
         });
-        let effect = self.site.settings.classes[class].effect;
-        let (owner, deadline) = (call.owner, call.deadline);
-        self.requests.insert(id, Taken { owner, work, effect, deadline, attempts: 0, first_out: None });
-        self.owners.insert(owner, id);
+        let effect = self.site.settings.classes[class].idempotency;
+        let (origin, deadline) = (call.origin, call.deadline);
+        self.requests.insert(id, Taken { origin, work, effect, deadline, attempts: 0, first_out: None });
+        self.origins.insert(origin, id);
         self.due.insert((deadline + BACKSTOP, Due::Call(id)));
         self.step(
             now,
-            Event::Call(Call {
+            Event::RequestReceived(IncomingRequest {
                 id,
                 function: call.function,
                 class: ClassId(class as u16),
                 tenant: TenantId(0),
                 remaining: deadline - now,
                 memory_mb: call.memory_mb,
-                lanes: call.lanes,
+                concurrency: call.concurrency,
                 load_time: call.load_time,
             }),
         );
     }
 
     /// Nobody waits for this call any more.
-    pub fn withdraw(&mut self, now: Time, owner: Owner) {
-        let Some(id) = self.owners.get(&owner).copied() else { return };
+    pub fn cancel(&mut self, now: Time, origin: RequestOrigin) {
+        let Some(id) = self.origins.get(&origin).copied() else { return };
         self.counters.withdrawn += 1;
         self.forget(id);
-        self.step(now, Event::ClientGone(id));
+        self.step(now, Event::ClientDisconnected(id));
     }
 
     /// An attempt has been handed to the system whole.
-    pub fn written(&mut self, now: Time, attempt: AttemptId) {
+    pub fn attempt_written(&mut self, now: Time, attempt: AttemptId) {
         let Some(entry) = self.attempts.get_mut(&attempt) else { return };
         entry.written = Some(now);
         self.counters.sent += 1;
@@ -496,30 +496,30 @@
 
     /// What a worker tells of its load with the answer to this attempt, which comes next. A report that does not
     /// give all the values that the settings name is left out: the module knows them by their places.
-    pub fn load_told(&mut self, attempt: AttemptId, told: &[(String, f32)]) {
+    pub fn record_load_report(&mut self, attempt: AttemptId, told: &[(String, f32)]) {
         let value = |name: &String| told.iter().find(|(told, _)| told == name).map(|(_, value)| *value);
-        let report = self.site.gauges.iter().map(value).collect::<Option<Vec<f32>>>();
+        let report = self.site.load_metric_names.iter().map(value).collect::<Option<Vec<f32>>>();
         if let (Some(entry), Some(report)) = (self.attempts.get_mut(&attempt), report) {
             entry.report = report;
         }
     }
 
     /// An attempt has ended at its worker, or broke on the way.
-    pub fn attempt_ended(&mut self, now: Time, id: AttemptId, end: Result<Reply, Broken>) {
+    pub fn attempt_ended(&mut self, now: Time, id: AttemptId, end: Result<WorkerResponse, AttemptError>) {
         let Some(attempt) = self.attempts.get(&id) else { return };
         let (written, mut body) = (attempt.written, None);
         let status = match end {
             Ok(reply) => {
                 let status = status_of(&reply);
-                if let Reply::Ok(bytes) = reply {
+                if let WorkerResponse::Ok(bytes) = reply {
                     body = Some(bytes);
                 }
                 status
             }
-            Err(broken) => match broken.reached {
-                Reached::NotSent | Reached::PartlyWritten => Status::ConnectFailed,
-                Reached::Out => Status::Reset,
-                Reached::Answered => Status::Error,
+            Err(broken) => match broken.progress {
+                WriteProgress::NotSent | WriteProgress::PartiallyWritten => Status::ConnectFailed,
+                WriteProgress::Written => Status::Reset,
+                WriteProgress::Answered => Status::Error,
             },
         };
         self.counters.end(status);
@@ -530,9 +530,9 @@
             taken.first_out = None;
         }
         if let Some(bytes) = body
-            && let Some(owner) = self.forget(id.request)
+            && let Some(origin) = self.forget(id.request)
         {
-            self.answer(owner, Verdict::Served(bytes), false);
+            self.answer(origin, Outcome::Served(bytes), false);
         }
         self.end_attempt(now, id, status);
         self.settle(now);
@@ -540,7 +540,7 @@
 
     /// An attempt that never left, for a reason of our own: it was no longer allowed, or there was nothing to
     /// send it on. It says nothing of the worker, unlike a connection that could not be made.
-    pub fn attempt_held(&mut self, now: Time, id: AttemptId) {
+    pub fn attempt_not_sent(&mut self, now: Time, id: AttemptId) {
         if self.attempts.contains_key(&id) {
             self.counters.end(Status::Moot);
             self.end_attempt(now, id, Status::Moot);
@@ -549,68 +549,70 @@
     }
 
     /// An order to load has ended at its worker, or broke on the way.
-    pub fn order_ended(&mut self, now: Time, id: OrderId, end: Result<Standing, Broken>) {
+    pub fn load_order_ended(&mut self, now: Time, id: LoadOrderId, end: Result<LoadResult, AttemptError>) {
         let standing = end.unwrap_or_else(|broken| {
-            let status = match broken.reached {
-                Reached::NotSent | Reached::PartlyWritten => Status::ConnectFailed,
-                Reached::Out => Status::Reset,
-                Reached::Answered => Status::Error,
+            let status = match broken.progress {
+                WriteProgress::NotSent | WriteProgress::PartiallyWritten => Status::ConnectFailed,
+                WriteProgress::Written => Status::Reset,
+                WriteProgress::Answered => Status::Error,
             };
-            Standing { status, copies: 0 }
+            LoadResult { status, instances: 0 }
         });
         self.end_order(now, id, standing);
         self.settle(now);
     }
 
     /// An order to load that never left, for a reason of our own; see [`Core::attempt_held`].
-    pub fn order_held(&mut self, now: Time, id: OrderId) {
-        self.end_order(now, id, Standing { status: Status::Moot, copies: 0 });
+    pub fn load_order_not_sent(&mut self, now: Time, id: LoadOrderId) {
+        self.end_order(now, id, LoadResult { status: Status::Moot, instances: 0 });
         self.settle(now);
     }
 
     /// A probe has been answered, or broke on the way.
-    pub fn probe_ended(&mut self, now: Time, id: ProbeId, end: Result<(), Broken>) {
+    pub fn health_check_ended(&mut self, now: Time, id: HealthCheckId, end: Result<(), AttemptError>) {
         let status = end.map_or(Status::Reset, |()| Status::Ok);
         self.end_probe(id, status);
         self.settle(now);
     }
 
     /// The time told by [`Core::next_due`] has come.
-    pub fn wake(&mut self, now: Time) {
+    pub fn fire_timers(&mut self, now: Time) {
         while let Some(&(at, due)) = self.due.first().filter(|(at, _)| *at <= now) {
             self.due.remove(&(at, due));
             match due {
-                Due::Wake => self.backlog.push_back(Event::Wake),
+                Due::Wake => self.backlog.push_back(Event::TimerFired),
                 Due::Call(id) => {
                     self.settle(now);
                     if self.requests.contains_key(&id) {
                         self.counters.overdue += 1;
-                        self.conclude(now, id, Verdict::Failed);
-                        self.backlog.push_back(Event::ClientGone(id));
+                        self.conclude(now, id, Outcome::Failed);
+                        self.backlog.push_back(Event::ClientDisconnected(id));
                     }
                 }
                 Due::Attempt(id) => {
                     let Some(attempt) = self.attempts.get(&id) else { continue };
-                    self.commands.push_back(Command::Halt { attempt: id, worker: attempt.worker });
+                    self.commands.push_back(Command::Cancel { attempt: id, worker: attempt.worker });
                     self.counters.end(Status::Timeout);
                     self.end_attempt(now, id, Status::Timeout);
                 }
                 Due::Probe(id) => self.end_probe(id, Status::Timeout),
-                Due::Order(id) => self.end_order(now, id, Standing { status: Status::Timeout, copies: 0 }),
+                Due::Order(id) => {
+                    self.end_order(now, id, LoadResult { status: Status::Timeout, instances: 0 })
+                }
             }
         }
         self.settle(now);
     }
 
     /// How long a client is told to stay away where the module has not said.
-    pub fn advice(&self) -> Span {
-        self.site.settings.limits.retry_after.unwrap_or(Span(0))
+    pub fn default_retry_after(&self) -> Span {
+        self.site.settings.permissions.max_retry_after.unwrap_or(Span(0))
     }
 
     /// Counts a call that its front has answered by itself because it could not be taken.
-    pub fn turned_away(&mut self, verdict: &Verdict) {
-        match verdict {
-            Verdict::Refused { .. } => self.counters.turned_away_refused += 1,
+    pub fn count_local_rejection(&mut self, outcome: &Outcome) {
+        match outcome {
+            Outcome::Rejected { .. } => self.counters.turned_away_refused += 1,
             _ => self.counters.turned_away_failed += 1,
         }
     }
@@ -619,20 +621,20 @@
 
     /// Whether an attempt may still go out: it may have waited for its connection while its request ended,
     /// its worker began to drain or its key's window passed.
-    pub fn may_write(&self, now: Time, id: AttemptId) -> bool {
+    pub fn admits_write(&self, now: Time, id: AttemptId) -> bool {
         let Some(attempt) = self.attempts.get(&id).filter(|a| now < a.deadline) else { return false };
         let Some(taken) = self.requests.get(&id.request) else { return false };
         let in_window = match (taken.effect, taken.first_out) {
-            (_, None) | (Effect::Safe, _) => true,
-            (Effect::Unsafe, Some(_)) => false,
-            (Effect::Keyed { window, .. }, Some(first)) => now + KEY_MARGIN < first + window,
+            (_, None) | (Idempotency::Idempotent, _) => true,
+            (Idempotency::NonIdempotent, Some(_)) => false,
+            (Idempotency::Keyed { window, .. }, Some(first)) => now + KEY_MARGIN < first + window,
         };
         in_window && self.open_to_work(attempt.worker)
     }
 
     /// Whether an order may still go out, and counts it as gone out if so. The ration is looked at here
     /// too: orders that queued behind a slow connection must not bunch up in one window.
-    pub fn may_write_order(&mut self, now: Time, id: OrderId) -> bool {
+    pub fn admits_load_order(&mut self, now: Time, id: LoadOrderId) -> bool {
         let Some(order) = self.orders.get(&id) else { return false };
         if order.copies == 0 {
             return true;
@@ -643,13 +645,13 @@
             return false;
         }
         // Without a ration too, for a new configuration may bring one; but none looks back for ever.
-        let ration = self.site.settings.rules.ration;
-        let since = now - ration.map_or(ORDERED, |ration| ration.span);
+        let ration = self.site.settings.safety_limits.load_rate_limit;
+        let since = now - ration.map_or(ORDERED, |ration| ration.window);
         self.ordered.retain(|at| *at >= since);
         if let Some(ration) = ration {
-            let since = now - ration.span;
+            let since = now - ration.window;
             self.taken.retain(|at| *at > since);
-            let room = ration.free + ration.share * self.taken.len() as f64;
+            let room = ration.burst + ration.per_request * self.taken.len() as f64;
             if self.ordered.len() as f64 + 1.0 > room {
                 self.counters.orders_rationed += 1;
                 return false;
@@ -663,7 +665,7 @@
     /// An event of the bus counts as told from the moment it is in the bus, which may be long before it was
     /// heard here. So nothing that still waits is written once a drain is known, whatever grace there is.
     fn open_to_work(&self, worker: WorkerId) -> bool {
-        self.told.get(&worker) == Some(&State::Ready)
+        self.told.get(&worker) == Some(&EndpointState::Ready)
     }
 
     // ---- Inside
@@ -677,13 +679,15 @@
     fn settle(&mut self, now: Time) {
         let mut actions = Vec::new();
         while let Some(event) = self.backlog.pop_front() {
-            self.balancer.handle(now, event, &mut actions);
+            self.policy.handle(now, event, &mut actions);
             for action in actions.drain(..) {
                 self.carry_out(now, action);
             }
         }
-        let Some(ration) = self.site.settings.rules.ration else { return self.taken.clear() };
-        while self.taken.front().is_some_and(|at| *at + ration.span < now) {
+        let Some(ration) = self.site.settings.safety_limits.load_rate_limit else {
+            return self.taken.clear();
+        };
+        while self.taken.front().is_some_and(|at| *at + ration.window < now) {
             self.taken.pop_front();
         }
     }
@@ -701,110 +705,118 @@
                     Attempt { worker, decided: now, deadline, written: None, report: vec![] },
                 );
                 self.due.insert((deadline, Due::Attempt(attempt)));
-                self.commands.push_back(Command::Send { attempt, worker, work, deadline });
+                self.commands.push_back(Command::Send { attempt, worker, payload: work, deadline });
             }
             Action::Cancel { id, attempt } => {
                 let id = AttemptId { request: id, number: attempt };
                 let Some(attempt) = self.attempts.get(&id) else { return };
-                self.commands.push_back(Command::Halt { attempt: id, worker: attempt.worker });
+                self.commands.push_back(Command::Cancel { attempt: id, worker: attempt.worker });
                 self.counters.end(Status::Cancelled);
                 self.end_attempt(now, id, Status::Cancelled);
             }
-            Action::Refuse { id, wait } => self.conclude(now, id, Verdict::Refused { cooldown: wait }),
-            Action::Fail { id } => self.conclude(now, id, Verdict::Failed),
-            Action::Load { worker, function, copies } => {
-                let order = OrderId(self.next_order);
+            Action::Reject { id, retry_after: wait } => {
+                self.conclude(now, id, Outcome::Rejected { retry_after: wait })
+            }
+            Action::Fail { id } => self.conclude(now, id, Outcome::Failed),
+            Action::Load { worker, function, instances: copies } => {
+                let order = LoadOrderId(self.next_order);
                 self.next_order += 1;
                 self.orders.insert(order, Order { worker, function, copies, decided: now });
-                self.due.insert((now + self.site.load_wait, Due::Order(order)));
-                self.commands.push_back(Command::Stage { order, worker, function, copies });
+                self.due.insert((now + self.site.load_timeout, Due::Order(order)));
+                self.commands.push_back(Command::Load { order, worker, function, instances: copies });
             }
-            Action::Probe { worker } => {
-                let probe = ProbeId(self.next_order);
+            Action::HealthCheck { worker } => {
+                let probe = HealthCheckId(self.next_order);
                 self.next_order += 1;
                 let deadline = now + PROBE_LIMIT;
                 self.probes.insert(probe, (worker, deadline));
                 self.due.insert((deadline, Due::Probe(probe)));
                 self.counters.probes += 1;
-                self.commands.push_back(Command::Probe { probe, worker, deadline });
+                self.commands.push_back(Command::HealthCheck { check: probe, worker, deadline });
             }
             Action::Unload { worker, function } => {
-                self.commands.push_back(Command::Purge { worker, function });
+                self.commands.push_back(Command::Unload { worker, function });
             }
-            Action::Wake { after } => drop(self.due.insert((now + after, Due::Wake))),
+            Action::SetTimer { delay: after } => drop(self.due.insert((now + after, Due::Wake))),
             // The list is pushed on sockets.
             Action::Subscribe => {}
         }
     }
 
-    fn conclude(&mut self, now: Time, id: RequestId, verdict: Verdict) {
+    fn conclude(&mut self, now: Time, id: RequestId, outcome: Outcome) {
         let Some(taken) = self.requests.get(&id) else { return };
         let expired = now + self.site.settings.tick >= taken.deadline;
-        let owner = taken.owner;
+        let origin = taken.origin;
         self.forget(id);
-        self.answer(owner, verdict, expired);
+        self.answer(origin, outcome, expired);
     }
 
-    fn answer(&mut self, owner: Owner, verdict: Verdict, expired: bool) {
-        match &verdict {
-            Verdict::Served(_) => self.counters.served += 1,
-            Verdict::Refused { .. } => self.counters.refused += 1,
-            Verdict::Failed => self.counters.failed += 1,
+    fn answer(&mut self, origin: RequestOrigin, outcome: Outcome, expired: bool) {
+        match &outcome {
+            Outcome::Served(_) => self.counters.served += 1,
+            Outcome::Rejected { .. } => self.counters.refused += 1,
+            Outcome::Failed => self.counters.failed += 1,
         }
-        self.commands.push_back(Command::Answer { owner, answer: Answer { verdict, expired } });
+        self.commands.push_back(Command::Respond { origin, response: Response { outcome, expired } });
     }
 
-    fn forget(&mut self, id: RequestId) -> Option<Owner> {
+    fn forget(&mut self, id: RequestId) -> Option<RequestOrigin> {
         let taken = self.requests.remove(&id)?;
         self.bodies -= taken.work.body.len();
-        self.names.remove(&taken.work.reference);
+        self.names.remove(&taken.work.correlation_id);
         self.due.remove(&(taken.deadline + BACKSTOP, Due::Call(id)));
-        self.owners.remove(&taken.owner);
-        Some(taken.owner)
+        self.origins.remove(&taken.origin);
+        Some(taken.origin)
     }
 
     fn end_attempt(&mut self, now: Time, id: AttemptId, status: Status) {
         let Some(attempt) = self.attempts.remove(&id) else { return };
         self.due.remove(&(attempt.deadline, Due::Attempt(id)));
         let finished = !self.requests.contains_key(&id.request);
-        self.backlog.push_back(Event::Outcome(Outcome {
+        self.backlog.push_back(Event::AttemptFinished(AttemptOutcome {
             id: id.request,
             attempt: id.number,
             status,
             latency: now - attempt.decided,
-            finished,
-            copy: CopyNote::Untold,
-            company: 0,
-            report: attempt.report,
+            request_finished: finished,
+            instance_state: InstanceState::Unknown,
+            function_in_flight: 0,
+            load_report: attempt.report,
         }));
     }
 
-    fn end_probe(&mut self, id: ProbeId, status: Status) {
+    fn end_probe(&mut self, id: HealthCheckId, status: Status) {
         let Some((worker, deadline)) = self.probes.remove(&id) else { return };
         self.due.remove(&(deadline, Due::Probe(id)));
         if status != Status::Ok {
             self.counters.probes_unanswered += 1;
         }
-        self.backlog.push_back(Event::Probed(worker, status));
+        self.backlog.push_back(Event::HealthCheckFinished(worker, status));
     }
 
-    fn end_order(&mut self, now: Time, id: OrderId, standing: Standing) {
+    fn end_order(&mut self, now: Time, id: LoadOrderId, standing: LoadResult) {
         let Some(order) = self.orders.remove(&id) else { return };
-        self.due.remove(&(order.decided + self.site.load_wait, Due::Order(id)));
+        self.due.remove(&(order.decided + self.site.load_timeout, Due::Order(id)));
         let (worker, function) = (order.worker, order.function);
-        let (copies, status, latency) = (standing.copies, standing.status, now - order.decided);
-        self.backlog.push_back(Event::Loaded(Loaded { worker, function, copies, status, latency }));
+        let (copies, status, latency) = (standing.instances, standing.status, now - order.decided);
+        self.backlog.push_back(Event::LoadFinished(LoadOutcome {
+            worker,
+            function,
+            instances: copies,
+            status,
+            latency,
+        }));
     }
 }
 
 /// What a worker's word means to the module.
-pub(crate) fn status_of(reply: &Reply) -> Status {
+pub(crate) fn status_of(reply: &WorkerResponse) -> Status {
     match reply {
-        Reply::Ok(_) => Status::Ok,
-        Reply::Miss => Status::Miss,
-        Reply::Full => Status::Full,
-        Reply::Error => Status::Error,
-        Reply::Expired => Status::Moot,
+        WorkerResponse::Ok(_) => Status::Ok,
+        WorkerResponse::Miss => Status::Miss,
+        WorkerResponse::Full => Status::Full,
+        WorkerResponse::Error => Status::Error,
+        WorkerResponse::Expired => Status::Moot,
     }
 }
 
@@ -815,7 +827,7 @@
     const MS: fn(u64) -> Time = |ms| Time(1_000_000_000_000 + ms * 1_000_000);
     const FUNCTION: FunctionId = FunctionId(9);
 
-    fn core() -> Core {
+    fn scheduler() -> Scheduler {
         let site = crate::settings::read_site(
             br#"{"fleetSize": 1, "index": 0, "tickNs": 2000000, "classes": [
                 {"name": "safe", "deadlineNs": 3000000000, "effect": "retryable", "objectiveNs": 1000000000},
@@ -827,31 +839,31 @@
               "familyInfo": {"keepNs": 9000000000, "notLoaded": "load", "mayOrder": true,
                 "loadSpanNs": 5000000000, "loadsAnyway": 3, "loadPart": 0.3}}"#,
         );
-        let mut core = Core::new(site.unwrap(), 7);
-        let member = |n| Member { worker: WorkerId(n), weight: 1.0, ..Member::default() };
-        core.members(MS(0), ListKind::Full, vec![member(1), member(2)]);
-        core
+        let mut scheduler = Scheduler::new(site.unwrap(), 7);
+        let member = |n| Endpoint { worker: WorkerId(n), weight: 1.0, ..Endpoint::default() };
+        scheduler.update_endpoints(MS(0), EndpointUpdateKind::Full, vec![member(1), member(2)]);
+        scheduler
     }
 
-    fn call(core: &mut Core, stream: u64, class: &str) -> Vec<Command> {
-        let owner = Owner { connection: 1, stream };
+    fn call(scheduler: &mut Scheduler, stream: u64, class: &str) -> Vec<Command> {
+        let origin = RequestOrigin { connection: 1, stream };
         let (reference, class) = (format!("{stream:016x}"), class.to_owned());
-        core.call(
+        scheduler.submit(
             MS(0),
-            Incoming {
-                owner,
-                reference,
+            ClientRequest {
+                origin,
+                correlation_id: reference,
                 class,
                 function: FUNCTION,
                 key: None,
                 memory_mb: 100.0,
-                lanes: 2.0,
+                concurrency: 2.0,
                 load_time: None,
                 deadline: MS(3000),
                 body: vec![],
             },
         );
-        std::iter::from_fn(|| core.next_command()).collect()
+        std::iter::from_fn(|| scheduler.next_command()).collect()
     }
 
     fn sent(commands: &[Command]) -> (AttemptId, WorkerId) {
@@ -862,14 +874,14 @@
         send.expect("it is sent")
     }
 
-    fn broken(reached: Reached) -> Result<Reply, Broken> {
-        Err(Broken { reached, cause: "test" })
+    fn broken(reached: WriteProgress) -> Result<WorkerResponse, AttemptError> {
+        Err(AttemptError { progress: reached, cause: "test" })
     }
 
-    fn load(core: &mut Core, now: Time) -> OrderId {
-        core.carry_out(now, Action::Load { worker: WorkerId(1), function: FUNCTION, copies: 1 });
-        match core.next_command() {
-            Some(Command::Stage { order, .. }) => order,
+    fn load(scheduler: &mut Scheduler, now: Time) -> LoadOrderId {
+        scheduler.carry_out(now, Action::Load { worker: WorkerId(1), function: FUNCTION, instances: 1 });
+        match scheduler.next_command() {
+            Some(Command::Load { order, .. }) => order,
             other => panic!("{other:?}"),
         }
     }
@@ -877,58 +889,66 @@
     /// A send that waited for its connection while its worker began to drain must not go out.
     #[test]
     fn what_queued_is_held_back_after_a_drain() {
-        let mut core = core();
-        let (attempt, worker) = sent(&call(&mut core, 1, "safe"));
-        let order = load(&mut core, MS(0));
-        let draining = |worker| Member { worker, state: State::Draining, ..Member::default() };
-        assert!(core.may_write(MS(9), attempt));
-        core.members(MS(10), ListKind::Delta, vec![draining(worker), draining(WorkerId(1))]);
-        assert!(!core.may_write(MS(11), attempt));
-        assert!(!core.may_write_order(MS(11), order));
-        core.members(MS(12), ListKind::Delta, vec![Member { worker, ..Member::default() }]);
-        assert!(core.may_write(MS(12), attempt));
-        core.members(MS(13), ListKind::Full, vec![]);
-        assert!(!core.may_write(MS(13), attempt), "absent from the whole list is gone");
+        let mut scheduler = scheduler();
+        let (attempt, worker) = sent(&call(&mut scheduler, 1, "safe"));
+        let order = load(&mut scheduler, MS(0));
+        let draining = |worker| Endpoint { worker, state: EndpointState::Draining, ..Endpoint::default() };
+        assert!(scheduler.admits_write(MS(9), attempt));
+        scheduler.update_endpoints(
+            MS(10),
+            EndpointUpdateKind::Delta,
+            vec![draining(worker), draining(WorkerId(1))],
+        );
+        assert!(!scheduler.admits_write(MS(11), attempt));
+        assert!(!scheduler.admits_load_order(MS(11), order));
+        scheduler.update_endpoints(
+            MS(12),
+            EndpointUpdateKind::Delta,
+            vec![Endpoint { worker, ..Endpoint::default() }],
+        );
+        assert!(scheduler.admits_write(MS(12), attempt));
+        scheduler.update_endpoints(MS(13), EndpointUpdateKind::Full, vec![]);
+        assert!(!scheduler.admits_write(MS(13), attempt), "absent from the whole list is gone");
     }
 
     /// Orders that waited behind a slow connection must not bunch up beyond the ration.
     #[test]
     fn the_ration_holds_when_orders_are_written() {
-        let mut core = core();
+        let mut scheduler = scheduler();
         for stream in 0..10 {
-            call(&mut core, stream, "safe");
+            call(&mut scheduler, stream, "safe");
         }
-        let orders: Vec<OrderId> = (0..9).map(|_| load(&mut core, MS(0))).collect();
-        let written = orders.iter().filter(|order| core.may_write_order(MS(1), **order)).count();
+        let orders: Vec<LoadOrderId> = (0..9).map(|_| load(&mut scheduler, MS(0))).collect();
+        let written = orders.iter().filter(|order| scheduler.admits_load_order(MS(1), **order)).count();
         assert_eq!(written, 6, "3 and 30% of 10");
-        let late = load(&mut core, MS(5002));
-        assert!(core.may_write_order(MS(5002), late), "the window has moved on");
+        let late = load(&mut scheduler, MS(5002));
+        assert!(scheduler.admits_load_order(MS(5002), late), "the window has moved on");
     }
 
     #[test]
     fn only_functions_that_were_called_are_loaded() {
-        let mut core = core();
-        let order = load(&mut core, MS(0));
-        assert!(!core.may_write_order(MS(0), order));
+        let mut scheduler = scheduler();
+        let order = load(&mut scheduler, MS(0));
+        assert!(!scheduler.admits_load_order(MS(0), order));
     }
 
     /// The window counts from the first attempt that may have run, not from the latest.
     #[test]
     fn repeats_that_queued_keep_to_their_class() {
         let cases = [
-            ("keyed", Reached::Out, MS(900), true),
-            ("keyed", Reached::Out, MS(960), false),
-            ("keyed", Reached::PartlyWritten, MS(2000), true),
-            ("safe", Reached::Out, MS(2000), true),
-            ("unsafe", Reached::PartlyWritten, MS(2000), true),
+            ("keyed", WriteProgress::Written, MS(900), true),
+            ("keyed", WriteProgress::Written, MS(960), false),
+            ("keyed", WriteProgress::PartiallyWritten, MS(2000), true),
+            ("safe", WriteProgress::Written, MS(2000), true),
+            ("unsafe", WriteProgress::PartiallyWritten, MS(2000), true),
         ];
         for (class, reached, at, allowed) in cases {
-            let mut core = core();
-            let (first, _) = sent(&call(&mut core, 1, class));
-            core.written(MS(1), first);
-            core.attempt_ended(MS(2), first, broken(reached));
-            let commands: Vec<_> = std::iter::from_fn(|| core.next_command()).collect();
-            assert_eq!(core.may_write(at, sent(&commands).0), allowed, "{class} {reached:?}");
+            let mut scheduler = scheduler();
+            let (first, _) = sent(&call(&mut scheduler, 1, class));
+            scheduler.attempt_written(MS(1), first);
+            scheduler.attempt_ended(MS(2), first, broken(reached));
+            let commands: Vec<_> = std::iter::from_fn(|| scheduler.next_command()).collect();
+            assert_eq!(scheduler.admits_write(at, sent(&commands).0), allowed, "{class} {reached:?}");
         }
     }
 
@@ -939,21 +959,21 @@
         for (told, passed_by) in
             [(vec![("util", 1.0), ("inflight", 90.0)], true), (vec![("util", 1.0)], false)]
         {
-            let mut core = core();
-            core.site.gauges = vec!["inflight".into(), "util".into()];
-            core.site.settings.gauges = vec![Gauge::InFlight, Gauge::Busy];
-            core.balancer.configure(core.site.settings.clone());
-            core.members(
+            let mut scheduler = scheduler();
+            scheduler.site.load_metric_names = vec!["inflight".into(), "util".into()];
+            scheduler.site.settings.load_metrics = vec![LoadMetric::InFlight, LoadMetric::Utilization];
+            scheduler.policy.configure(scheduler.site.settings.clone());
+            scheduler.update_endpoints(
                 MS(0),
-                ListKind::Delta,
-                (3..6).map(|n| Member { worker: WorkerId(n), ..Member::default() }).collect(),
+                EndpointUpdateKind::Delta,
+                (3..6).map(|n| Endpoint { worker: WorkerId(n), ..Endpoint::default() }).collect(),
             );
-            let (first, home) = sent(&call(&mut core, 1, "safe"));
-            core.written(MS(1), first);
+            let (first, home) = sent(&call(&mut scheduler, 1, "safe"));
+            scheduler.attempt_written(MS(1), first);
             let told: Vec<_> = told.into_iter().map(|(name, value)| (name.to_owned(), value)).collect();
-            core.load_told(first, &told);
-            core.attempt_ended(MS(2), first, Ok(Reply::Ok(vec![])));
-            let (_, next) = sent(&call(&mut core, 2, "safe"));
+            scheduler.record_load_report(first, &told);
+            scheduler.attempt_ended(MS(2), first, Ok(WorkerResponse::Ok(vec![])));
+            let (_, next) = sent(&call(&mut scheduler, 2, "safe"));
             assert_eq!(next != home, passed_by, "{told:?}");
         }
     }
@@ -962,56 +982,61 @@
     /// connections, which nothing goes to for a while.
     #[test]
     fn what_never_left_is_not_held_against_its_worker() {
-        let mut core = core();
-        let (first, worker) = sent(&call(&mut core, 1, "safe"));
-        core.attempt_held(MS(1), first);
-        let (again, at) = sent(&std::iter::from_fn(|| core.next_command()).collect::<Vec<_>>());
+        let mut scheduler = scheduler();
+        let (first, worker) = sent(&call(&mut scheduler, 1, "safe"));
+        scheduler.attempt_not_sent(MS(1), first);
+        let (again, at) = sent(&std::iter::from_fn(|| scheduler.next_command()).collect::<Vec<_>>());
         assert_eq!(at, worker, "the function's home still");
-        core.attempt_ended(MS(2), again, broken(Reached::NotSent));
-        let (_, at) = sent(&std::iter::from_fn(|| core.next_command()).collect::<Vec<_>>());
+        scheduler.attempt_ended(MS(2), again, broken(WriteProgress::NotSent));
+        let (_, at) = sent(&std::iter::from_fn(|| scheduler.next_command()).collect::<Vec<_>>());
         assert_ne!(at, worker, "it refused a connection");
     }
 
     #[test]
     fn lines_that_clients_cause_are_bounded() {
-        let mut core = core();
+        let mut scheduler = scheduler();
         let lines: Vec<usize> =
-            [0, 1_000, 1_500].map(|ms| (0..25).filter(|_| core.may_log(MS(ms))).count()).to_vec();
-        assert_eq!((lines, core.counters().unlogged), (vec![10, 10, 0], 55));
+            [0, 1_000, 1_500].map(|ms| (0..25).filter(|_| scheduler.may_log(MS(ms))).count()).to_vec();
+        assert_eq!((lines, scheduler.counters().unlogged), (vec![10, 10, 0], 55));
     }
 
     /// Nothing that goes wrong in the module may leave a call without an answer.
     #[test]
     fn a_call_that_the_module_has_lost_is_failed_after_its_deadline() {
-        let mut core = core();
-        call(&mut core, 1, "safe");
-        core.balancer = Balancer::new(core.site.settings.clone(), 1);
-        core.wake(MS(3019));
-        assert_eq!(core.owed(), 1);
-        core.wake(MS(3021));
-        let answers =
-            |c: &Command| matches!(c, Command::Answer { answer, .. } if answer.verdict == Verdict::Failed);
-        assert_eq!(std::iter::from_fn(|| core.next_command()).filter(answers).count(), 1);
-        assert_eq!((core.owed(), core.counters().overdue), (0, 1));
+        let mut scheduler = scheduler();
+        call(&mut scheduler, 1, "safe");
+        scheduler.policy = Policy::new(scheduler.site.settings.clone(), 1);
+        scheduler.fire_timers(MS(3019));
+        assert_eq!(scheduler.open_requests(), 1);
+        scheduler.fire_timers(MS(3021));
+        let answers = |c: &Command| matches!(c, Command::Respond { response: answer, .. } if answer.outcome == Outcome::Failed);
+        assert_eq!(std::iter::from_fn(|| scheduler.next_command()).filter(answers).count(), 1);
+        assert_eq!((scheduler.open_requests(), scheduler.counters().overdue), (0, 1));
     }
 
     #[test]
     fn a_call_has_one_answer_whatever_still_comes() {
-        let mut core = core();
-        let (first, worker) = sent(&call(&mut core, 1, "safe"));
-        core.written(MS(1), first);
-        core.wake(MS(2999));
-        let answers = |core: &mut Core| {
-            std::iter::from_fn(|| core.next_command()).filter(|c| matches!(c, Command::Answer { .. })).count()
+        let mut scheduler = scheduler();
+        let (first, worker) = sent(&call(&mut scheduler, 1, "safe"));
+        scheduler.attempt_written(MS(1), first);
+        scheduler.fire_timers(MS(2999));
+        let answers = |scheduler: &mut Scheduler| {
+            std::iter::from_fn(|| scheduler.next_command())
+                .filter(|c| matches!(c, Command::Respond { .. }))
+                .count()
         };
-        assert_eq!(answers(&mut core), 1, "at its end");
-        core.attempt_ended(MS(3000), first, Ok(Reply::Ok(vec![])));
-        core.members(MS(3000), ListKind::Delta, vec![Member { worker, ..Member::default() }]);
-        core.wake(MS(9000));
-        assert_eq!((answers(&mut core), core.owed()), (0, 0));
-        let commands = call(&mut core, 2, "no such class");
+        assert_eq!(answers(&mut scheduler), 1, "at its end");
+        scheduler.attempt_ended(MS(3000), first, Ok(WorkerResponse::Ok(vec![])));
+        scheduler.update_endpoints(
+            MS(3000),
+            EndpointUpdateKind::Delta,
+            vec![Endpoint { worker, ..Endpoint::default() }],
+        );
+        scheduler.fire_timers(MS(9000));
+        assert_eq!((answers(&mut scheduler), scheduler.open_requests()), (0, 0));
+        let commands = call(&mut scheduler, 2, "no such class");
         assert!(
-            matches!(&commands[..], [Command::Answer { answer, .. }] if answer.verdict == Verdict::Failed)
+            matches!(&commands[..], [Command::Respond { response: answer, .. }] if answer.outcome == Outcome::Failed)
         );
     }
 }
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -1,14 +1,14 @@
-//! The daemon: the core with its fronts, back ends, bus, clock and signals round it.
+//! The daemon: the scheduler with its fronts, back ends, bus, clock and signals round it.
 
 use crate::backend::{self, Pool};
 use crate::config::{self, Config, Operator, Sources};
-use crate::discovery::{self, BusConnection, Inbox, News};
+use crate::discovery::{self, WatchConnection, WatchEvent, WatchQueue};
 use crate::frontend::frames::{self, FrameConnection};
 use crate::frontend::jsonrpc::RpcConnection;
 use crate::frontend::socket::{self, SocketFile};
-use crate::model::{ListKind, Member, Span, State, Time};
+use crate::model::{Endpoint, EndpointState, EndpointUpdateKind, Span, Time};
 use crate::net::{Reactor, Signal, Stream, SystemClock};
-use crate::scheduler::{Command, Core};
+use crate::scheduler::{Command, Scheduler};
 use crate::vrrp::packet::{Advertisement, LARGEST};
 use crate::vrrp::{self, Event};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
@@ -20,13 +20,13 @@
 use std::rc::Rc;
 
 /// After SIGTERM clients still come for a while; nothing ends before this.
-const PART: Span = Span::millis(1_200);
+const PART: Span = Span::from_millis(1_200);
 /// When connections that came after SIGTERM are told that they are to leave.
-const LATE_LEAVE: Span = Span::millis(750);
+const LATE_LEAVE: Span = Span::from_millis(750);
 /// How long answers may wait to be written before the end, from when the last is put in line.
-const LAST_WRITE: Span = Span::millis(500);
+const LAST_WRITE: Span = Span::from_millis(500);
 /// Pause before clients are accepted again after the system could not give one a descriptor.
-const ACCEPT_AGAIN: Span = Span::millis(50);
+const ACCEPT_AGAIN: Span = Span::from_millis(50);
 /// Descriptors kept for the poll, the listeners, the pipes, the bus and the standard streams.
 const RESERVED: usize = 32;
 
@@ -42,7 +42,7 @@
         let (socket, own) = reactor.hear(setting.bind)?;
         let machine = vrrp::Machine::new(vrrp::Setting {
             priority: setting.priority,
-            interval: Span::millis(u64::from(setting.interval_cs) * 10),
+            interval: Span::from_millis(u64::from(setting.interval_cs) * 10),
             preempt: setting.preempt,
             own,
         });
@@ -57,14 +57,14 @@
 
 struct Daemon {
     sources: Sources,
-    core: Core,
+    scheduler: Scheduler,
     reactor: Reactor,
     pool: Pool,
     config: Config,
     operator: Operator,
     /// Workers of the operator's file: the bus tells nothing of them.
-    fixed: Vec<Member>,
-    inbox: Rc<RefCell<Inbox>>,
+    fixed: Vec<Endpoint>,
+    inbox: Rc<RefCell<WatchQueue>>,
     bus_again: Option<Time>,
     /// The connection to the bus, while there is one.
     bus_id: Option<u64>,
@@ -108,20 +108,20 @@
             Some(setting) => Some(Router::new(setting, &mut reactor)?),
         };
         reactor.active = router.is_none();
-        let mut core = Core::new(config.site.clone(), config.seed);
-        limit_memory(&config, &mut core, &mut reactor);
+        let mut scheduler = Scheduler::new(config.site.clone(), config.seed);
+        limit_memory(&config, &mut scheduler, &mut reactor);
         let (limits, connect, budget) = worker_limits(&config);
         let mut pool = Pool::new(limits, connect, budget);
         let mut fixed = Vec::new();
         for (member, path) in operator.members(&config.site) {
-            pool.place(member.worker, backend::Endpoint::Checker(path), None);
+            pool.set_address(member.worker, backend::WorkerAddress::Checker(path), None);
             fixed.push(member);
         }
-        let inbox = Rc::new(RefCell::new(Inbox { down: true, ..Inbox::default() }));
+        let inbox = Rc::new(RefCell::new(WatchQueue { disconnected: true, ..WatchQueue::default() }));
         let bus_again = Some(reactor.now());
         Ok(Daemon {
             sources,
-            core,
+            scheduler,
             reactor,
             pool,
             config,
@@ -144,12 +144,12 @@
     fn serve(&mut self) -> io::Result<()> {
         if !self.fixed.is_empty() {
             let now = self.reactor.now();
-            self.core.members(now, ListKind::Full, self.fixed.clone());
+            self.scheduler.update_endpoints(now, EndpointUpdateKind::Full, self.fixed.clone());
         }
         for news in std::mem::take(&mut self.config.known) {
             let mut inbox = self.inbox.borrow_mut();
             inbox.offset = inbox.offset.max(news.offset);
-            inbox.news.push_back(news);
+            inbox.events.push_back(news);
         }
         self.settle();
         self.reactor.ready = true;
@@ -162,14 +162,14 @@
         );
         loop {
             let router = self.router.as_ref().and_then(|router| router.machine.due());
-            let until = self.core.next_due().into_iter().chain(self.bus_again);
+            let until = self.scheduler.next_timer().into_iter().chain(self.bus_again);
             let until = until.chain(self.next_step()).chain(self.accept_again).chain(router).min();
-            for signal in self.reactor.turn(until, &mut self.core)? {
+            for signal in self.reactor.turn(until, &mut self.scheduler)? {
                 match signal {
                     Signal::Client(listener) => self.accept(listener),
                     Signal::Pipe(pipe) if pipe == self.pipes.0 => self.begin_end(),
                     Signal::Pipe(pipe) if pipe == self.pipes.1 => {
-                        eprintln!("function-scheduler: {}", self.core.counters())
+                        eprintln!("function-scheduler: {}", self.scheduler.counters())
                     }
                     Signal::Pipe(_) => self.reload(),
                     Signal::Datagram(socket) => self.hear(socket),
@@ -182,7 +182,7 @@
             self.vrrp(Event::Timer);
             self.settle();
             if self.ended() {
-                eprintln!("function-scheduler: {}", self.core.counters());
+                eprintln!("function-scheduler: {}", self.scheduler.counters());
                 eprintln!("function-scheduler: ended name={}", self.config.name);
                 return Ok(());
             }
@@ -193,25 +193,29 @@
     fn settle(&mut self) {
         let now = self.reactor.now();
         self.follow_bus(now);
-        if self.core.next_due().is_some_and(|at| at <= now) {
+        if self.scheduler.next_timer().is_some_and(|at| at <= now) {
             // There is no connection to end here. What the panic leaves undone runs into its deadlines.
-            let woken = catch_unwind(AssertUnwindSafe(|| self.core.wake(now)));
+            let woken = catch_unwind(AssertUnwindSafe(|| self.scheduler.fire_timers(now)));
             if woken.is_err() {
-                self.core.counters().panics += 1;
+                self.scheduler.counters().panics += 1;
                 eprintln!("function-scheduler: panic timer");
             }
         }
-        while let Some(command) = self.core.next_command() {
+        while let Some(command) = self.scheduler.next_command() {
             match command {
-                Command::Answer { owner, answer } => {
-                    self.reactor.with(owner.connection, &mut self.core, |connection, link, hub| {
-                        connection.answer(owner.stream, &answer, link, hub)
-                    });
+                Command::Respond { origin, response: answer } => {
+                    self.reactor.with(
+                        origin.connection,
+                        &mut self.scheduler,
+                        |connection, socket, context| {
+                            connection.answer(origin.stream, &answer, socket, context)
+                        },
+                    );
                 }
-                command => self.pool.command(command, &mut self.reactor, &mut self.core),
+                command => self.pool.command(command, &mut self.reactor, &mut self.scheduler),
             }
         }
-        self.pool.forget_ended(&self.core);
+        self.pool.forget_ended(&self.scheduler);
     }
 
     fn accept(&mut self, listener: usize) {
@@ -220,22 +224,22 @@
             let budget = self.config.sockets.saturating_sub(RESERVED);
             let room = self.reactor.count() < budget - budget / 8;
             match self.reactor.accept(listener) {
-                Ok(Some(stream)) if room || self.reactor.shed_idle(&mut self.core) => {
+                Ok(Some(stream)) if room || self.reactor.shed_idle(&mut self.scheduler) => {
                     let now = self.reactor.now();
                     if self.rpc.as_ref().is_some_and(|(number, _)| *number == listener) {
                         self.accept_rpc(now, stream);
                         continue;
                     }
                     let connection = Box::new(FrameConnection::new(now));
-                    self.reactor.add(stream, connection, true, frames::LIMITS, &mut self.core);
+                    self.reactor.add(stream, connection, true, frames::LIMITS, &mut self.scheduler);
                 }
-                Ok(Some(_)) if !self.core.may_log(self.reactor.now()) => {}
+                Ok(Some(_)) if !self.scheduler.may_log(self.reactor.now()) => {}
                 Ok(Some(_)) => eprintln!("function-scheduler: accept dropped why=\"no descriptors left\""),
                 Ok(None) => return,
                 Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
                 Err(e) => {
                     let now = self.reactor.now();
-                    if self.core.may_log(now) {
+                    if self.scheduler.may_log(now) {
                         eprintln!("function-scheduler: accept failed why=\"{e}\"");
                     }
                     self.accept_again = Some(now + ACCEPT_AGAIN);
@@ -253,11 +257,11 @@
             // The one that has held its place longest without anything open makes room, if there is one.
             let idle = |id: &u64| Some((reactor.look(*id, |connection| connection.idle())??, *id));
             if let Some((_, id)) = self.rpc_clients.iter().filter_map(idle).min() {
-                reactor.end(id, &mut self.core);
+                reactor.end(id, &mut self.scheduler);
                 self.rpc_clients.remove(&id);
             }
         }
-        if self.rpc_clients.len() >= front.max_clients && !self.core.may_log(now) {
+        if self.rpc_clients.len() >= front.max_clients && !self.scheduler.may_log(now) {
             return;
         }
         if self.rpc_clients.len() >= front.max_clients {
@@ -265,22 +269,22 @@
         }
         let connection = Box::new(RpcConnection::new(now, front.max_line));
         let limits = RpcConnection::limits(front.max_line);
-        self.rpc_clients.extend(reactor.add(stream, connection, true, limits, &mut self.core));
+        self.rpc_clients.extend(reactor.add(stream, connection, true, limits, &mut self.scheduler));
     }
 
     // ---- The bus
 
     fn follow_bus(&mut self, now: Time) {
         loop {
-            let Some(news) = self.inbox.borrow_mut().news.pop_front() else { break };
+            let Some(news) = self.inbox.borrow_mut().events.pop_front() else { break };
             self.learn(now, news);
         }
         let Some(address) = self.config.bus else { return self.bus_again = None };
-        if std::mem::take(&mut self.inbox.borrow_mut().down) {
+        if std::mem::take(&mut self.inbox.borrow_mut().disconnected) {
             let failures = self.inbox.borrow().failures;
             let pause = match failures {
                 0 => Span(0),
-                n => Span(discovery::BACKOFF.0.0 << (n - 1).min(discovery::BACKOFF.1)),
+                n => discovery::BACKOFF.delay(n - 1),
             };
             self.bus_again = Some(now + pause);
         }
@@ -289,56 +293,60 @@
         }
         self.bus_again = None;
         self.bus_id = None;
-        let connection = Box::new(BusConnection::new(self.inbox.clone(), now));
+        let connection = Box::new(WatchConnection::new(self.inbox.clone(), now));
         let stream = self.reactor.connect(address);
         if let Err(e) = &stream
-            && self.core.may_log(now)
+            && self.scheduler.may_log(now)
         {
             eprintln!("function-scheduler: bus connection failed why=\"{e}\"");
         }
         let up = stream.ok().and_then(|stream| {
-            self.reactor.add(stream, connection, false, (discovery::FRAME + 4, 4096), &mut self.core)
+            self.reactor.add(stream, connection, false, (discovery::FRAME + 4, 4096), &mut self.scheduler)
         });
         if up.is_none() {
             let mut inbox = self.inbox.borrow_mut();
-            (inbox.down, inbox.failures) = (false, inbox.failures + 1);
-            let pause = Span(discovery::BACKOFF.0.0 << inbox.failures.min(discovery::BACKOFF.1));
+            (inbox.disconnected, inbox.failures) = (false, inbox.failures + 1);
+            let pause = discovery::BACKOFF.delay(inbox.failures);
             self.bus_again = Some(now + pause);
         }
         self.bus_id = up;
     }
 
-    fn learn(&mut self, now: Time, news: News) {
-        if news.kind == ListKind::Full {
-            let listed: BTreeSet<_> = news.entries.iter().map(|entry| entry.member.worker).collect();
+    fn learn(&mut self, now: Time, news: WatchEvent) {
+        if news.kind == EndpointUpdateKind::Full {
+            let listed: BTreeSet<_> = news.endpoints.iter().map(|entry| entry.endpoint.worker).collect();
             let fixed: BTreeSet<_> = self.fixed.iter().map(|member| member.worker).collect();
             self.pool.retain(|worker| listed.contains(&worker) || fixed.contains(&worker));
         }
-        let mut members: Vec<Member> = Vec::with_capacity(news.entries.len());
-        for entry in news.entries {
-            let (mut member, endpoint) = (entry.member, backend::Endpoint::Agent(entry.address));
+        let mut members: Vec<Endpoint> = Vec::with_capacity(news.endpoints.len());
+        for entry in news.endpoints {
+            let (mut member, endpoint) = (entry.endpoint, backend::WorkerAddress::Agent(entry.address));
             // An address is one process's at a time: the id of the older one has gone, told or not, and what
             // went out under it would reach the newer one unnoticed.
-            if member.state == State::Ready
-                && let Some((other, started)) = self.pool.other_at(&endpoint, member.worker)
+            if member.state == EndpointState::Ready
+                && let Some((other, started)) = self.pool.other_worker_at(&endpoint, member.worker)
             {
-                if started > member.started {
-                    member.state = State::Gone;
+                if started > member.started_at {
+                    member.state = EndpointState::Gone;
                 } else {
                     self.pool.remove(other);
-                    members.push(Member { worker: other, state: State::Gone, ..Member::default() });
+                    members.push(Endpoint {
+                        worker: other,
+                        state: EndpointState::Gone,
+                        ..Endpoint::default()
+                    });
                 }
             }
             match member.state {
-                State::Gone => self.pool.remove(member.worker),
-                _ => self.pool.place(member.worker, endpoint, member.started),
+                EndpointState::Gone => self.pool.remove(member.worker),
+                _ => self.pool.set_address(member.worker, endpoint, member.started_at),
             }
             members.push(member);
         }
-        if news.kind == ListKind::Full {
+        if news.kind == EndpointUpdateKind::Full {
             members.extend(&self.fixed);
         }
-        self.core.members(now, news.kind, members);
+        self.scheduler.update_endpoints(now, news.kind, members);
     }
 
     // ---- New configurations
@@ -373,19 +381,19 @@
         let known = std::mem::take(&mut config.known);
         let moved = config.bus != self.config.bus;
         self.config = config;
-        self.core.replace_site(now, self.config.site.clone());
+        self.scheduler.reconfigure(now, self.config.site.clone());
         let (limits, connect, budget) = worker_limits(&self.config);
-        self.pool.configure(limits, connect, budget, &mut self.reactor, &mut self.core);
-        limit_memory(&self.config, &mut self.core, &mut self.reactor);
+        self.pool.configure(limits, connect, budget, &mut self.reactor, &mut self.scheduler);
+        limit_memory(&self.config, &mut self.scheduler, &mut self.reactor);
         self.replace_checkers(now);
         // The bus's numbers go on. What the file knows is of use where it follows on what is known here.
         self.follow_bus(now);
         for news in known {
             let mut inbox = self.inbox.borrow_mut();
-            let follows = news.kind == ListKind::Full || news.offset == inbox.offset + 1;
+            let follows = news.kind == EndpointUpdateKind::Full || news.offset == inbox.offset + 1;
             if news.offset > inbox.offset && follows {
                 inbox.offset = news.offset;
-                inbox.news.push_back(news);
+                inbox.events.push_back(news);
             }
         }
         if moved {
@@ -399,11 +407,12 @@
     fn move_bus(&mut self, now: Time) {
         let (offset, news) = {
             let mut old = self.inbox.borrow_mut();
-            (old.offset, std::mem::take(&mut old.news))
+            (old.offset, std::mem::take(&mut old.events))
         };
-        self.inbox = Rc::new(RefCell::new(Inbox { news, offset, down: true, failures: 0 }));
+        self.inbox =
+            Rc::new(RefCell::new(WatchQueue { events: news, offset, disconnected: true, failures: 0 }));
         if let Some(id) = self.bus_id.take() {
-            self.reactor.end(id, &mut self.core);
+            self.reactor.end(id, &mut self.scheduler);
         }
         self.bus_again = Some(now);
     }
@@ -430,15 +439,15 @@
     fn replace_checkers(&mut self, now: Time) {
         let old = std::mem::take(&mut self.fixed);
         for (member, path) in self.operator.members(&self.config.site) {
-            self.pool.place(member.worker, backend::Endpoint::Checker(path), None);
+            self.pool.set_address(member.worker, backend::WorkerAddress::Checker(path), None);
             self.fixed.push(member);
         }
         let left = old.into_iter().filter(|o| !self.fixed.iter().any(|n| n.worker == o.worker));
-        let mut changes: Vec<Member> = left.map(|o| Member { state: State::Gone, ..o }).collect();
+        let mut changes: Vec<Endpoint> = left.map(|o| Endpoint { state: EndpointState::Gone, ..o }).collect();
         changes.iter().for_each(|gone| self.pool.remove(gone.worker));
         changes.extend(&self.fixed);
         if !changes.is_empty() {
-            self.core.members(now, ListKind::Delta, changes);
+            self.scheduler.update_endpoints(now, EndpointUpdateKind::Delta, changes);
         }
     }
 
@@ -473,9 +482,9 @@
                     let (priority, interval) = (message.priority, message.span());
                     self.vrrp(Event::Advertisement { priority, interval, from });
                 }
-                Ok(_) => self.core.counters().vrrp_dropped += 1,
+                Ok(_) => self.scheduler.counters().vrrp_dropped += 1,
                 Err(why) => {
-                    self.core.counters().vrrp_dropped += 1;
+                    self.scheduler.counters().vrrp_dropped += 1;
                     eprintln!("function-scheduler: vrrp dropped from={from} why=\"{why}\"");
                 }
             }
@@ -489,7 +498,11 @@
         if self.ending.is_some() {
             return;
         }
-        eprintln!("function-scheduler: ending name={} owed={}", self.config.name, self.core.owed());
+        eprintln!(
+            "function-scheduler: ending name={} owed={}",
+            self.config.name,
+            self.scheduler.open_requests()
+        );
         self.ending = Some(self.reactor.now());
         self.reactor.ready = false;
         self.vrrp(Event::Shutdown);
@@ -498,7 +511,9 @@
 
     fn leave_all(&mut self) {
         for id in self.reactor.ids() {
-            self.reactor.with(id, &mut self.core, |connection, link, hub| connection.leave(link, hub));
+            self.reactor.with(id, &mut self.scheduler, |connection, socket, context| {
+                connection.leave(socket, context)
+            });
         }
     }
 
@@ -521,7 +536,7 @@
             self.told_late = true;
             self.leave_all();
         }
-        if self.core.owed() > 0 {
+        if self.scheduler.open_requests() > 0 {
             self.settled = None;
             return false;
         }
@@ -535,8 +550,8 @@
 }
 
 /// Bodies of open calls take a sixth of the memory, and output that nobody reads another.
-fn limit_memory(config: &Config, core: &mut Core, reactor: &mut Reactor) {
-    core.limit_memory(config.memory_mb << 20);
+fn limit_memory(config: &Config, scheduler: &mut Scheduler, reactor: &mut Reactor) {
+    scheduler.set_memory_limit(config.memory_mb << 20);
     reactor.waiting_limit = (config.memory_mb << 20) / 6;
 }
 
@@ -545,9 +560,13 @@
     let site = &config.site;
     // Closed before the worker's own limit, or a command could cross its close.
     let fleet = site.settings.fleet_size as usize;
-    let limits = backend::Limits { multiplex: site.multiplex, idle: site.idle_close.times(0.8), fleet };
+    let limits = backend::Limits {
+        multiplex: site.attempts_per_connection,
+        idle: site.idle_timeout.mul_f64(0.8),
+        fleet,
+    };
     // The platform allows connects 50 ms more than the simulator does.
-    let connect = Span(site.connect_limit.0 + Span::millis(50).0);
+    let connect = Span(site.connect_timeout.0 + Span::from_millis(50).0);
     (limits, connect, config.sockets.saturating_sub(RESERVED))
 }
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -39,23 +39,23 @@
     /// What the module is told.
     pub settings: Settings,
     /// Names of the classes, in their order; none for one that a new configuration no longer has.
-    pub classes: Vec<Option<String>>,
+    pub class_names: Vec<Option<String>>,
     /// Names of the zones, in their order.
     pub zones: Vec<String>,
     /// Names of the machine kinds, in their order.
     pub kinds: Vec<String>,
     /// Attempts that one connection to a worker carries at a time.
-    pub multiplex: usize,
+    pub attempts_per_connection: usize,
     /// Open requests beyond which new ones are refused.
-    pub max_open: usize,
+    pub max_open_requests: usize,
     /// A worker closes a connection that has been idle for so long.
-    pub idle_close: Span,
+    pub idle_timeout: Span,
     /// A connection that is not up within this time has failed.
-    pub connect_limit: Span,
+    pub connect_timeout: Span,
     /// An order to load that has no answer within this time is lost.
-    pub load_wait: Span,
+    pub load_timeout: Span,
     /// Names of the values of a load report, in the order of [`Settings::gauges`].
-    pub gauges: Vec<String>,
+    pub load_metric_names: Vec<String>,
 }
 
 #[derive(Deserialize)]
@@ -184,42 +184,42 @@
     let gauges = text.load_info.names.clone();
     Ok(Site {
         settings: read_text(text)?,
-        classes: names,
+        class_names: names,
         zones,
         kinds,
-        multiplex,
-        max_open,
-        idle_close,
-        connect_limit,
-        load_wait,
-        gauges,
+        attempts_per_connection: multiplex,
+        max_open_requests: max_open,
+        idle_timeout: idle_close,
+        connect_timeout: connect_limit,
+        load_timeout: load_wait,
+        load_metric_names: gauges,
     })
 }
 
 impl Site {
     /// The place of a class that new calls may name.
     pub fn class(&self, name: &str) -> Option<usize> {
-        self.classes.iter().position(|known| known.as_deref() == Some(name))
+        self.class_names.iter().position(|known| known.as_deref() == Some(name))
     }
 
     /// What a new configuration makes of this one. Classes keep their places, for calls under way know theirs
     /// by it: one that the new configuration lacks stays for those calls, without a name for new ones.
     pub fn replaced_by(&self, mut new: Site) -> Site {
-        let old = self.settings.classes.iter().cloned().zip(&self.classes);
+        let old = self.settings.classes.iter().cloned().zip(&self.class_names);
         let (mut classes, mut names) = (Vec::new(), Vec::new());
         for (class, name) in old {
             let kept = name.as_ref().and_then(|name| new.class(name));
-            names.push(kept.and_then(|place| new.classes[place].take()));
+            names.push(kept.and_then(|place| new.class_names[place].take()));
             classes.push(kept.map_or(class, |place| new.settings.classes[place].clone()));
         }
-        for (class, name) in new.settings.classes.iter().zip(&mut new.classes) {
+        for (class, name) in new.settings.classes.iter().zip(&mut new.class_names) {
             if let Some(name) = name.take() {
                 classes.push(class.clone());
                 names.push(Some(name));
             }
         }
         new.settings.classes = classes;
-        new.classes = names;
+        new.class_names = names;
         new
     }
 }
@@ -234,85 +234,85 @@
         zone: ZoneId(text.zone),
         tick: Span(text.tick_ns),
         classes: classes.collect::<Result<_, _>>()?,
-        tenants: text.accounts.iter().map(|a| Tenant { allowance_per_s: a.allowance_per_s }).collect(),
-        over_share_worth: text.over_share_worth.unwrap_or(1.0),
-        rules: Rules {
-            cold_from: contract.cold_from,
-            cold_span: Span(contract.cold_ns),
-            fall_multiple: contract.fall_multiple,
-            fall_span: Span(contract.fall_ns),
-            ration: (info.load_span_ns > 0).then_some(Ration {
-                free: info.loads_anyway,
-                share: info.load_part,
-                span: Span(info.load_span_ns),
+        tenants: text.accounts.iter().map(|a| Tenant { quota_per_second: a.allowance_per_s }).collect(),
+        over_quota_weight: text.over_share_worth.unwrap_or(1.0),
+        safety_limits: SafetyLimits {
+            initial_capacity: contract.cold_from,
+            warm_up_duration: Span(contract.cold_ns),
+            overload_multiple: contract.fall_multiple,
+            overload_window: Span(contract.fall_ns),
+            load_rate_limit: (info.load_span_ns > 0).then_some(LoadRateLimit {
+                burst: info.loads_anyway,
+                per_request: info.load_part,
+                window: Span(info.load_span_ns),
             }),
         },
-        limits: Limits {
+        permissions: Permissions {
             max_attempts: bounds.most_tries,
             may_cancel: bounds.may_cancel,
             may_probe: bounds.probes,
             may_order: info.may_order,
-            retry_after: bounds.retry_after.then_some(Span(bounds.max_retry_after_ns)),
+            max_retry_after: bounds.retry_after.then_some(Span(bounds.max_retry_after_ns)),
         },
-        loading: Loading {
-            keep: Span(info.keep_ns),
+        loading: LoadingSettings {
+            keep_alive: Span(info.keep_ns),
             on_miss: match info.not_loaded.as_str() {
                 "load" => OnMiss::Load,
                 "miss" => OnMiss::Miss,
                 other => return Err(format!("settings: familyInfo.notLoaded is '{other}'")),
             },
-            memory_mb: info.memory_mb_by_kind,
+            worker_memory_mb: info.memory_mb_by_kind,
         },
         prices: Prices {
-            idle: info.price_of_idle,
-            fetch: text.prices.origin,
+            idle_memory: info.price_of_idle,
+            store_fetch: text.prices.origin,
             cross_zone: text.prices.cross_zone,
-            waste: text.prices.waste,
-            probe: text.prices.probe,
+            wasted_work: text.prices.waste,
+            health_check: text.prices.probe,
         },
-        gauges: text.load_info.names.iter().map(|name| gauge(name)).collect(),
-        tells_company: info.says_company,
+        load_metrics: text.load_info.names.iter().map(|name| gauge(name)).collect(),
+        reports_function_in_flight: info.says_company,
         discovery: match text.discovery.as_str() {
-            "on_request" => Discovery::OnRequest,
-            _ => Discovery::Pushed,
+            "on_request" => DiscoveryMode::OnRequest,
+            _ => DiscoveryMode::Pushed,
         },
-        weights_are_sizes: matches!(text.weight_source.as_str(), "nominal" | "rough"),
+        weights_are_capacities: matches!(text.weight_source.as_str(), "nominal" | "rough"),
     })
 }
 
-fn read_class(number: usize, class: &ClassText) -> Result<Class, String> {
+fn read_class(number: usize, class: &ClassText) -> Result<RequestClass, String> {
     let missing = |what: &str| format!("settings: classes[{number}] lacks {what}");
     let effect = match class.effect.as_str() {
-        "retryable" => Effect::Safe,
-        "fragile" => Effect::Unsafe,
-        "dedup" => Effect::Keyed {
-            group: match class.group.as_deref().ok_or_else(|| missing("group"))? {
-                "all" => Group::All,
-                "zone" => Group::Zone,
-                "cell" => Group::Cell,
+        "retryable" => Idempotency::Idempotent,
+        "fragile" => Idempotency::NonIdempotent,
+        "dedup" => Idempotency::Keyed {
+            scope: match class.group.as_deref().ok_or_else(|| missing("group"))? {
+                "all" => DeduplicationScope::All,
+                "zone" => DeduplicationScope::Zone,
+                "cell" => DeduplicationScope::Cell,
                 other => return Err(format!("settings: classes[{number}].group is '{other}'")),
             },
             window: Span(class.repeat_window_ns.ok_or_else(|| missing("repeatWindowNs"))?),
         },
         other => return Err(format!("settings: classes[{number}].effect is '{other}'")),
     };
-    Ok(Class {
-        aim: Span(class.objective_ns),
+    Ok(RequestClass {
+        latency_objective: Span(class.objective_ns),
         deadline: Span(class.deadline_ns),
-        worth: class.worth.unwrap_or(1.0),
-        late_share: class.late_share,
-        effect,
+        priority_weight: class.worth.unwrap_or(1.0),
+        late_value: class.late_share,
+        idempotency: effect,
     })
 }
 
-fn gauge(name: &str) -> Gauge {
+fn gauge(name: &str) -> LoadMetric {
     match name {
-        "busy_reqs" => Gauge::InFlight,
-        "pending" => Gauge::Queue,
-        "cpu_share" => Gauge::Busy,
-        "x1" => Gauge::Loads,
-        "x0" => Gauge::PinnedMemory,
-        _ => Gauge::Other,
+        "busy_reqs" => LoadMetric::InFlight,
+        "pending" => LoadMetric::QueueLength,
+        "cpu_share" => LoadMetric::Utilization,
+        "x1" => LoadMetric::PendingLoads,
+        "x0" => LoadMetric::PinnedMemory,
+        _ => LoadMetric::Other,
     }
 }
 
--- a/src/vrrp/mod.rs
+++ b/src/vrrp/mod.rs
@@ -172,12 +172,12 @@
 
     fn machine(priority: u8, preempt: bool) -> Machine {
         let own = "127.0.0.5:9112".parse().unwrap();
-        Machine::new(Setting { priority, interval: Span::millis(1000), preempt, own })
+        Machine::new(Setting { priority, interval: Span::from_millis(1000), preempt, own })
     }
 
     fn heard(priority: u8, interval_ms: u64, last: u8) -> Event {
         let from = SocketAddr::from(([127, 0, 0, last], 9112));
-        Event::Advertisement { priority, interval: Span::millis(interval_ms), from }
+        Event::Advertisement { priority, interval: Span::from_millis(interval_ms), from }
     }
 
     /// From a state, an event at 10 s leads to a state, its timer and perhaps an advertisement.
--- a/src/vrrp/packet.rs
+++ b/src/vrrp/packet.rs
@@ -24,7 +24,7 @@
 impl Advertisement {
     /// The interval as a span.
     pub fn span(&self) -> Span {
-        Span::millis(u64::from(self.interval) * 10)
+        Span::from_millis(u64::from(self.interval) * 10)
     }
 
     /// The message as it is sent.
--- a/tests/codec.rs
+++ b/tests/codec.rs
@@ -66,17 +66,22 @@
     let frame = read_frame(&mut &bytes[..]).unwrap().unwrap();
     let records = read_records(&frame).unwrap();
     let Record::Roster { number: 0, entries } = &records[0] else { panic!() };
-    assert_eq!(entries[0].started, None);
+    assert_eq!(entries[0].started_at, None);
     assert_eq!((entries[1].zone, entries[1].weight), (ZoneId(1), 1.5));
     assert_eq!(entries[1].worker, WorkerId(0x0a90_11f2_1f6c));
-    assert!(matches!(records[1], Record::Sync { instance: 3, kind: ListKind::Cached, roster: 0 }));
-    let Record::Event { event: Event::Call(call), .. } = &records[2] else { panic!() };
-    assert_eq!((call.lanes, call.memory_mb, call.load_time), (2.0, 384.0, None));
+    assert!(matches!(records[1], Record::Sync { instance: 3, kind: EndpointUpdateKind::Cached, roster: 0 }));
+    let Record::Event { event: Event::RequestReceived(call), .. } = &records[2] else { panic!() };
+    assert_eq!((call.concurrency, call.memory_mb, call.load_time), (2.0, 384.0, None));
     assert_eq!((call.remaining, call.function), (Span(240_000_000), FunctionId(0x7c_55d2_0a01)));
-    let Record::Event { event: Event::Outcome(outcome), .. } = &records[3] else { panic!() };
-    assert_eq!((outcome.copy, outcome.company, outcome.finished), (CopyNote::Stood, 3, true));
+    let Record::Event { event: Event::AttemptFinished(outcome), .. } = &records[3] else { panic!() };
+    assert_eq!(
+        (outcome.instance_state, outcome.function_in_flight, outcome.request_finished),
+        (InstanceState::Loaded, 3, true)
+    );
     assert!(matches!(records[4], Record::Skipped));
-    let Record::Event { event: Event::Probed(worker, status), .. } = records[5] else { panic!() };
+    let Record::Event { event: Event::HealthCheckFinished(worker, status), .. } = records[5] else {
+        panic!()
+    };
     assert_eq!((worker, status), (WorkerId(0x0a90_11f2_1f6c), Status::Timeout));
 }
 
@@ -86,11 +91,11 @@
     let (worker, function) = (WorkerId(0x0a12_4a07_1f43), FunctionId(0x7c_55d2_0a01));
     let id = RequestId(0x5d3a_91c4);
     reply.action(3, &Action::Send { id, worker, timeout: Span(80_000_000) });
-    reply.action(3, &Action::Load { worker, copies: 1, function });
+    reply.action(3, &Action::Load { worker, instances: 1, function });
     reply.action(3, &Action::Unload { worker, function });
     reply.action(3, &Action::Cancel { id, attempt: 0 });
-    reply.action(3, &Action::Refuse { id: RequestId(0x0e6f_2b19), wait: Span(250_000_000) });
-    reply.action(3, &Action::Probe { worker });
+    reply.action(3, &Action::Reject { id: RequestId(0x0e6f_2b19), retry_after: Span(250_000_000) });
+    reply.action(3, &Action::HealthCheck { worker });
     let expected = "00000006 00000077 \
          01 00000014 0003 5d3a91c4 0000000004c4b400 0a124a07 1f43 \
          05 00000011 0003 0a124a07 1f43 01 0000007c55d20a01 \
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -5,75 +5,79 @@
 
 pub struct Rig {
     pub now: Time,
-    pub balancer: Balancer,
+    pub policy: Policy,
     pub sent: Vec<(RequestId, u16, WorkerId)>,
     tries: std::collections::BTreeMap<RequestId, u16>,
 }
 
 pub fn settings(on_miss: OnMiss) -> Settings {
-    let class = |effect| Class {
-        aim: Span::millis(800),
-        deadline: Span::millis(2500),
-        worth: 1.0,
-        late_share: 0.1,
-        effect,
+    let class = |effect| RequestClass {
+        latency_objective: Span::from_millis(800),
+        deadline: Span::from_millis(2500),
+        priority_weight: 1.0,
+        late_value: 0.1,
+        idempotency: effect,
     };
     Settings {
         fleet_size: 1,
         index: 0,
         zone: ZoneId(0),
-        tick: Span::millis(2),
+        tick: Span::from_millis(2),
         classes: vec![
-            class(Effect::Safe),
-            class(Effect::Keyed { group: Group::Cell, window: Span::millis(1000) }),
-            class(Effect::Unsafe),
+            class(Idempotency::Idempotent),
+            class(Idempotency::Keyed { scope: DeduplicationScope::Cell, window: Span::from_millis(1000) }),
+            class(Idempotency::NonIdempotent),
         ],
         tenants: vec![],
-        over_share_worth: 1.0,
-        rules: Rules {
-            cold_from: 0.2,
-            cold_span: Span::millis(18_000),
-            fall_multiple: 2.5,
-            fall_span: Span::millis(2_000),
-            ration: None,
+        over_quota_weight: 1.0,
+        safety_limits: SafetyLimits {
+            initial_capacity: 0.2,
+            warm_up_duration: Span::from_millis(18_000),
+            overload_multiple: 2.5,
+            overload_window: Span::from_millis(2_000),
+            load_rate_limit: None,
         },
-        limits: Limits {
+        permissions: Permissions {
             max_attempts: 5,
             may_cancel: true,
             may_probe: true,
             may_order: true,
-            retry_after: None,
+            max_retry_after: None,
+        },
+        loading: LoadingSettings {
+            keep_alive: Span::from_millis(8_000),
+            on_miss,
+            worker_memory_mb: vec![8_000.0],
         },
-        loading: Loading { keep: Span::millis(8_000), on_miss, memory_mb: vec![8_000.0] },
         prices: Prices::default(),
-        gauges: vec![],
-        tells_company: false,
-        discovery: Discovery::Pushed,
-        weights_are_sizes: false,
+        load_metrics: vec![],
+        reports_function_in_flight: false,
+        discovery: DiscoveryMode::Pushed,
+        weights_are_capacities: false,
     }
 }
 
-pub fn member(worker: u64) -> Member {
-    Member {
+pub fn member(worker: u64) -> Endpoint {
+    Endpoint {
         worker: WorkerId(worker),
         zone: ZoneId(0),
         cell: CellId((worker % 2) as u16),
-        state: State::Ready,
+        state: EndpointState::Ready,
         weight: 1.0,
-        started: None,
+        started_at: None,
         kind: KindId(0),
     }
 }
 
-pub fn call(id: u32, function: u64, class: u16) -> Call {
-    Call {
+pub fn call(id: u32, function: u64, class: u16) -> IncomingRequest {
+    IncomingRequest {
         id: RequestId(id),
         function: FunctionId(function),
         class: ClassId(class),
         tenant: TenantId(0),
-        remaining: Span::millis(2500),
+        remaining: Span::from_millis(2500),
         memory_mb: 400.0,
-        lanes: 2.0,
+        concurrency: 2.0,
         load_time: None,
     }
 }
@@ -82,17 +86,17 @@
     pub fn new(settings: Settings, workers: u64) -> Rig {
         let mut rig = Rig {
             now: Time(1_000_000_000_000),
-            balancer: Balancer::new(settings, 1),
+            policy: Policy::new(settings, 1),
             sent: vec![],
             tries: Default::default(),
         };
-        rig.give(Event::Members(ListKind::Full, (1..=workers).map(member).collect()));
+        rig.give(Event::EndpointsUpdated(EndpointUpdateKind::Full, (1..=workers).map(member).collect()));
         rig
     }
 
     pub fn give(&mut self, event: Event) -> Vec<Action> {
         let mut actions = Vec::new();
-        self.balancer.handle(self.now, event, &mut actions);
+        self.policy.handle(self.now, event, &mut actions);
         for action in &actions {
             if let Action::Send { id, worker, .. } = action {
                 let attempt = self.tries.entry(*id).or_default();
@@ -108,8 +112,8 @@
         let end = self.now + span;
         let mut actions = Vec::new();
         while self.now < end {
-            self.now = self.now + Span::millis(10);
-            actions.extend(self.give(Event::Wake));
+            self.now = self.now + Span::from_millis(10);
+            actions.extend(self.give(Event::TimerFired));
         }
         actions
     }
@@ -126,22 +130,22 @@
 
     /// An outcome that brings a load report.
     pub fn told(&mut self, id: RequestId, attempt: u16, status: Status, report: Vec<f32>) -> Vec<Action> {
-        self.give(Event::Outcome(Outcome {
+        self.give(Event::AttemptFinished(AttemptOutcome {
             id,
             attempt,
             status,
-            latency: Span::millis(100),
-            finished: status == Status::Ok,
-            copy: CopyNote::Untold,
-            company: 0,
-            report,
+            latency: Span::from_millis(100),
+            request_finished: status == Status::Ok,
+            instance_state: InstanceState::Unknown,
+            function_in_flight: 0,
+            load_report: report,
         }))
     }
 
     pub fn stands(&mut self, worker: WorkerId, function: u64, status: Status) -> Vec<Action> {
         let copies = u32::from(status == Status::Ok);
-        let (function, latency) = (FunctionId(function), Span::millis(500));
-        self.give(Event::Loaded(Loaded { worker, function, copies, status, latency }))
+        let (function, latency) = (FunctionId(function), Span::from_millis(500));
+        self.give(Event::LoadFinished(LoadOutcome { worker, function, instances: copies, status, latency }))
     }
 }
 
@@ -161,6 +165,6 @@
 }
 
 pub fn ends(actions: &[Action]) -> Vec<Action> {
-    let end = |a: &&Action| matches!(a, Action::Refuse { .. } | Action::Fail { .. });
+    let end = |a: &&Action| matches!(a, Action::Reject { .. } | Action::Fail { .. });
     actions.iter().filter(end).cloned().collect()
 }
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -2,10 +2,12 @@
 
 mod rig;
 
-use function_scheduler::backend::{Endpoint, Limits, Pool};
+use function_scheduler::backend::{Limits, Pool, WorkerAddress};
 use function_scheduler::net::{Reactor, SystemClock};
-use function_scheduler::scheduler::{Command, Core, Incoming, Owner, Reply, Standing};
-use function_scheduler::{FunctionId, ListKind, Member, Span, Status, Time, WorkerId};
+use function_scheduler::scheduler::{
+    ClientRequest, Command, LoadResult, RequestOrigin, Scheduler, WorkerResponse,
+};
+use function_scheduler::{Endpoint, EndpointUpdateKind, FunctionId, Span, Status, Time, WorkerId};
 use rig::*;
 use serde_json::{Value, json};
 use socket2::{Domain, Socket, Type};
@@ -277,49 +279,49 @@
 fn attempts_that_have_ended_are_forgotten_while_their_connection_is_in_use() {
     let (_plain, told) = Plain::new();
     let site = function_scheduler::settings::read_site(settings().to_string().as_bytes()).unwrap();
-    let mut core = Core::new(site, 7);
+    let mut scheduler = Scheduler::new(site, 7);
     let mut reactor = Reactor::new(SystemClock::new()).unwrap();
-    let limits = Limits { multiplex: 1 << 20, idle: Span::millis(60_000), fleet: 100 };
-    let mut pool = Pool::new(limits, Span::millis(60_000), 200);
-    let member = Member { worker: WorkerId(1), ..Member::default() };
-    pool.place(member.worker, Endpoint::Agent(told.address()), None);
-    core.members(reactor.now(), ListKind::Full, vec![member]);
+    let limits = Limits { multiplex: 1 << 20, idle: Span::from_millis(60_000), fleet: 100 };
+    let mut pool = Pool::new(limits, Span::from_millis(60_000), 200);
+    let member = Endpoint { worker: WorkerId(1), ..Endpoint::default() };
+    pool.set_address(member.worker, WorkerAddress::Agent(told.address()), None);
+    scheduler.update_endpoints(reactor.now(), EndpointUpdateKind::Full, vec![member]);
     let mut most = 0;
     for n in 0..10_000 {
         let now = reactor.now();
-        core.call(now, incoming(n, now));
+        scheduler.submit(now, incoming(n, now));
         let mut out = None;
-        while let Some(command) = core.next_command() {
+        while let Some(command) = scheduler.next_command() {
             if let Command::Send { attempt, .. } = command {
                 out = Some(attempt);
             }
-            pool.command(command, &mut reactor, &mut core);
+            pool.command(command, &mut reactor, &mut scheduler);
         }
         let attempt = out.expect("the call is sent");
         // The first stays out for good.
         if n > 0 {
-            core.attempt_ended(now, attempt, Ok(Reply::Ok(vec![])));
-            while core.next_command().is_some() {}
+            scheduler.attempt_ended(now, attempt, Ok(WorkerResponse::Ok(vec![])));
+            while scheduler.next_command().is_some() {}
         }
-        pool.forget_ended(&core);
-        most = most.max(pool.remembered());
+        pool.forget_ended(&scheduler);
+        most = most.max(pool.routes_remembered());
         assert!(most < 500, "{most} of {n} are remembered");
     }
-    assert_eq!(core.attempts_out(), 1);
+    assert_eq!(scheduler.attempts_in_flight(), 1);
 }
 
 /// A call as a front hands it in.
-fn incoming(n: u64, now: Time) -> Incoming {
-    Incoming {
-        owner: Owner { connection: 1, stream: n },
-        reference: format!("{n:016x}"),
+fn incoming(n: u64, now: Time) -> ClientRequest {
+    ClientRequest {
+        origin: RequestOrigin { connection: 1, stream: n },
+        correlation_id: format!("{n:016x}"),
         class: "practice-check".into(),
         function: FunctionId(9),
         key: None,
         memory_mb: 1.0,
-        lanes: 64.0,
+        concurrency: 64.0,
         load_time: None,
-        deadline: now + Span::millis(60_000),
+        deadline: now + Span::from_millis(60_000),
         body: vec![],
     }
 }
@@ -400,21 +402,31 @@
     text["familyInfo"]["notLoaded"] = json!("miss");
     text["familyInfo"]["loadSpanNs"] = json!(0);
     let site = |text: &Value| function_scheduler::settings::read_site(text.to_string().as_bytes()).unwrap();
-    let mut core = Core::new(site(&text), 7);
+    let mut scheduler = Scheduler::new(site(&text), 7);
     let begin = Time(1_000_000_000_000);
-    core.members(begin, ListKind::Full, vec![Member { worker: WorkerId(1), ..Member::default() }]);
+    scheduler.update_endpoints(
+        begin,
+        EndpointUpdateKind::Full,
+        vec![Endpoint { worker: WorkerId(1), ..Endpoint::default() }],
+    );
     // A call finds its function missing, and an order to load follows.
-    let order = |core: &mut Core, n: u64| {
-        let now = begin + Span::millis(n * 100);
-        core.wake(now);
-        core.call(now, Incoming { function: FunctionId(n), ..incoming(n, now) });
-        while let Some(command) = core.next_command() {
+    let order = |scheduler: &mut Scheduler, n: u64| {
+        let now = begin + Span::from_millis(n * 100);
+        scheduler.fire_timers(now);
+        scheduler.submit(now, ClientRequest { function: FunctionId(n), ..incoming(n, now) });
+        while let Some(command) = scheduler.next_command() {
             match command {
-                Command::Send { attempt, .. } => core.attempt_ended(now, attempt, Ok(Reply::Miss)),
-                Command::Stage { order, .. } => {
-                    let may = core.may_write_order(now, order);
-                    core.order_ended(now, order, Ok(Standing { status: Status::Full, copies: 0 }));
-                    core.withdraw(now, Owner { connection: 1, stream: n });
+                Command::Send { attempt, .. } => {
+                    scheduler.attempt_ended(now, attempt, Ok(WorkerResponse::Miss))
+                }
+                Command::Load { order, .. } => {
+                    let may = scheduler.admits_load_order(now, order);
+                    scheduler.load_order_ended(
+                        now,
+                        order,
+                        Ok(LoadResult { status: Status::Full, instances: 0 }),
+                    );
+                    scheduler.cancel(now, RequestOrigin { connection: 1, stream: n });
                     return may;
                 }
                 _ => {}
@@ -423,13 +435,13 @@
         panic!("no order for call {n}");
     };
     for n in 0..2_000 {
-        assert!(order(&mut core, n), "no ration yet");
-        assert!(core.orders_remembered() < 700, "{} after {n}", core.orders_remembered());
+        assert!(order(&mut scheduler, n), "no ration yet");
+        assert!(scheduler.load_orders_remembered() < 700, "{} after {n}", scheduler.load_orders_remembered());
     }
     text["familyInfo"]["loadSpanNs"] = json!(5_000_000_000u64);
     text["familyInfo"]["loadsAnyway"] = json!(40);
-    core.replace_site(begin + Span::millis(200_000), site(&text));
-    assert!(!order(&mut core, 2_000), "some fifty went out within the ration's span");
+    scheduler.reconfigure(begin + Span::from_millis(200_000), site(&text));
+    assert!(!order(&mut scheduler, 2_000), "some fifty went out within the ration's span");
 }
 
 // ---- The list of workers
