VRRP: names of RFC 9568 for the public types, and a typed decode error

The state machine and the packet codec had names of their own, and a datagram that could not be read was explained by a bare string.

The state machine is `StateMachine` with a `Configuration`, its timer is `next_timer`, its events say what happened (`TimerExpired`, `AdvertisementReceived`), and what it asks for is `SendAdvertisement`. The packet's limits carry their units, and `decode` answers with `DecodeError`, whose text is what the log said before; the unit test still compares that text. Call sites follow; behaviour is the same.

--- a/src/config.rs
+++ b/src/config.rs
@@ -276,7 +276,7 @@
         return Err("operator's file: jsonrpc.max_line is not between 1024 and 1048576".to_owned());
     }
     if let Some(vrrp) = &operator.vrrp {
-        let bounds = (1..=crate::vrrp::packet::INTERVAL).contains(&vrrp.interval_cs);
+        let bounds = (1..=crate::vrrp::packet::MAX_INTERVAL_CENTISECONDS).contains(&vrrp.interval_cs);
         if vrrp.vrid == 0 || vrrp.priority == 0 || !bounds {
             return Err("operator's file: vrrp.vrid, priority and interval_cs start from 1".to_owned());
         }
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -9,7 +9,7 @@
 use crate::model::{Endpoint, EndpointState, EndpointUpdateKind, Span, Time};
 use crate::net::{Reactor, Signal, Stream, SystemClock};
 use crate::scheduler::{Command, Scheduler};
-use crate::vrrp::packet::{Advertisement, LARGEST};
+use crate::vrrp::packet::{Advertisement, MAX_MESSAGE_LENGTH};
 use crate::vrrp::{self, Event};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use std::cell::RefCell;
@@ -32,7 +32,7 @@
 
 /// The virtual router that decides whether this daemon takes new calls on the second front.
 struct Router {
-    machine: vrrp::Machine,
+    machine: vrrp::StateMachine,
     setting: config::Vrrp,
     socket: usize,
 }
@@ -40,18 +40,23 @@
 impl Router {
     fn new(setting: &config::Vrrp, reactor: &mut Reactor) -> io::Result<Router> {
         let (socket, own) = reactor.hear(setting.bind)?;
-        let machine = vrrp::Machine::new(vrrp::Setting {
+        let machine = vrrp::StateMachine::new(vrrp::Configuration {
             priority: setting.priority,
-            interval: Span::from_millis(u64::from(setting.interval_cs) * 10),
+            advertisement_interval: Span::from_millis(u64::from(setting.interval_cs) * 10),
             preempt: setting.preempt,
-            own,
+            address: own,
         });
         Ok(Router { machine, setting: setting.clone(), socket })
     }
 
     fn advertisement(&self, priority: u8) -> Vec<u8> {
-        let (vrid, interval) = (self.setting.vrid, self.setting.interval_cs);
-        Advertisement { vrid, priority, interval, addresses: vec![self.setting.address] }.write()
+        Advertisement {
+            virtual_router_id: self.setting.vrid,
+            priority,
+            interval_centiseconds: self.setting.interval_cs,
+            addresses: vec![self.setting.address],
+        }
+        .encode()
     }
 }
 
@@ -161,7 +166,7 @@
             self.inbox.borrow().offset
         );
         loop {
-            let router = self.router.as_ref().and_then(|router| router.machine.due());
+            let router = self.router.as_ref().and_then(|router| router.machine.next_timer());
             let until = self.scheduler.next_timer().into_iter().chain(self.bus_again);
             let until = until.chain(self.next_step()).chain(self.accept_again).chain(router).min();
             for signal in self.reactor.turn(until, &mut self.scheduler)? {
@@ -179,7 +184,7 @@
             if self.accept_again.take_if(|at| *at <= now).is_some() {
                 (0..self.reactor.listeners()).for_each(|listener| self.accept(listener));
             }
-            self.vrrp(Event::Timer);
+            self.vrrp(Event::TimerExpired);
             self.settle();
             if self.ended() {
                 eprintln!("function-scheduler: {}", self.scheduler.counters());
@@ -470,17 +475,17 @@
     }
 
     fn hear(&mut self, socket: usize) {
-        let mut bytes = [0; LARGEST + 1];
+        let mut bytes = [0; MAX_MESSAGE_LENGTH + 1];
         while let Some((size, from)) = self.reactor.datagram(socket, &mut bytes) {
             let Some(router) = &self.router else { return };
             let read = match router.setting.peers.contains(&from) {
-                true => Advertisement::read(&bytes[..size]),
-                false => Err("not from a peer"),
+                true => Advertisement::decode(&bytes[..size]).map_err(|error| error.to_string()),
+                false => Err("not from a peer".to_owned()),
             };
             match read {
-                Ok(message) if message.vrid == router.setting.vrid => {
-                    let (priority, interval) = (message.priority, message.span());
-                    self.vrrp(Event::Advertisement { priority, interval, from });
+                Ok(message) if message.virtual_router_id == router.setting.vrid => {
+                    let (priority, interval) = (message.priority, message.interval());
+                    self.vrrp(Event::AdvertisementReceived { priority, interval, sender: from });
                 }
                 Ok(_) => self.scheduler.counters().vrrp_dropped += 1,
                 Err(why) => {
--- a/src/vrrp/mod.rs
+++ b/src/vrrp/mod.rs
@@ -1,6 +1,6 @@
 //! VRRP (RFC 9568): which of several daemons takes new calls on the fronts of its host.
 //!
-//! [`Machine`] is the protocol's state machine without I/O; [`packet`] is version 3's advertisement. The
+//! [`StateMachine`] is the protocol's state machine without I/O; [`packet`] is version 3's advertisement. The
 //! daemon carries advertisements over UDP between peers that the operator names, in place of IP multicast:
 //! a datagram from anyone else is dropped, which stands for the protocol's check of the TTL.
 
@@ -22,15 +22,15 @@
 
 /// What a virtual router is set to.
 #[derive(Clone, Debug)]
-pub struct Setting {
+pub struct Configuration {
     /// 1 to 254; 255 is the owner of the address, always active while it runs.
     pub priority: u8,
     /// Time between advertisements of this one while it is active.
-    pub interval: Span,
+    pub advertisement_interval: Span,
     /// Whether it takes over from an active one of lower priority.
     pub preempt: bool,
     /// Its own address: between equal priorities the higher address wins.
-    pub own: SocketAddr,
+    pub address: SocketAddr,
 }
 
 /// What happens to the machine.
@@ -40,30 +40,30 @@
     Startup,
     /// The daemon is about to end.
     Shutdown,
-    /// The time of [`Machine::due`] has come.
-    Timer,
+    /// The time of [`StateMachine::next_timer`] has come.
+    TimerExpired,
     /// A valid advertisement of this virtual router has come.
-    Advertisement {
+    AdvertisementReceived {
         /// Its sender's priority; 0 says that the sender stops.
         priority: u8,
         /// Its sender's time between advertisements.
         interval: Span,
         /// Its sender.
-        from: SocketAddr,
+        sender: SocketAddr,
     },
 }
 
 /// An advertisement to send to all peers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Advertise {
+pub struct SendAdvertisement {
     /// With this priority.
     pub priority: u8,
 }
 
 /// The state machine of one virtual router.
 #[derive(Clone, Debug)]
-pub struct Machine {
-    setting: Setting,
+pub struct StateMachine {
+    configuration: Configuration,
     state: State,
     /// Adver_Timer while active, Active_Down_Timer while in backup.
     timer: Option<Time>,
@@ -71,11 +71,11 @@
     active_interval: Span,
 }
 
-impl Machine {
+impl StateMachine {
     /// A machine in Initialize.
-    pub fn new(setting: Setting) -> Machine {
-        let active_interval = setting.interval;
-        Machine { setting, state: State::Initialize, timer: None, active_interval }
+    pub fn new(configuration: Configuration) -> StateMachine {
+        let active_interval = configuration.advertisement_interval;
+        StateMachine { configuration, state: State::Initialize, timer: None, active_interval }
     }
 
     /// Its state.
@@ -83,14 +83,14 @@
         self.state
     }
 
-    /// When [`Event::Timer`] is to be given.
-    pub fn due(&self) -> Option<Time> {
+    /// When [`Event::TimerExpired`] is to be given.
+    pub fn next_timer(&self) -> Option<Time> {
         self.timer
     }
 
     /// Skew_Time: the higher the priority, the sooner a backup steps in.
     fn skew(&self) -> Span {
-        Span((256 - u64::from(self.setting.priority)) * self.active_interval.0 / 256)
+        Span((256 - u64::from(self.configuration.priority)) * self.active_interval.0 / 256)
     }
 
     /// Active_Down_Interval: three advertisements missed, and the skew.
@@ -99,12 +99,12 @@
     }
 
     /// Takes in what has happened; says whether an advertisement is to be sent.
-    pub fn handle(&mut self, now: Time, event: Event) -> Option<Advertise> {
+    pub fn handle(&mut self, now: Time, event: Event) -> Option<SendAdvertisement> {
         match (self.state, event) {
-            (State::Initialize, Event::Startup) => match self.setting.priority {
+            (State::Initialize, Event::Startup) => match self.configuration.priority {
                 255 => self.rise(now),
                 _ => {
-                    self.active_interval = self.setting.interval;
+                    self.active_interval = self.configuration.advertisement_interval;
                     self.watch(now)
                 }
             },
@@ -112,27 +112,29 @@
             (State::Backup, Event::Shutdown) => self.stop(),
             (State::Active, Event::Shutdown) => {
                 self.stop();
-                Some(Advertise { priority: 0 })
+                Some(SendAdvertisement { priority: 0 })
             }
-            (State::Backup, Event::Timer) if self.timer.is_some_and(|at| at <= now) => self.rise(now),
-            (State::Active, Event::Timer) if self.timer.is_some_and(|at| at <= now) => self.advertise(now),
-            (_, Event::Timer | Event::Startup) => None,
+            (State::Backup, Event::TimerExpired) if self.timer.is_some_and(|at| at <= now) => self.rise(now),
+            (State::Active, Event::TimerExpired) if self.timer.is_some_and(|at| at <= now) => {
+                self.advertise(now)
+            }
+            (_, Event::TimerExpired | Event::Startup) => None,
             // The owner of the address heeds nobody.
-            (_, Event::Advertisement { .. }) if self.setting.priority == 255 => None,
-            (State::Backup, Event::Advertisement { priority: 0, .. }) => {
+            (_, Event::AdvertisementReceived { .. }) if self.configuration.priority == 255 => None,
+            (State::Backup, Event::AdvertisementReceived { priority: 0, .. }) => {
                 self.timer = Some(now + self.skew());
                 None
             }
-            (State::Backup, Event::Advertisement { priority, interval, .. }) => {
-                if self.setting.preempt && priority < self.setting.priority {
+            (State::Backup, Event::AdvertisementReceived { priority, interval, .. }) => {
+                if self.configuration.preempt && priority < self.configuration.priority {
                     return None;
                 }
                 self.active_interval = interval;
                 self.watch(now)
             }
-            (State::Active, Event::Advertisement { priority: 0, .. }) => self.advertise(now),
-            (State::Active, Event::Advertisement { priority, interval, from }) => {
-                if (priority, from) > (self.setting.priority, self.setting.own) {
+            (State::Active, Event::AdvertisementReceived { priority: 0, .. }) => self.advertise(now),
+            (State::Active, Event::AdvertisementReceived { priority, interval, sender }) => {
+                if (priority, sender) > (self.configuration.priority, self.configuration.address) {
                     self.active_interval = interval;
                     return self.watch(now);
                 }
@@ -142,23 +144,23 @@
         }
     }
 
-    fn rise(&mut self, now: Time) -> Option<Advertise> {
+    fn rise(&mut self, now: Time) -> Option<SendAdvertisement> {
         self.state = State::Active;
         self.advertise(now)
     }
 
-    fn advertise(&mut self, now: Time) -> Option<Advertise> {
-        self.timer = Some(now + self.setting.interval);
-        Some(Advertise { priority: self.setting.priority })
+    fn advertise(&mut self, now: Time) -> Option<SendAdvertisement> {
+        self.timer = Some(now + self.configuration.advertisement_interval);
+        Some(SendAdvertisement { priority: self.configuration.priority })
     }
 
-    fn watch(&mut self, now: Time) -> Option<Advertise> {
+    fn watch(&mut self, now: Time) -> Option<SendAdvertisement> {
         self.state = State::Backup;
         self.timer = Some(now + self.active_down());
         None
     }
 
-    fn stop(&mut self) -> Option<Advertise> {
+    fn stop(&mut self) -> Option<SendAdvertisement> {
         (self.state, self.timer) = (State::Initialize, None);
         None
     }
@@ -170,14 +172,19 @@
 
     const MS: fn(u64) -> Time = |ms| Time(ms * 1_000_000);
 
-    fn machine(priority: u8, preempt: bool) -> Machine {
-        let own = "127.0.0.5:9112".parse().unwrap();
-        Machine::new(Setting { priority, interval: Span::from_millis(1000), preempt, own })
+    fn machine(priority: u8, preempt: bool) -> StateMachine {
+        let address = "127.0.0.5:9112".parse().unwrap();
+        StateMachine::new(Configuration {
+            priority,
+            advertisement_interval: Span::from_millis(1000),
+            preempt,
+            address,
+        })
     }
 
     fn heard(priority: u8, interval_ms: u64, last: u8) -> Event {
-        let from = SocketAddr::from(([127, 0, 0, last], 9112));
-        Event::Advertisement { priority, interval: Span::from_millis(interval_ms), from }
+        let sender = SocketAddr::from(([127, 0, 0, last], 9112));
+        Event::AdvertisementReceived { priority, interval: Span::from_millis(interval_ms), sender }
     }
 
     /// From a state, an event at 10 s leads to a state, its timer and perhaps an advertisement.
@@ -189,16 +196,16 @@
             (Initialize, 128, true, Event::Startup, Backup, Some(13_500), None),
             (Initialize, 255, true, Event::Startup, Active, Some(11_000), Some(255)),
             (Initialize, 128, true, heard(200, 1000, 9), Initialize, None, None),
-            (Initialize, 128, true, Event::Timer, Initialize, None, None),
+            (Initialize, 128, true, Event::TimerExpired, Initialize, None, None),
             (Initialize, 128, true, Event::Shutdown, Initialize, None, None),
-            (Backup, 128, true, Event::Timer, Active, Some(11_000), Some(128)),
+            (Backup, 128, true, Event::TimerExpired, Active, Some(11_000), Some(128)),
             (Backup, 128, true, Event::Shutdown, Initialize, None, None),
             (Backup, 128, true, heard(0, 1000, 9), Backup, Some(10_500), None),
             (Backup, 128, true, heard(128, 1000, 9), Backup, Some(13_500), None),
             (Backup, 128, true, heard(200, 2000, 9), Backup, Some(17_000), None),
             (Backup, 128, true, heard(100, 2000, 9), Backup, Some(10_000), None),
             (Backup, 128, false, heard(100, 2000, 9), Backup, Some(17_000), None),
-            (Active, 128, true, Event::Timer, Active, Some(11_000), Some(128)),
+            (Active, 128, true, Event::TimerExpired, Active, Some(11_000), Some(128)),
             (Active, 128, true, Event::Shutdown, Initialize, None, Some(0)),
             (Active, 128, true, heard(0, 1000, 9), Active, Some(11_000), Some(128)),
             (Active, 128, true, heard(200, 2000, 1), Backup, Some(17_000), None),
@@ -212,7 +219,7 @@
             machine.state = from;
             machine.timer = (from != Initialize).then_some(MS(10_000));
             let out = machine.handle(MS(10_000), event);
-            let got = (machine.state(), machine.due(), out.map(|advertise| advertise.priority));
+            let got = (machine.state(), machine.next_timer(), out.map(|advertise| advertise.priority));
             assert_eq!(got, (to, timer.map(MS), sent), "{from:?} {priority} {preempt} {event:?}");
         }
     }
@@ -222,7 +229,7 @@
         let mut machine = machine(128, true);
         machine.handle(MS(0), Event::Startup);
         machine.handle(MS(3000), heard(200, 1000, 9));
-        assert_eq!(machine.handle(MS(3500), Event::Timer), None);
+        assert_eq!(machine.handle(MS(3500), Event::TimerExpired), None);
         assert_eq!(machine.state(), State::Backup);
     }
 }
--- a/tests/vrrp.rs
+++ b/tests/vrrp.rs
@@ -22,13 +22,15 @@
 
 fn say(socket: &UdpSocket, to: SocketAddr, vrid: u8, priority: u8, interval: u16) {
     let addresses = vec!["127.0.0.100".parse().unwrap()];
-    socket.send_to(&Advertisement { vrid, priority, interval, addresses }.write(), to).unwrap();
+    let message =
+        Advertisement { virtual_router_id: vrid, priority, interval_centiseconds: interval, addresses };
+    socket.send_to(&message.encode(), to).unwrap();
 }
 
 fn hear(socket: &UdpSocket) -> (Advertisement, SocketAddr) {
     let mut bytes = [0; 1500];
     let (size, from) = socket.recv_from(&mut bytes).unwrap();
-    (Advertisement::read(&bytes[..size]).unwrap(), from)
+    (Advertisement::decode(&bytes[..size]).unwrap(), from)
 }
 
 fn code(rpc: &mut Rpc, id: u32) -> Value {
@@ -43,7 +45,7 @@
     peer.set_read_timeout(Some(LONG)).unwrap();
     let daemon = start(&worker, 100, 10, "127.0.0.1:0", peer.local_addr().unwrap());
     let (message, at) = hear(&peer);
-    assert_eq!((message.vrid, message.priority, message.interval), (7, 100, 10));
+    assert_eq!((message.virtual_router_id, message.priority, message.interval_centiseconds), (7, 100, 10));
     daemon.wait_log("state=Active was=Backup");
     let mut client = Rpc::connect(&daemon.folder.at("calls.sock"));
     client.send(&rpc_call(&json!(1), "practice-check", REF, 2900, "").to_string());
