Type the cause of a failed exchange with a worker; map write progress to a status once

The cause crossed the module's edge as a string, and the map from how far a write had come to a status stood twice, for attempts and for load orders. AttemptError and FailureCause are now typed errors; WriteProgress and WorkerResponse give their status themselves. The texts of the causes stay (that of an undecodable response was the codec's and reached no log).

--- a/src/backend/mod.rs
+++ b/src/backend/mod.rs
@@ -13,8 +13,8 @@
 use crate::model::{FunctionId, Span, Time};
 use crate::net::{BufferedStream, Connection, ConnectionFlow, Context};
 use crate::scheduler::{
-    AttemptError, AttemptId, HealthCheckId, LoadOrderId, LoadResult, RequestPayload, WorkerResponse,
-    WriteProgress,
+    AttemptError, AttemptId, FailureCause, HealthCheckId, LoadOrderId, LoadResult, RequestPayload,
+    WorkerResponse, WriteProgress,
 };
 use std::cell::Cell;
 use std::collections::{HashMap, VecDeque};
@@ -258,13 +258,14 @@
                 instances: copies,
                 load_report: load,
             }) => (correlation_id, Ok(reply), copies, load),
-            Err(DecodeError { correlation_id, cause }) => {
+            Err(DecodeError { correlation_id, .. }) => {
                 context.scheduler.counters().unreadable += 1;
                 if let Some(Open::Attempt(attempt)) =
                     correlation_id.as_ref().and_then(|correlation_id| self.open.remove(correlation_id))
                 {
                     self.attempts -= 1;
                     self.names.remove(&attempt);
+                    let cause = FailureCause::UndecodableResponse;
                     let broken = AttemptError { progress: WriteProgress::Answered, cause };
                     context.scheduler.attempt_ended(context.now, attempt, Err(broken));
                 }
@@ -287,16 +288,15 @@
                 context.scheduler.attempt_ended(context.now, attempt, reply);
             }
             Some(Open::Order(order)) => {
-                let standing = reply.map(|reply| LoadResult {
-                    status: crate::scheduler::status_of(&reply),
-                    instances: copies.unwrap_or(0),
-                });
+                let standing =
+                    reply.map(|reply| LoadResult { status: reply.status(), instances: copies.unwrap_or(0) });
                 context.scheduler.load_order_ended(context.now, order, standing);
             }
             // An answer, but not that it lives.
             Some(Open::Probe(probe)) => {
                 self.probe_by = None;
-                let broken = AttemptError { progress: WriteProgress::Answered, cause: "not alive" };
+                let broken =
+                    AttemptError { progress: WriteProgress::Answered, cause: FailureCause::NotAlive };
                 context.scheduler.health_check_ended(context.now, probe, Err(broken));
             }
             Some(Open::Shadow(_)) | None => {}
@@ -365,7 +365,7 @@
         if let Some((_, probe)) = self.probe_by.take_if(|(by, _)| *by <= context.now) {
             self.silent = true;
             self.open.remove(&Self::probe_name(probe));
-            let broken = AttemptError { progress: WriteProgress::Written, cause: "no answer" };
+            let broken = AttemptError { progress: WriteProgress::Written, cause: FailureCause::NoResponse };
             context.scheduler.health_check_ended(context.now, probe, Err(broken));
         }
         let late = self.connect_by.into_iter().chain(self.line_by).any(|by| by <= context.now);
@@ -410,7 +410,7 @@
             let partly = half.as_ref().is_some_and(|half| is(half, open)) && socket.waiting() > 0;
             ends.push((*open, if partly { WriteProgress::PartiallyWritten } else { WriteProgress::Written }));
         }
-        let cause = if up { "connection ended" } else { "no connection" };
+        let cause = if up { FailureCause::ConnectionClosed } else { FailureCause::NoConnection };
         for (open, reached) in ends {
             let broken = AttemptError { progress: reached, cause };
             match open {
--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -3,7 +3,7 @@
 use super::{Codec, Job, Limits, WorkerConnection};
 use crate::model::{Span, Time, WorkerId};
 use crate::net::{ConnectionFlow, Reactor};
-use crate::scheduler::{AttemptError, AttemptId, Command, Scheduler, WriteProgress};
+use crate::scheduler::{AttemptError, AttemptId, Command, FailureCause, Scheduler, WriteProgress};
 use std::cell::Cell;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -147,8 +147,10 @@
                         give(connection, Job::HealthCheck { check: probe, deadline }, reactor, scheduler)
                     }
                     None => {
-                        let broken =
-                            AttemptError { progress: WriteProgress::NotSent, cause: "no connection" };
+                        let broken = AttemptError {
+                            progress: WriteProgress::NotSent,
+                            cause: FailureCause::NoConnection,
+                        };
                         scheduler.health_check_ended(reactor.now(), probe, Err(broken));
                     }
                 }
--- /dev/null
+++ b/src/scheduler/errors.rs
@@ -0,0 +1,59 @@
+//! How an exchange with a worker can fail.
+
+use crate::model::Status;
+use thiserror::Error;
+
+/// How far the bytes of a command had come when its exchange with the worker failed. This alone decides whether a
+/// retry is safe.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WriteProgress {
+    /// No byte was handed to the operating system.
+    NotSent,
+    /// Some bytes, not all: the worker cannot parse what it receives, so the command never ran.
+    PartiallyWritten,
+    /// All bytes: the command may have run.
+    Written,
+    /// A response came that could not be used: the command may have run.
+    Answered,
+}
+
+impl WriteProgress {
+    /// The status that the policy is told for an attempt or load order that failed at this point.
+    pub(super) fn failure_status(self) -> Status {
+        match self {
+            WriteProgress::NotSent | WriteProgress::PartiallyWritten => Status::ConnectFailed,
+            WriteProgress::Written => Status::Reset,
+            WriteProgress::Answered => Status::Error,
+        }
+    }
+}
+
+/// Why an exchange with a worker ended without a usable response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum FailureCause {
+    /// No connection to the worker could be had.
+    #[error("no connection")]
+    NoConnection,
+    /// The connection closed while the exchange was open.
+    #[error("connection ended")]
+    ConnectionClosed,
+    /// No response came in time.
+    #[error("no answer")]
+    NoResponse,
+    /// The response could not be decoded.
+    #[error("answer cannot be read")]
+    UndecodableResponse,
+    /// The response to a health check did not say that the worker is alive.
+    #[error("not alive")]
+    NotAlive,
+}
+
+/// An attempt, load order or health check that ended without a usable response.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[error("{cause}")]
+pub struct AttemptError {
+    /// How far the command had been written.
+    pub progress: WriteProgress,
+    /// What went wrong.
+    pub cause: FailureCause,
+}
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -5,8 +5,10 @@
 //! one final answer, whatever the front or the back end.
 
 mod counters;
+mod errors;
 
 pub use counters::Counters;
+pub use errors::{AttemptError, FailureCause, WriteProgress};
 
 use crate::model::*;
 use crate::policy::Policy;
@@ -99,28 +101,6 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct HealthCheckId(pub u64);
 
-/// How far an attempt or an order had come when it broke. This alone decides whether a repeat is safe.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum WriteProgress {
-    /// No byte was handed to the system.
-    NotSent,
-    /// Some bytes, not all: what arrives cannot be read, so it never ran.
-    PartiallyWritten,
-    /// All of it: it may have run.
-    Written,
-    /// An answer came that could not be used.
-    Answered,
-}
-
-/// An attempt or order that ended without a usable answer.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct AttemptError {
-    /// How far it had come.
-    pub progress: WriteProgress,
-    /// What broke, for the log.
-    pub cause: &'static str,
-}
-
 /// What a worker said of an attempt.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum WorkerResponse {
@@ -136,6 +116,19 @@
     Expired,
 }
 
+impl WorkerResponse {
+    /// The status that the policy is told for this response.
+    pub fn status(&self) -> Status {
+        match self {
+            WorkerResponse::Ok(_) => Status::Ok,
+            WorkerResponse::Miss => Status::Miss,
+            WorkerResponse::Full => Status::Full,
+            WorkerResponse::Error => Status::Error,
+            WorkerResponse::Expired => Status::Moot,
+        }
+    }
+}
+
 /// What a worker said of an order to load.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LoadResult {
@@ -510,17 +503,13 @@
         let (written, mut body) = (attempt.written, None);
         let status = match end {
             Ok(reply) => {
-                let status = status_of(&reply);
+                let status = reply.status();
                 if let WorkerResponse::Ok(bytes) = reply {
                     body = Some(bytes);
                 }
                 status
             }
-            Err(broken) => match broken.progress {
-                WriteProgress::NotSent | WriteProgress::PartiallyWritten => Status::ConnectFailed,
-                WriteProgress::Written => Status::Reset,
-                WriteProgress::Answered => Status::Error,
-            },
+            Err(error) => error.progress.failure_status(),
         };
         self.counters.end(status);
         if let Some(taken) = self.requests.get_mut(&id.request)
@@ -550,14 +539,8 @@
 
     /// An order to load has ended at its worker, or broke on the way.
     pub fn load_order_ended(&mut self, now: Time, id: LoadOrderId, end: Result<LoadResult, AttemptError>) {
-        let standing = end.unwrap_or_else(|broken| {
-            let status = match broken.progress {
-                WriteProgress::NotSent | WriteProgress::PartiallyWritten => Status::ConnectFailed,
-                WriteProgress::Written => Status::Reset,
-                WriteProgress::Answered => Status::Error,
-            };
-            LoadResult { status, instances: 0 }
-        });
+        let standing =
+            end.unwrap_or_else(|error| LoadResult { status: error.progress.failure_status(), instances: 0 });
         self.end_order(now, id, standing);
         self.settle(now);
     }
@@ -809,17 +792,6 @@
     }
 }
 
-/// What a worker's word means to the module.
-pub(crate) fn status_of(reply: &WorkerResponse) -> Status {
-    match reply {
-        WorkerResponse::Ok(_) => Status::Ok,
-        WorkerResponse::Miss => Status::Miss,
-        WorkerResponse::Full => Status::Full,
-        WorkerResponse::Error => Status::Error,
-        WorkerResponse::Expired => Status::Moot,
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -875,7 +847,7 @@
     }
 
     fn broken(reached: WriteProgress) -> Result<WorkerResponse, AttemptError> {
-        Err(AttemptError { progress: reached, cause: "test" })
+        Err(AttemptError { progress: reached, cause: FailureCause::ConnectionClosed })
     }
 
     fn load(scheduler: &mut Scheduler, now: Time) -> LoadOrderId {
