Gather the configuration's files under src/config, its types named for what they hold

The program's configuration stood in two modules with two readers named 'read'.

config/ now holds the platform's file, the operator's file and the site's settings; parse_settings, parse_site, parse_scheduler_config and parse_operator_config replace read, read_site and read_operator. Site moves to model/, because the scheduler and the connections use it and neither is to import the readers. The pair that both files gave is Configuration. Nothing else changes.

--- a/src/bin/function-scheduler-sim/main.rs
+++ b/src/bin/function-scheduler-sim/main.rs
@@ -4,7 +4,7 @@
 mod codec;
 
 use codec::{Record, Reply, WireError, read_frame, read_records};
-use function_scheduler::{Action, Endpoint, Event, Policy, settings};
+use function_scheduler::{Action, Endpoint, Event, Policy, config};
 use std::collections::BTreeMap;
 use std::io::{self, BufReader, Write};
 use std::process::ExitCode;
@@ -52,7 +52,7 @@
     ) {
         let (instance, event) = match record {
             Record::Open { instance, seed, settings } => {
-                match settings::read(&settings) {
+                match config::parse_settings(&settings) {
                     Ok(settings) => drop(self.instances.insert(instance, Policy::new(settings, seed))),
                     Err(text) => reply.fault(instance, &text),
                 }
--- a/src/client.rs
+++ b/src/client.rs
@@ -4,7 +4,7 @@
 //! use function_scheduler::backend::WorkerAddress;
 //! use function_scheduler::client::{Client, Outgoing};
 //! use function_scheduler::scheduler::Outcome;
-//! use function_scheduler::{FunctionId, Endpoint, Span, WorkerId, settings};
+//! use function_scheduler::{FunctionId, Endpoint, Span, WorkerId, config};
 //! use std::io::{BufRead, BufReader, Write};
 //!
 //! # let folder = std::env::temp_dir().join(format!("function-scheduler-doc-{}", std::process::id()));
@@ -21,7 +21,7 @@
 //!     }
 //! });
 //!
-//! let site = settings::read_site(br#"{"fleetSize": 1, "index": 0,
+//! let site = config::parse_site(br#"{"fleetSize": 1, "index": 0,
 //!   "classes": [{"name": "check", "deadlineNs": 3000000000, "effect": "retryable",
 //!                "objectiveNs": 1000000000}],
 //!   "bounds": {"mostTries": 3},
@@ -44,10 +44,9 @@
 //! ```
 
 use crate::backend::{Limits, Pool, WorkerAddress};
-use crate::model::{Endpoint, EndpointState, EndpointUpdateKind, FunctionId, Span, Time};
+use crate::model::{Endpoint, EndpointState, EndpointUpdateKind, FunctionId, Site, Span, Time};
 use crate::net::{Reactor, SystemClock};
 use crate::scheduler::{ClientRequest, Command, Counters, RequestOrigin, Response, Scheduler};
-use crate::settings::Site;
 use std::io;
 
 /// Connections that an embedded scheduler opens at most.
--- a/src/config.rs
+++ b/src/config/mod.rs
@@ -2,7 +2,10 @@
 
 use crate::discovery::{EndpointRecord, WatchEvent, started_at};
 use crate::model::*;
-use crate::settings::{Site, read_site};
+mod settings;
+
+pub use settings::{parse_settings, parse_site};
+
 use serde::Deserialize;
 use serde_json::Value;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -10,33 +13,42 @@
 
 /// The files that say all of this. They are read at the start, and anew on SIGHUP.
 #[derive(Clone, Debug)]
-pub struct Sources {
+pub struct ConfigSources {
     /// The platform's configuration.
     pub config: PathBuf,
     /// The operator's file, if there is one.
     pub operator: Option<PathBuf>,
 }
 
-impl Sources {
+impl ConfigSources {
     /// Reads both files whole; nothing of them is used unless all of both can be.
-    pub fn read(&self) -> Result<(Config, Operator), String> {
+    pub fn load(&self) -> Result<Configuration, String> {
         let operator = match &self.operator {
-            None => Operator::default(),
+            None => OperatorConfig::default(),
             Some(path) => {
                 let text = std::fs::read_to_string(path)
                     .map_err(|e| format!("operator's file: cannot read {}: {e}", path.display()))?;
-                read_operator(&text)?
+                parse_operator_config(&text)?
             }
         };
         let text = std::fs::read(&self.config)
             .map_err(|e| format!("configuration: cannot read {}: {e}", self.config.display()))?;
-        Ok((read(&text)?, operator))
+        Ok(Configuration { scheduler: parse_scheduler_config(&text)?, operator })
     }
 }
 
+/// Both files, read and checked.
+#[derive(Clone, Debug)]
+pub struct Configuration {
+    /// The platform's configuration.
+    pub scheduler: SchedulerConfig,
+    /// The operator's file; empty where there is none.
+    pub operator: OperatorConfig,
+}
+
 /// The platform's configuration.
 #[derive(Clone, Debug)]
-pub struct Config {
+pub struct SchedulerConfig {
     /// The scheduler's name.
     pub name: String,
     /// Where clients connect.
@@ -44,13 +56,13 @@
     /// For random numbers.
     pub seed: u64,
     /// Descriptors that may be held.
-    pub sockets: usize,
+    pub max_descriptors: usize,
     /// Memory that may be taken, in MB.
     pub memory_mb: usize,
     /// Where the event bus is, if there is one.
     pub bus: Option<SocketAddr>,
     /// The bus's events up to now.
-    pub known: Vec<WatchEvent>,
+    pub known_events: Vec<WatchEvent>,
     /// The site.
     pub site: Site,
 }
@@ -120,9 +132,9 @@
 const MEMORY_MB: usize = 192;
 
 /// Reads the configuration; the error names what is missing or odd.
-pub fn read(text: &[u8]) -> Result<Config, String> {
+pub fn parse_scheduler_config(text: &[u8]) -> Result<SchedulerConfig, String> {
     let text: Text = serde_json::from_slice(text).map_err(|e| format!("configuration: {e}"))?;
-    let site = read_site(text.settings.to_string().as_bytes())?;
+    let site = parse_site(text.settings.to_string().as_bytes())?;
     let mut known = Vec::new();
     for event in text.known.batch {
         let entries = event.topology.targets.iter().map(|target| read_target(target, &site));
@@ -130,20 +142,20 @@
         known.push(WatchEvent { offset: event.offset, kind, endpoints: entries.collect::<Result<_, _>>()? });
     }
     known.sort_by_key(|news| news.offset);
-    Ok(Config {
+    Ok(SchedulerConfig {
         name: text.name,
         listen: text.listen,
         seed: u64::from_str_radix(&text.seed, 16).unwrap_or_default(),
-        sockets: text.limits.sockets.unwrap_or(SOCKETS),
+        max_descriptors: text.limits.sockets.unwrap_or(SOCKETS),
         memory_mb: text.limits.memory_mb.map_or(MEMORY_MB, |mb| mb.clamp(1.0, 1e6) as usize),
         bus: text.bus,
-        known,
+        known_events: known,
         site,
     })
 }
 
 /// The number in a worker's name: `s-` and 8 hex digits.
-pub fn read_worker(uid: &str) -> Option<WorkerId> {
+pub fn parse_worker_id(uid: &str) -> Option<WorkerId> {
     let digits =
         uid.strip_prefix("s-").filter(|d| d.len() == 8 && d.bytes().all(|b| b.is_ascii_hexdigit()))?;
     u64::from_str_radix(digits, 16).ok().map(WorkerId)
@@ -153,7 +165,7 @@
     let place = |names: &[String], name: &str| names.iter().position(|n| n == name).unwrap_or(0) as u8;
     let odd = |what: &str, value: &str| format!("configuration: known: {what} is '{value}'");
     let member = Endpoint {
-        worker: read_worker(&target.uid).ok_or_else(|| odd("uid", &target.uid))?,
+        worker: parse_worker_id(&target.uid).ok_or_else(|| odd("uid", &target.uid))?,
         zone: ZoneId(place(&site.zones, &target.az)),
         cell: CellId(target.pod_group),
         state: match target.state.as_str() {
@@ -174,19 +186,19 @@
 /// What an operator has set up beside the platform: the second front, checkers of the same host, VRRP.
 #[derive(Clone, Debug, Deserialize, Default)]
 #[serde(deny_unknown_fields, default)]
-pub struct Operator {
+pub struct OperatorConfig {
     /// The JSON-RPC front; off where absent.
-    pub jsonrpc: Option<JsonRpc>,
+    pub jsonrpc: Option<JsonRpcConfig>,
     /// Checkers on Unix sockets of this host.
-    pub checkers: Vec<Checker>,
+    pub checkers: Vec<CheckerConfig>,
     /// Which daemon takes new calls on the JSON-RPC front; without it, this one does.
-    pub vrrp: Option<Vrrp>,
+    pub vrrp: Option<VrrpConfig>,
 }
 
 /// The virtual router that this daemon belongs to.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct Vrrp {
+pub struct VrrpConfig {
     /// Its number, 1 to 255.
     pub vrid: u8,
     /// This daemon's priority: 1 to 254, or 255 for the owner.
@@ -216,7 +228,7 @@
 /// The JSON-RPC front.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct JsonRpc {
+pub struct JsonRpcConfig {
     /// Where clients connect.
     pub socket: PathBuf,
     /// Who may: the socket file's mode, as octal digits.
@@ -233,7 +245,7 @@
 /// A checker that speaks JSON-RPC.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct Checker {
+pub struct CheckerConfig {
     /// Its name: `s-` and 8 hex digits, as the bus names workers.
     pub id: String,
     /// Where it listens.
@@ -268,8 +280,8 @@
 }
 
 /// Reads an operator's file; the error names what is missing or odd.
-pub fn read_operator(text: &str) -> Result<Operator, String> {
-    let operator: Operator = toml::from_str(text).map_err(|e| format!("operator's file: {e}"))?;
+pub fn parse_operator_config(text: &str) -> Result<OperatorConfig, String> {
+    let operator: OperatorConfig = toml::from_str(text).map_err(|e| format!("operator's file: {e}"))?;
     if let Some(front) = &operator.jsonrpc
         && !(1024..=1 << 20).contains(&front.max_line)
     {
@@ -286,20 +298,20 @@
     }
     let mut names = std::collections::BTreeSet::new();
     for checker in &operator.checkers {
-        if read_worker(&checker.id).is_none_or(|id| !names.insert(id)) {
+        if parse_worker_id(&checker.id).is_none_or(|id| !names.insert(id)) {
             return Err(format!("operator's file: checker id '{}' is odd or stands twice", checker.id));
         }
     }
     Ok(operator)
 }
 
-impl Operator {
+impl OperatorConfig {
     /// The checkers as lines of the list of workers.
-    pub fn members(&self, site: &Site) -> Vec<(Endpoint, PathBuf)> {
+    pub fn checker_endpoints(&self, site: &Site) -> Vec<(Endpoint, PathBuf)> {
         let place = |names: &[String], name: &str| names.iter().position(|n| n == name).unwrap_or(0) as u8;
-        let line = |checker: &Checker| {
+        let line = |checker: &CheckerConfig| {
             let member = Endpoint {
-                worker: read_worker(&checker.id)?,
+                worker: parse_worker_id(&checker.id)?,
                 zone: ZoneId(place(&site.zones, &checker.zone)),
                 kind: KindId(place(&site.kinds, &checker.kind)),
                 weight: checker.weight,
@@ -317,7 +329,7 @@
 
     #[test]
     fn the_operators_file_is_read_and_its_oddities_named() {
-        let whole = include_str!("../deploy/jsonrpc.toml").replace("# [", "[").replace("# id", "id");
+        let whole = include_str!("../../deploy/jsonrpc.toml").replace("# [", "[").replace("# id", "id");
         let commented = [
             "socket",
             "zone",
@@ -334,10 +346,10 @@
         let whole = commented
             .iter()
             .fold(whole, |text, key| text.replace(&format!("# {key} ="), &format!("{key} =")));
-        let operator = read_operator(&whole).unwrap();
+        let operator = parse_operator_config(&whole).unwrap();
         assert_eq!(operator.jsonrpc.unwrap().mode, 0o660);
         assert_eq!((operator.checkers.len(), operator.vrrp.unwrap().vrid), (1, 7));
-        assert!(read_operator("").unwrap().jsonrpc.is_none(), "off where nothing is said");
+        assert!(parse_operator_config("").unwrap().jsonrpc.is_none(), "off where nothing is said");
         let cases = [
             ("[jsonrpc]", "socket"),
             ("[jsonrpc]\nsocket = \"s\"\nmode = \"999\"", "octal"),
@@ -354,7 +366,7 @@
             ),
         ];
         for (text, word) in cases {
-            let error = read_operator(text).unwrap_err();
+            let error = parse_operator_config(text).unwrap_err();
             assert!(error.contains(word), "{text}: {error}");
         }
     }
@@ -367,9 +379,12 @@
             "pod_group":2,"state":"SERVING","capacity_hint":4,"boot_ms":5}]}}]},"settings":{"fleetSize":1,"index":0,
             "zones":["a","b"],"kinds":["std"],"classes":[],"bounds":{"mostTries":3},"contract":{"coldFrom":0.2,
             "coldNs":1,"fallMultiple":3,"fallNs":1},"familyInfo":{"keepNs":1,"notLoaded":"load","loadSpanNs":0}}}"#;
-        let config = read(good.as_bytes()).unwrap();
-        let member = config.known[0].endpoints[0].endpoint;
-        assert_eq!((config.seed, config.sockets, config.known[0].offset), (0x8c1f_30d2_7a5b_e964, 4096, 41));
+        let config = parse_scheduler_config(good.as_bytes()).unwrap();
+        let member = config.known_events[0].endpoints[0].endpoint;
+        assert_eq!(
+            (config.seed, config.max_descriptors, config.known_events[0].offset),
+            (0x8c1f_30d2_7a5b_e964, 4096, 41)
+        );
         assert_eq!(
             (member.worker, member.zone, member.started_at),
             (WorkerId(0xc4_1f7a), ZoneId(1), Some(Time(5_000_000)))
@@ -382,7 +397,7 @@
             ("}]}}]", "", "column"),
         ];
         for (from, to, word) in cases {
-            let error = read(good.replace(from, to).as_bytes()).unwrap_err();
+            let error = parse_scheduler_config(good.replace(from, to).as_bytes()).unwrap_err();
             assert!(error.contains(word), "{from}: {error}");
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -80,7 +80,6 @@
 mod policy;
 pub mod scheduler;
 pub mod server;
-pub mod settings;
 pub mod vrrp;
 
 pub use model::*;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,7 +1,7 @@
 //! The scheduler as a program: reads its configuration and serves until a signal ends it.
 #![forbid(unsafe_code)]
 
-use function_scheduler::config::Sources;
+use function_scheduler::config::ConfigSources;
 use function_scheduler::server;
 use std::process::ExitCode;
 
@@ -22,7 +22,7 @@
         _ => return Err("usage: function-scheduler [--operator FILE]".to_owned()),
     };
     let config = std::env::var_os("GW_CONFIG").ok_or("GW_CONFIG names no configuration")?.into();
-    let sources = Sources { config, operator };
-    let (config, operator) = sources.read()?;
-    server::run(config, operator, sources).map_err(|e| format!("cannot serve: {e}"))
+    let sources = ConfigSources { config, operator };
+    let configuration = sources.load()?;
+    server::run(configuration, sources).map_err(|e| format!("cannot serve: {e}"))
 }
--- a/src/model/mod.rs
+++ b/src/model/mod.rs
@@ -6,6 +6,7 @@
 mod events;
 mod ids;
 mod settings;
+mod site;
 mod time;
 
 pub use actions::*;
@@ -13,4 +14,5 @@
 pub use events::*;
 pub use ids::*;
 pub use settings::*;
+pub use site::*;
 pub use time::*;
--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -579,7 +579,7 @@
         let site = br#"{"fleetSize": 1, "index": 0, "classes": [], "bounds": {"mostTries": 1},
             "contract": {"coldFrom": 1, "coldNs": 1, "fallMultiple": 1, "fallNs": 1},
             "familyInfo": {"keepNs": 1, "notLoaded": "load", "loadSpanNs": 0}}"#;
-        let mut scheduler = Scheduler::new(crate::settings::read_site(site).unwrap(), 1);
+        let mut scheduler = Scheduler::new(crate::config::parse_site(site).unwrap(), 1);
         let mut reactor = Reactor::new(SystemClock::new()).unwrap();
         reactor.waiting_limit = 8 << 20;
         let (near, _far) = StdUnixStream::pair().unwrap();
@@ -602,7 +602,7 @@
         let site = br#"{"fleetSize": 1, "index": 0, "classes": [], "bounds": {"mostTries": 1},
             "contract": {"coldFrom": 1, "coldNs": 1, "fallMultiple": 1, "fallNs": 1},
             "familyInfo": {"keepNs": 1, "notLoaded": "load", "loadSpanNs": 0}}"#;
-        let mut scheduler = Scheduler::new(crate::settings::read_site(site).unwrap(), 1);
+        let mut scheduler = Scheduler::new(crate::config::parse_site(site).unwrap(), 1);
         let mut reactor = Reactor::new(SystemClock::new()).unwrap();
         let mut add = |scheduler: &mut Scheduler| {
             let (near, far) = StdUnixStream::pair().unwrap();
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -12,7 +12,6 @@
 
 use crate::model::*;
 use crate::policy::Policy;
-use crate::settings::Site;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 
@@ -259,7 +258,7 @@
 /// use function_scheduler::scheduler::{Command, Scheduler, ClientRequest, RequestOrigin, WorkerResponse, Outcome};
 /// use function_scheduler::{FunctionId, EndpointUpdateKind, Endpoint, Time, WorkerId};
 ///
-/// let site = function_scheduler::settings::read_site(br#"{"fleetSize": 1, "index": 0,
+/// let site = function_scheduler::config::parse_site(br#"{"fleetSize": 1, "index": 0,
 ///   "classes": [{"name": "check", "deadlineNs": 3000000000, "effect": "retryable",
 ///                "objectiveNs": 1000000000}],
 ///   "bounds": {"mostTries": 3},
@@ -421,7 +420,7 @@
     pub fn submit(&mut self, now: Time, call: ClientRequest) {
         self.counters.taken += 1;
         self.taken.push_back(now);
-        let class = self.site.class(&call.class);
+        let class = self.site.class_index(&call.class);
         let Some(class) = class else { return self.answer(call.origin, Outcome::Failed, false) };
         // A name that is open already would make two calls' answers look alike at a worker.
         if self.names.contains(&call.correlation_id) {
@@ -800,7 +799,7 @@
     const FUNCTION: FunctionId = FunctionId(9);
 
     fn scheduler() -> Scheduler {
-        let site = crate::settings::read_site(
+        let site = crate::config::parse_site(
             br#"{"fleetSize": 1, "index": 0, "tickNs": 2000000, "classes": [
                 {"name": "safe", "deadlineNs": 3000000000, "effect": "retryable", "objectiveNs": 1000000000},
                 {"name": "keyed", "deadlineNs": 3000000000, "effect": "dedup", "group": "all",
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -1,7 +1,7 @@
 //! The daemon: the scheduler with its fronts, back ends, bus, clock and signals round it.
 
 use crate::backend::{self, Pool};
-use crate::config::{self, Config, Operator, Sources};
+use crate::config::{ConfigSources, Configuration, OperatorConfig, SchedulerConfig, VrrpConfig};
 use crate::discovery::{self, WatchConnection, WatchEvent, WatchQueue};
 use crate::frontend::frames::{self, FrameConnection};
 use crate::frontend::jsonrpc::RpcConnection;
@@ -33,12 +33,12 @@
 /// The virtual router that decides whether this daemon takes new calls on the second front.
 struct Router {
     machine: vrrp::StateMachine,
-    setting: config::Vrrp,
+    setting: VrrpConfig,
     socket: usize,
 }
 
 impl Router {
-    fn new(setting: &config::Vrrp, reactor: &mut Reactor) -> io::Result<Router> {
+    fn new(setting: &VrrpConfig, reactor: &mut Reactor) -> io::Result<Router> {
         let (socket, own) = reactor.hear(setting.bind)?;
         let machine = vrrp::StateMachine::new(vrrp::Configuration {
             priority: setting.priority,
@@ -61,12 +61,12 @@
 }
 
 struct Daemon {
-    sources: Sources,
+    sources: ConfigSources,
     scheduler: Scheduler,
     reactor: Reactor,
     pool: Pool,
-    config: Config,
-    operator: Operator,
+    config: SchedulerConfig,
+    operator: OperatorConfig,
     /// Workers of the operator's file: the bus tells nothing of them.
     fixed: Vec<Endpoint>,
     inbox: Rc<RefCell<WatchQueue>>,
@@ -89,12 +89,13 @@
 }
 
 /// Serves until a signal ends it.
-pub fn run(config: Config, operator: Operator, sources: Sources) -> io::Result<()> {
-    Daemon::new(config, operator, sources)?.serve()
+pub fn run(configuration: Configuration, sources: ConfigSources) -> io::Result<()> {
+    Daemon::new(configuration, sources)?.serve()
 }
 
 impl Daemon {
-    fn new(mut config: Config, operator: Operator, sources: Sources) -> io::Result<Daemon> {
+    fn new(configuration: Configuration, sources: ConfigSources) -> io::Result<Daemon> {
+        let Configuration { scheduler: mut config, operator } = configuration;
         let mut reactor = Reactor::new(SystemClock::new())?;
         let end = signal_pipe(&[SIGTERM, SIGINT])?;
         let print = signal_pipe(&[SIGUSR1])?;
@@ -118,7 +119,7 @@
         let (limits, connect, budget) = worker_limits(&config);
         let mut pool = Pool::new(limits, connect, budget);
         let mut fixed = Vec::new();
-        for (member, path) in operator.members(&config.site) {
+        for (member, path) in operator.checker_endpoints(&config.site) {
             pool.set_address(member.worker, backend::WorkerAddress::Checker(path), None);
             fixed.push(member);
         }
@@ -151,7 +152,7 @@
             let now = self.reactor.now();
             self.scheduler.update_endpoints(now, EndpointUpdateKind::Full, self.fixed.clone());
         }
-        for news in std::mem::take(&mut self.config.known) {
+        for news in std::mem::take(&mut self.config.known_events) {
             let mut inbox = self.inbox.borrow_mut();
             inbox.offset = inbox.offset.max(news.offset);
             inbox.events.push_back(news);
@@ -226,7 +227,7 @@
     fn accept(&mut self, listener: usize) {
         loop {
             // Clients hold a third of the descriptors at most; what workers need is kept free.
-            let budget = self.config.sockets.saturating_sub(RESERVED);
+            let budget = self.config.max_descriptors.saturating_sub(RESERVED);
             let room = self.reactor.count() < budget - budget / 8;
             match self.reactor.accept(listener) {
                 Ok(Some(stream)) if room || self.reactor.shed_idle(&mut self.scheduler) => {
@@ -359,7 +360,7 @@
     /// SIGHUP: both files are read whole and checked before anything of them is used; where one is bad, all
     /// stays as it was. Calls under way go on, and so do connections.
     fn reload(&mut self) {
-        let (mut config, operator) = match self.sources.read() {
+        let Configuration { scheduler: mut config, operator } = match self.sources.load() {
             Ok(read) => read,
             Err(why) => return eprintln!("function-scheduler: reload refused why=\"{why}\""),
         };
@@ -382,8 +383,8 @@
         config.site.zones.clone_from(&self.config.site.zones);
         config.site.kinds.clone_from(&self.config.site.kinds);
         let vrrp = self.operator.vrrp.take();
-        self.operator = Operator { vrrp, ..operator };
-        let known = std::mem::take(&mut config.known);
+        self.operator = OperatorConfig { vrrp, ..operator };
+        let known = std::mem::take(&mut config.known_events);
         let moved = config.bus != self.config.bus;
         self.config = config;
         self.scheduler.reconfigure(now, self.config.site.clone());
@@ -424,8 +425,8 @@
 
     /// The second front's part of the operator's file. Its socket moves if the file names another; clients
     /// that are connected stay. Where the new socket cannot be had nothing has changed.
-    fn reload_fronts(&mut self, operator: &Operator) -> io::Result<()> {
-        let path = |operator: &Operator| operator.jsonrpc.as_ref().map(|front| front.socket.clone());
+    fn reload_fronts(&mut self, operator: &OperatorConfig) -> io::Result<()> {
+        let path = |operator: &OperatorConfig| operator.jsonrpc.as_ref().map(|front| front.socket.clone());
         let same = path(operator) == path(&self.operator);
         let new = match (&operator.jsonrpc, &self.rpc) {
             (Some(front), Some((_, file))) if same => return file.set_mode(front.mode),
@@ -443,7 +444,7 @@
 
     fn replace_checkers(&mut self, now: Time) {
         let old = std::mem::take(&mut self.fixed);
-        for (member, path) in self.operator.members(&self.config.site) {
+        for (member, path) in self.operator.checker_endpoints(&self.config.site) {
             self.pool.set_address(member.worker, backend::WorkerAddress::Checker(path), None);
             self.fixed.push(member);
         }
@@ -555,13 +556,13 @@
 }
 
 /// Bodies of open calls take a sixth of the memory, and output that nobody reads another.
-fn limit_memory(config: &Config, scheduler: &mut Scheduler, reactor: &mut Reactor) {
+fn limit_memory(config: &SchedulerConfig, scheduler: &mut Scheduler, reactor: &mut Reactor) {
     scheduler.set_memory_limit(config.memory_mb << 20);
     reactor.waiting_limit = (config.memory_mb << 20) / 6;
 }
 
 /// What the configuration lets connections to workers take.
-fn worker_limits(config: &Config) -> (backend::Limits, Span, usize) {
+fn worker_limits(config: &SchedulerConfig) -> (backend::Limits, Span, usize) {
     let site = &config.site;
     // Closed before the worker's own limit, or a command could cross its close.
     let fleet = site.settings.fleet_size as usize;
@@ -572,7 +573,7 @@
     };
     // The platform allows connects 50 ms more than the simulator does.
     let connect = Span(site.connect_timeout.0 + Span::from_millis(50).0);
-    (limits, connect, config.sockets.saturating_sub(RESERVED))
+    (limits, connect, config.max_descriptors.saturating_sub(RESERVED))
 }
 
 /// The reading end of a pipe that gets a byte for each of these signals.
--- a/tests/codec.rs
+++ b/tests/codec.rs
@@ -136,9 +136,9 @@
 
 #[test]
 fn settings_that_lack_a_rule_are_a_fault_that_names_it() {
-    assert!(settings::read(SETTINGS.as_bytes()).is_ok());
+    assert!(config::parse_settings(SETTINGS.as_bytes()).is_ok());
     for lost in ["coldFrom", "fallMultiple", "mostTries", "keepNs", "loadSpanNs", "effect"] {
-        let error = settings::read(SETTINGS.replace(lost, "x").as_bytes()).unwrap_err();
+        let error = config::parse_settings(SETTINGS.replace(lost, "x").as_bytes()).unwrap_err();
         assert!(error.contains(lost), "{error}");
     }
     let (code, out, _) = run(&frame(5, &[open(2, "no json")]));
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -278,7 +278,7 @@
 #[test]
 fn attempts_that_have_ended_are_forgotten_while_their_connection_is_in_use() {
     let (_plain, told) = Plain::new();
-    let site = function_scheduler::settings::read_site(settings().to_string().as_bytes()).unwrap();
+    let site = function_scheduler::config::parse_site(settings().to_string().as_bytes()).unwrap();
     let mut scheduler = Scheduler::new(site, 7);
     let mut reactor = Reactor::new(SystemClock::new()).unwrap();
     let limits = Limits { multiplex: 1 << 20, idle: Span::from_millis(60_000), fleet: 100 };
@@ -401,7 +401,7 @@
     let mut text = settings();
     text["familyInfo"]["notLoaded"] = json!("miss");
     text["familyInfo"]["loadSpanNs"] = json!(0);
-    let site = |text: &Value| function_scheduler::settings::read_site(text.to_string().as_bytes()).unwrap();
+    let site = |text: &Value| function_scheduler::config::parse_site(text.to_string().as_bytes()).unwrap();
     let mut scheduler = Scheduler::new(site(&text), 7);
     let begin = Time(1_000_000_000_000);
     scheduler.update_endpoints(
