Move the integration tests to tests/policy, tests/server and tests/support

The support code stood in two folders and three test crates built it each for itself. No test changes.

--- a/tests/module.rs
+++ b/tests/policy/main.rs
@@ -1,8 +1,9 @@
 //! The decisions through the public interface: the ordinary path and each gate.
 
-mod common;
-use common::*;
+#[path = "../support/mod.rs"]
+mod support;
 use function_scheduler::*;
+use support::policy_harness::*;
 
 const R: fn(u32) -> RequestId = RequestId;
 
--- a/tests/crossings.rs
+++ b/tests/server/crossings.rs
@@ -1,14 +1,12 @@
 //! Pairs of events that cross, each forced by the order in which a test lets them happen.
 
-mod rig;
-
+use crate::support::*;
 use function_scheduler::backend::{Limits, Pool, WorkerAddress};
 use function_scheduler::net::{Reactor, SystemClock};
 use function_scheduler::scheduler::{
     ClientRequest, Command, LoadResult, RequestOrigin, Scheduler, WorkerResponse,
 };
 use function_scheduler::{Endpoint, EndpointUpdateKind, FunctionId, Span, Status, Time, WorkerId};
-use rig::*;
 use serde_json::{Value, json};
 use socket2::{Domain, Socket, Type};
 use std::io::{Read, Write};
--- a/tests/jsonrpc.rs
+++ b/tests/server/jsonrpc.rs
@@ -1,8 +1,6 @@
 //! The second front on real sockets: clients and checkers that speak JSON-RPC.
 
-mod rig;
-
-use rig::*;
+use crate::support::*;
 use serde_json::{Value, json};
 use std::io::Write;
 use std::os::unix::fs::PermissionsExt;
--- a/tests/sockets.rs
+++ b/tests/server/sockets.rs
@@ -1,8 +1,6 @@
 //! The rules on real sockets: the daemon between stand-in workers, a stand-in bus and clients.
 
-mod rig;
-
-use rig::*;
+use crate::support::*;
 use serde_json::json;
 use std::io::Write;
 use std::net::{TcpListener, TcpStream};
--- a/tests/rig/mod.rs
+++ b/tests/support/mod.rs
@@ -1,5 +1,7 @@
 //! The real program against stand-ins of this repository: workers, an event bus, clients.
-#![allow(dead_code)]
+#![allow(dead_code)] // Each test crate uses a part of the support code.
+
+pub mod policy_harness;
 
 use serde_json::{Value, json};
 use std::collections::HashMap;
--- a/tests/common/mod.rs
+++ b/tests/support/policy_harness.rs
@@ -1,5 +1,4 @@
 //! A front end driven by hand: plain settings, one call a helper.
-#![allow(dead_code)]
 
 use function_scheduler::*;
 
--- a/tests/vrrp.rs
+++ b/tests/vrrp.rs
@@ -1,11 +1,11 @@
 //! VRRP on real sockets: one daemon takes new calls on the second front, the other stands by.
 
-mod rig;
+mod support;
 
 use function_scheduler::vrrp::packet::Advertisement;
-use rig::*;
 use serde_json::{Value, json};
 use std::net::{SocketAddr, UdpSocket};
+use support::*;
 
 const REF: &str = "9b1f03aa5c7e2d41";
 
