--- a/src/backend/mod.rs
+++ b/src/backend/mod.rs
@@ -195,7 +195,7 @@
 
     /// Writes commands one after another, each once the one before has gone whole.
     fn pump(&mut self, socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow {
-        while socket.is_up() && socket.waiting() == 0 {
+        while socket.is_connected() && socket.unsent() == 0 {
             if let Some(Open::Attempt(attempt)) = self.writing.take() {
                 context.scheduler.attempt_written(context.now, attempt);
             }
@@ -337,18 +337,18 @@
 
     fn received(&mut self, socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow {
         let mut from = 0;
-        while let Some(end) = socket.inbox[from..].iter().position(|b| *b == b'\n') {
-            let line = socket.inbox[from..from + end].to_vec();
+        while let Some(end) = socket.input[from..].iter().position(|b| *b == b'\n') {
+            let line = socket.input[from..from + end].to_vec();
             from += end + 1;
             if self.line(&line, context) == ConnectionFlow::Close {
                 return ConnectionFlow::Close;
             }
         }
         socket.consume(from);
-        if socket.inbox.len() > LINE || socket.ended {
+        if socket.input.len() > LINE || socket.input_ended {
             return ConnectionFlow::Close;
         }
-        self.line_by = match socket.inbox.is_empty() {
+        self.line_by = match socket.input.is_empty() {
             true => None,
             // What is left after a whole line has only just begun.
             false => self.line_by.filter(|_| from == 0).or(Some(context.now + WHOLE_LINE)),
@@ -360,7 +360,7 @@
         self.pump(socket, context)
     }
 
-    fn due(&mut self, _socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow {
+    fn timer_expired(&mut self, _socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow {
         self.drop_shadows(context.now);
         if let Some((_, probe)) = self.probe_by.take_if(|(by, _)| *by <= context.now) {
             self.silent = true;
@@ -369,12 +369,12 @@
             context.scheduler.health_check_ended(context.now, probe, Err(broken));
         }
         let late = self.connect_by.into_iter().chain(self.line_by).any(|by| by <= context.now);
-        let idle = self.idle().is_some_and(|since| since + self.limits.get().idle <= context.now);
+        let idle = self.idle_since().is_some_and(|since| since + self.limits.get().idle <= context.now);
         if late || idle { ConnectionFlow::Close } else { ConnectionFlow::Continue }
     }
 
     fn deadline(&self) -> Option<Time> {
-        let idle = self.idle().map(|since| since + self.limits.get().idle);
+        let idle = self.idle_since().map(|since| since + self.limits.get().idle);
         let shadow = self.shadows.front().map(|(at, _)| *at + SHADOW.0 + Span(1));
         let probe = self.probe_by.map(|(by, _)| by);
         let due = self.connect_by.into_iter().chain(probe).chain(self.line_by);
@@ -407,7 +407,7 @@
                 continue;
             }
             // Bytes that never left our buffer: the line at the worker has no end, so it cannot have run.
-            let partly = half.as_ref().is_some_and(|half| is(half, open)) && socket.waiting() > 0;
+            let partly = half.as_ref().is_some_and(|half| is(half, open)) && socket.unsent() > 0;
             ends.push((*open, if partly { WriteProgress::PartiallyWritten } else { WriteProgress::Written }));
         }
         let cause = if up { FailureCause::ConnectionClosed } else { FailureCause::NoConnection };
@@ -422,7 +422,16 @@
         }
     }
 
-    fn job(&mut self, job: Job, socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow {
+    fn idle_since(&self) -> Option<Time> {
+        let used = self.open.values().any(|open| !matches!(open, Open::Shadow(_)));
+        let idle = self.connect_by.is_none() && self.pending.is_empty() && self.writing.is_none() && !used;
+        idle.then_some(self.idle_since)
+    }
+}
+
+impl WorkerConnection {
+    /// Takes a command for the worker.
+    pub fn submit(&mut self, job: Job, socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow {
         match &job {
             Job::Start { attempt, payload: work, .. } => {
                 self.attempts += 1;
@@ -456,20 +465,16 @@
         self.pump(socket, context)
     }
 
-    fn accepts(&self, reference: Option<&str>) -> bool {
-        let free = reference.is_none_or(|name| !self.open.contains_key(name));
+    /// Whether a command could be taken now: its correlation id is not open here and there is capacity.
+    pub fn accepts(&self, correlation_id: Option<&str>) -> bool {
+        let free = correlation_id.is_none_or(|name| !self.open.contains_key(name));
         free && !self.silent
             && self.attempts < self.limits.get().multiplex
             && self.open.len() - self.shadows.len().min(self.open.len()) + self.pending.len() < QUEUE
     }
 
-    fn load(&self) -> usize {
+    /// Attempts that are open on this connection.
+    pub fn attempts_in_flight(&self) -> usize {
         self.attempts
     }
-
-    fn idle(&self) -> Option<Time> {
-        let used = self.open.values().any(|open| !matches!(open, Open::Shadow(_)));
-        let idle = self.connect_by.is_none() && self.pending.is_empty() && self.writing.is_none() && !used;
-        idle.then_some(self.idle_since)
-    }
 }
--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -2,7 +2,7 @@
 
 use super::{Codec, Job, Limits, WorkerConnection};
 use crate::model::{Span, Time, WorkerId};
-use crate::net::{ConnectionFlow, Reactor};
+use crate::net::{BufferLimits, ConnectionFlow, Reactor};
 use crate::scheduler::{AttemptError, AttemptId, Command, FailureCause, Scheduler, WriteProgress};
 use std::cell::Cell;
 use std::collections::{BTreeMap, HashMap};
@@ -22,6 +22,9 @@
 /// Notes of ended attempts that are kept until there are more, so that not each end has all of them looked through.
 const NOTES: usize = 256;
 
+/// Buffers of a connection to a worker.
+const BUFFER_LIMITS: BufferLimits = BufferLimits { input: super::LINE, output: 4 << 20 };
+
 /// Where a worker listens.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum WorkerAddress {
@@ -81,8 +84,8 @@
         self.limits.set(limits);
         (self.connect_limit, self.budget) = (connect_limit, budget);
         // Deadlines are asked for after a callback.
-        for id in reactor.ids() {
-            reactor.with(id, scheduler, |_, _, _| ConnectionFlow::Continue);
+        for id in reactor.connection_ids() {
+            reactor.with_connection(id, scheduler, |_, _, _| ConnectionFlow::Continue);
         }
     }
 
@@ -178,20 +181,21 @@
             .min(ALL_TOGETHER / self.limits.get().fleet.max(1));
         self.spread = own.clamp(1, PER_WORKER);
         let target = self.targets.get_mut(&worker)?;
-        target.connections.retain(|id| reactor.look(*id, |_| ()).is_some());
+        target.connections.retain(|id| reactor.has_connection(*id));
         let load = |id: &u64| {
-            let load = reactor.look(*id, |connection| connection.accepts(name).then(|| connection.load()));
-            load.flatten().map(|load| (load, *id))
+            let connection = reactor.connection::<WorkerConnection>(*id)?;
+            connection.accepts(name).then(|| (connection.attempts_in_flight(), *id))
         };
         let least = target.connections.iter().filter_map(load).min();
         // Orders and probes share what there is.
         let free = least.filter(|(load, _)| name.is_none() || *load < SHARED);
         let spread = target.connections.len() < self.spread;
-        if let Some((_, id)) = free.or(least.filter(|_| !spread || reactor.count() >= self.budget)) {
+        if let Some((_, id)) = free.or(least.filter(|_| !spread || reactor.connection_count() >= self.budget))
+        {
             return Some(id);
         }
         if target.connections.len() >= PER_WORKER
-            || reactor.count() >= self.budget && !reactor.shed_idle(scheduler)
+            || reactor.connection_count() >= self.budget && !reactor.close_longest_idle(scheduler)
         {
             return None;
         }
@@ -199,9 +203,9 @@
             WorkerAddress::Agent(address) => (reactor.connect(*address), &self.agent),
             WorkerAddress::Checker(path) => (reactor.connect_unix(path), &self.checker),
         };
-        let by = reactor.after(self.connect_limit);
+        let by = reactor.now() + self.connect_limit;
         let connection = Box::new(WorkerConnection::new(codec.clone(), self.limits.clone(), by));
-        let id = reactor.add(stream.ok()?, connection, false, (super::LINE, 4 << 20), scheduler)?;
+        let id = reactor.add_connecting(stream.ok()?, connection, BUFFER_LIMITS, scheduler)?;
         target.connections.push(id);
         Some(id)
     }
@@ -221,5 +225,7 @@
 }
 
 fn give(connection: u64, job: Job, reactor: &mut Reactor, scheduler: &mut Scheduler) {
-    reactor.with(connection, scheduler, |object, socket, context| object.job(job, socket, context));
+    reactor.with_connection_of(connection, scheduler, |worker: &mut WorkerConnection, socket, context| {
+        worker.submit(job, socket, context)
+    });
 }
--- a/src/client.rs
+++ b/src/client.rs
@@ -159,7 +159,7 @@
     pub fn turn(&mut self, until: Time) -> io::Result<Vec<(CallId, Response)>> {
         if self.answers.is_empty() {
             let due = self.scheduler.next_timer().into_iter().chain([until]).min();
-            self.reactor.turn(due, &mut self.scheduler)?;
+            self.reactor.poll(due, &mut self.scheduler)?;
             self.carry_out();
         }
         Ok(std::mem::take(&mut self.answers))
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -270,7 +270,7 @@
 }
 
 fn default_line() -> usize {
-    crate::frontend::jsonrpc::LINE
+    crate::frontend::DEFAULT_LINE_LIMIT
 }
 
 fn read_mode<'de, D: serde::Deserializer<'de>>(from: D) -> Result<u32, D::Error> {
--- a/src/discovery/mod.rs
+++ b/src/discovery/mod.rs
@@ -127,7 +127,7 @@
         let mut inbox = self.inbox.borrow_mut();
         let mut from = 0;
         loop {
-            match read_frame(&socket.inbox[from..]) {
+            match read_frame(&socket.input[from..]) {
                 Ok(None) => break,
                 Ok(Some((news, size))) => {
                     from += size;
@@ -147,10 +147,10 @@
             }
         }
         socket.consume(from);
-        if socket.ended { ConnectionFlow::Close } else { ConnectionFlow::Continue }
+        if socket.input_ended { ConnectionFlow::Close } else { ConnectionFlow::Continue }
     }
 
-    fn due(&mut self, _socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow {
+    fn timer_expired(&mut self, _socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow {
         if self.silent_at <= context.now {
             eprintln!("function-scheduler: bus silent");
             return ConnectionFlow::Close;
--- a/src/frontend/frames.rs
+++ b/src/frontend/frames.rs
@@ -2,7 +2,7 @@
 
 use super::{BODY, LINGER, OPEN, OUTBOX, TRANSIT, WHOLE, read_function};
 use crate::model::{FunctionId, Span, Time};
-use crate::net::{BufferedStream, Connection, ConnectionFlow, Context};
+use crate::net::{BufferLimits, BufferedStream, ClientConnection, Connection, ConnectionFlow, Context};
 use crate::scheduler::{ClientRequest, Outcome, RequestOrigin, Response};
 use std::collections::BTreeSet;
 
@@ -12,7 +12,7 @@
 /// of connections may bring one each: its request has failed once its head is known, and the rest is passed over.
 pub const USABLE: usize = 32 << 10;
 /// Buffers of a client's connection: a usable frame, and output that waits.
-pub const LIMITS: (usize, usize) = (USABLE + 4, OUTBOX);
+const BUFFER_LIMITS: BufferLimits = BufferLimits { input: USABLE + 4, output: OUTBOX };
 /// A connection on which nothing is open and nothing comes is closed after this. Clients close theirs after
 /// 4 s, so no request crosses it.
 pub const IDLE: Span = Span::from_millis(5_000);
@@ -246,6 +246,11 @@
         }
     }
 
+    /// Limits of such a connection's buffers.
+    pub fn buffer_limits() -> BufferLimits {
+        BUFFER_LIMITS
+    }
+
     fn frame(
         &mut self,
         frame: &Frame,
@@ -356,7 +361,7 @@
     }
 
     fn received(&mut self, socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow {
-        let bytes = std::mem::take(&mut socket.inbox);
+        let bytes = std::mem::take(&mut socket.input);
         let mut from = self.skip.min(bytes.len());
         self.skip -= from;
         // What is still passed over belongs to the frame that began before.
@@ -384,9 +389,9 @@
                 Err(why) => break Some(why),
             }
         };
-        socket.inbox = bytes;
+        socket.input = bytes;
         socket.consume(from);
-        self.whole_by = match socket.inbox.is_empty() && self.skip == 0 {
+        self.whole_by = match socket.input.is_empty() && self.skip == 0 {
             true => None,
             // What is left after a whole frame has only just begun.
             false => self.whole_by.filter(|_| !begun).or(Some(context.now + WHOLE)),
@@ -399,12 +404,12 @@
         match error {
             Some(why) => self.malformed(why, socket, context),
             // A client that closes waits for nothing more.
-            None if socket.ended => ConnectionFlow::Close,
+            None if socket.input_ended => ConnectionFlow::Close,
             None => ConnectionFlow::Continue,
         }
     }
 
-    fn due(&mut self, socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow {
+    fn timer_expired(&mut self, socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow {
         if self.finish_by.is_none() && self.whole_by.is_some_and(|by| by <= context.now) {
             return self.malformed("a frame without an end", socket, context);
         }
@@ -423,10 +428,20 @@
         self.withdraw_all(socket, context);
     }
 
-    fn answer(
+    fn idle_since(&self) -> Option<Time> {
+        (self.open.is_empty() && self.finish_by.is_none()).then_some(self.last)
+    }
+
+    fn as_client(&mut self) -> Option<&mut dyn ClientConnection> {
+        Some(self)
+    }
+}
+
+impl ClientConnection for FrameConnection {
+    fn deliver(
         &mut self,
         stream: u64,
-        answer: &Response,
+        response: &Response,
         socket: &mut BufferedStream,
         context: &mut Context,
     ) -> ConnectionFlow {
@@ -434,14 +449,14 @@
         // Whoever withdrew is owed nothing.
         if self.open.remove(&stream) {
             let mut bytes = Vec::new();
-            put_answer(stream, &answer.outcome, &mut bytes);
+            put_answer(stream, &response.outcome, &mut bytes);
             socket.enqueue(&bytes);
             self.last = context.now;
         }
         ConnectionFlow::Continue
     }
 
-    fn leave(&mut self, socket: &mut BufferedStream, _context: &mut Context) -> ConnectionFlow {
+    fn request_leave(&mut self, socket: &mut BufferedStream, _context: &mut Context) -> ConnectionFlow {
         if !self.leaving {
             self.leaving = true;
             let mut bytes = Vec::new();
@@ -450,10 +465,6 @@
         }
         ConnectionFlow::Continue
     }
-
-    fn idle(&self) -> Option<Time> {
-        (self.open.is_empty() && self.finish_by.is_none()).then_some(self.last)
-    }
 }
 
 #[cfg(test)]
--- a/src/frontend/jsonrpc.rs
+++ b/src/frontend/jsonrpc.rs
@@ -11,7 +11,7 @@
 
 use super::{BODY, IDLE, LINGER, OPEN, OUTBOX, TRANSIT, WHOLE, read_function};
 use crate::model::{FunctionId, Span, Time};
-use crate::net::{BufferedStream, Connection, ConnectionFlow, Context};
+use crate::net::{BufferLimits, BufferedStream, ClientConnection, Connection, ConnectionFlow, Context};
 use crate::scheduler::{ClientRequest, Outcome, RequestOrigin, Response};
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
@@ -40,8 +40,8 @@
 
 /// Requests in one batch.
 pub const BATCH: usize = 64;
-/// Longest line where the operator has set no other limit.
-pub const LINE: usize = 64 << 10;
+/// Longest line, in bytes, where the operator has set no other limit.
+pub const DEFAULT_LINE_LIMIT: usize = 64 << 10;
 
 /// One request of a line.
 #[derive(Debug, PartialEq)]
@@ -208,7 +208,7 @@
 }
 
 /// A client's connection.
-pub struct RpcConnection {
+pub struct JsonRpcConnection {
     open: BTreeMap<u64, Open>,
     batches: BTreeMap<u64, Batch>,
     next: u64,
@@ -221,10 +221,10 @@
     finish_by: Option<Time>,
 }
 
-impl RpcConnection {
+impl JsonRpcConnection {
     /// A connection that has just been accepted, with the operator's limit on lines.
-    pub fn new(now: Time, line_limit: usize) -> RpcConnection {
-        RpcConnection {
+    pub fn new(now: Time, line_limit: usize) -> JsonRpcConnection {
+        JsonRpcConnection {
             open: BTreeMap::new(),
             batches: BTreeMap::new(),
             next: 1,
@@ -236,9 +236,9 @@
         }
     }
 
-    /// Buffers of such a connection.
-    pub fn limits(line_limit: usize) -> (usize, usize) {
-        (line_limit + 1, OUTBOX)
+    /// Limits of such a connection's buffers.
+    pub fn buffer_limits(line_limit: usize) -> BufferLimits {
+        BufferLimits { input: line_limit + 1, output: OUTBOX }
     }
 
     fn say(&mut self, batch: Option<u64>, reply: Value, socket: &mut BufferedStream) {
@@ -352,9 +352,9 @@
 
     fn lines(&mut self, socket: &mut BufferedStream, context: &mut Context) {
         // A client that does not read its answers is not read from either: see `flushed`.
-        while socket.waiting() <= OUTBOX {
-            let Some(end) = socket.inbox.iter().position(|b| *b == b'\n') else { break };
-            let line: Vec<u8> = socket.inbox.drain(..=end).collect();
+        while socket.unsent() <= OUTBOX {
+            let Some(end) = socket.input.iter().position(|b| *b == b'\n') else { break };
+            let line: Vec<u8> = socket.input.drain(..=end).collect();
             if std::mem::take(&mut self.skipping) {
                 continue;
             }
@@ -363,8 +363,8 @@
                 false => self.too_long(socket, context),
             }
         }
-        if socket.inbox.len() > self.line_limit && !socket.inbox.contains(&b'\n') {
-            socket.inbox.clear();
+        if socket.input.len() > self.line_limit && !socket.input.contains(&b'\n') {
+            socket.input.clear();
             if !std::mem::replace(&mut self.skipping, true) {
                 self.too_long(socket, context);
             }
@@ -394,7 +394,7 @@
     socket.enqueue(&bytes);
 }
 
-impl Connection for RpcConnection {
+impl Connection for JsonRpcConnection {
     fn opened(&mut self, _socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow {
         context.scheduler.counters().accepted += 1;
         ConnectionFlow::Continue
@@ -402,19 +402,19 @@
 
     fn received(&mut self, socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow {
         self.last = context.now;
-        let held = socket.inbox.len();
+        let held = socket.input.len();
         self.lines(socket, context);
-        if !socket.ended {
+        if !socket.input_ended {
             // A line cut short is owed a word; one that is held back until its client reads is not cut short.
-            let part = self.skipping || !socket.inbox.is_empty() && !socket.inbox.contains(&b'\n');
+            let part = self.skipping || !socket.input.is_empty() && !socket.input.contains(&b'\n');
             self.whole_by = match part {
                 false => None,
                 // What is left after a whole line has only just begun.
-                true => self.whole_by.filter(|_| socket.inbox.len() >= held).or(Some(context.now + WHOLE)),
+                true => self.whole_by.filter(|_| socket.input.len() >= held).or(Some(context.now + WHOLE)),
             };
             return ConnectionFlow::Continue;
         }
-        if socket.inbox.iter().all(u8::is_ascii_whitespace) || socket.inbox.contains(&b'\n') {
+        if socket.input.iter().all(u8::is_ascii_whitespace) || socket.input.contains(&b'\n') {
             return ConnectionFlow::Close;
         }
         // A line cut short by the end: said, in case the client still reads.
@@ -426,7 +426,7 @@
         ConnectionFlow::Continue
     }
 
-    fn due(&mut self, socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow {
+    fn timer_expired(&mut self, socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow {
         if self.finish_by.is_none() && self.whole_by.is_some_and(|by| by <= context.now) {
             return self.cut_short(socket, context);
         }
@@ -447,23 +447,29 @@
         }
     }
 
-    fn answer(
+    fn idle_since(&self) -> Option<Time> {
+        (self.open.is_empty() && self.finish_by.is_none()).then_some(self.last)
+    }
+
+    fn as_client(&mut self) -> Option<&mut dyn ClientConnection> {
+        Some(self)
+    }
+}
+
+impl ClientConnection for JsonRpcConnection {
+    fn deliver(
         &mut self,
         stream: u64,
-        answer: &Response,
+        delivered: &Response,
         socket: &mut BufferedStream,
         context: &mut Context,
     ) -> ConnectionFlow {
         if let Some(open) = self.open.remove(&stream) {
             self.last = context.now;
-            self.say(open.batch, response(&open.id, answer), socket);
+            self.say(open.batch, response(&open.id, delivered), socket);
         }
         ConnectionFlow::Continue
     }
-
-    fn idle(&self) -> Option<Time> {
-        (self.open.is_empty() && self.finish_by.is_none()).then_some(self.last)
-    }
 }
 
 #[cfg(test)]
--- a/src/frontend/mod.rs
+++ b/src/frontend/mod.rs
@@ -2,7 +2,10 @@
 
 pub mod frames;
 pub mod jsonrpc;
-pub mod socket;
+pub mod unix_socket;
+
+pub use frames::FrameConnection;
+pub use jsonrpc::{DEFAULT_LINE_LIMIT, JsonRpcConnection};
 
 use crate::model::Span;
 
--- /dev/null
+++ b/src/net/connection.rs
@@ -0,0 +1,98 @@
+//! What the reactor asks of a connection, and what a connection may use while it is called back.
+
+use super::BufferedStream;
+use crate::model::Time;
+use crate::scheduler::{Response, Scheduler};
+use std::any::Any;
+
+/// Whether a connection goes on after a callback.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionFlow {
+    /// It goes on.
+    Continue,
+    /// Nothing more is read; it closes once its output has been written.
+    Finish,
+    /// It closes now; output that is not yet written is lost.
+    Close,
+}
+
+impl ConnectionFlow {
+    /// The stricter of the two.
+    pub fn and(self, other: ConnectionFlow) -> ConnectionFlow {
+        match (self, other) {
+            (ConnectionFlow::Close, _) | (_, ConnectionFlow::Close) => ConnectionFlow::Close,
+            (ConnectionFlow::Finish, _) | (_, ConnectionFlow::Finish) => ConnectionFlow::Finish,
+            _ => ConnectionFlow::Continue,
+        }
+    }
+}
+
+/// What a callback may use.
+pub struct Context<'a> {
+    /// The scheduler.
+    pub scheduler: &'a mut Scheduler,
+    /// The present time.
+    pub now: Time,
+    /// Whether the scheduler takes requests.
+    pub ready: bool,
+    /// Whether this instance is the active VRRP router, and so takes requests over JSON-RPC; see [`crate::vrrp`].
+    pub active: bool,
+}
+
+/// A connection that the reactor calls back with what happens to its stream.
+///
+/// `Any` lets the code that added a connection of one type get at it again by that type, with
+/// [`Reactor::connection`](super::Reactor::connection).
+pub trait Connection: Any {
+    /// The stream is connected.
+    fn opened(&mut self, socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow;
+
+    /// There is new input in the stream's buffer, or the peer has closed its half.
+    fn received(&mut self, socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow;
+
+    /// All output has been handed to the system.
+    fn flushed(&mut self, _socket: &mut BufferedStream, _context: &mut Context) -> ConnectionFlow {
+        ConnectionFlow::Continue
+    }
+
+    /// The time given by [`Connection::deadline`] has come.
+    fn timer_expired(&mut self, _socket: &mut BufferedStream, _context: &mut Context) -> ConnectionFlow {
+        ConnectionFlow::Continue
+    }
+
+    /// When to call [`Connection::timer_expired`]; asked after every callback.
+    fn deadline(&self) -> Option<Time> {
+        None
+    }
+
+    /// The connection has been closed, by whichever side. Called once.
+    fn closed(&mut self, socket: &BufferedStream, context: &mut Context);
+
+    /// Since when no request is open on the connection, so that it may be closed to free its descriptor; none
+    /// while one is open.
+    fn idle_since(&self) -> Option<Time> {
+        None
+    }
+
+    /// The client's side of the connection, if a client is at the other end.
+    fn as_client(&mut self) -> Option<&mut dyn ClientConnection> {
+        None
+    }
+}
+
+/// A connection on which a client sends requests.
+pub trait ClientConnection {
+    /// Sends the response to the request of this stream.
+    fn deliver(
+        &mut self,
+        stream: u64,
+        response: &Response,
+        socket: &mut BufferedStream,
+        context: &mut Context,
+    ) -> ConnectionFlow;
+
+    /// Asks the client to send no new request on this connection, where the protocol has a message for that.
+    fn request_leave(&mut self, _socket: &mut BufferedStream, _context: &mut Context) -> ConnectionFlow {
+        ConnectionFlow::Continue
+    }
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,8 +1,10 @@
 //! Sockets: the clock, buffered links over TCP or Unix streams, and the reactor that calls connections back.
 
+mod connection;
 mod reactor;
 
-pub use reactor::{Connection, ConnectionFlow, Context, Reactor, Signal};
+pub use connection::{ClientConnection, Connection, ConnectionFlow, Context};
+pub use reactor::{ListenerId, PipeId, Reactor, ReactorEvent, UdpSocketId};
 
 use crate::model::{Span, Time};
 use mio::event::Source;
@@ -95,43 +97,46 @@
 /// Bytes taken from a socket at a time.
 const CHUNK: usize = 16 << 10;
 
-/// A stream with its two buffers. Input beyond `inbox_limit` and output that nobody reads hold reading back.
+/// Sizes in bytes beyond which a connection is not read from until they are fallen below again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BufferLimits {
+    /// Input that the connection has not consumed yet.
+    pub input: usize,
+    /// Output that the peer has not taken yet.
+    pub output: usize,
+}
+
+/// A stream with its input and output buffers.
 #[derive(Debug)]
 pub struct BufferedStream {
     stream: Stream,
     token: Token,
     interest: Option<Interest>,
     /// Read and not yet used.
-    pub inbox: Vec<u8>,
-    outbox: Vec<u8>,
+    pub input: Vec<u8>,
+    output: Vec<u8>,
     sent: usize,
-    up: bool,
+    connected: bool,
     /// The other side has closed its half.
-    pub ended: bool,
-    inbox_limit: usize,
-    outbox_limit: usize,
+    pub input_ended: bool,
+    limits: BufferLimits,
     /// Reading stopped short of what the socket had: it must be asked anew.
     held: bool,
 }
 
 impl BufferedStream {
-    fn new(stream: Stream, token: Token, up: bool, limits: (usize, usize)) -> BufferedStream {
-        let (inbox_limit, outbox_limit) = limits;
-        let (inbox, outbox) = (Vec::new(), Vec::new());
-        let (interest, sent, ended) = (None, 0, false);
-        let held = false;
+    fn new(stream: Stream, token: Token, connected: bool, limits: BufferLimits) -> BufferedStream {
         BufferedStream {
             stream,
             token,
-            interest,
-            inbox,
-            outbox,
-            sent,
-            up,
-            ended,
-            inbox_limit,
-            outbox_limit,
-            held,
+            interest: None,
+            input: Vec::new(),
+            output: Vec::new(),
+            sent: 0,
+            connected,
+            input_ended: false,
+            limits,
+            held: false,
         }
     }
 
@@ -141,38 +146,38 @@
     }
 
     /// Whether the connection stands.
-    pub fn is_up(&self) -> bool {
-        self.up
+    pub fn is_connected(&self) -> bool {
+        self.connected
     }
 
     /// Bytes that wait to be written.
-    pub fn waiting(&self) -> usize {
-        self.outbox.len() - self.sent
+    pub fn unsent(&self) -> usize {
+        self.output.len() - self.sent
     }
 
     /// Puts bytes in line to be written.
     pub fn enqueue(&mut self, bytes: &[u8]) {
-        self.outbox.extend_from_slice(bytes);
+        self.output.extend_from_slice(bytes);
     }
 
     /// Drops the first bytes of the input, which have been used.
     pub fn consume(&mut self, count: usize) {
-        self.inbox.drain(..count);
+        self.input.drain(..count);
         // Hundreds of connections must not each keep the room of their largest message.
-        if self.inbox.capacity() > CHUNK + 2 * self.inbox.len() {
-            self.inbox.shrink_to(self.inbox.len());
+        if self.input.capacity() > CHUNK + 2 * self.input.len() {
+            self.input.shrink_to(self.input.len());
         }
     }
 
     /// Whether input is held back until the other side reads what it is owed.
-    pub fn held_back(&self) -> bool {
-        self.waiting() > self.outbox_limit || self.inbox.len() > self.inbox_limit
+    pub fn reading_paused(&self) -> bool {
+        self.unsent() > self.limits.output || self.input.len() > self.limits.input
     }
 
     /// Writes what the system takes; true once nothing waits.
     pub fn flush(&mut self) -> io::Result<bool> {
-        while self.up && self.sent < self.outbox.len() {
-            match self.stream.write(&self.outbox[self.sent..]) {
+        while self.connected && self.sent < self.output.len() {
+            match self.stream.write(&self.output[self.sent..]) {
                 Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
                 Ok(n) => self.sent += n,
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
@@ -180,14 +185,14 @@
                 Err(e) => return Err(e),
             }
         }
-        if self.sent == self.outbox.len() {
-            self.outbox.clear();
+        if self.sent == self.output.len() {
+            self.output.clear();
             self.sent = 0;
-            if self.outbox.capacity() > CHUNK {
-                self.outbox.shrink_to(4096);
+            if self.output.capacity() > CHUNK {
+                self.output.shrink_to(4096);
             }
         }
-        Ok(self.waiting() == 0 && self.up)
+        Ok(self.unsent() == 0 && self.connected)
     }
 
     /// Leaves the rest in the socket for now; it is told of again.
@@ -198,22 +203,22 @@
     /// Reads what there is, up to the limit; true if the socket has no more for now.
     fn fill(&mut self) -> io::Result<bool> {
         let mut chunk = [0u8; CHUNK];
-        let before = self.inbox.len();
+        let before = self.input.len();
         loop {
-            if self.ended {
+            if self.input_ended {
                 return Ok(true);
             }
-            if self.held_back() {
+            if self.reading_paused() {
                 self.held = true;
                 return Ok(false);
             }
             match self.stream.read(&mut chunk) {
-                Ok(0) => self.ended = true,
-                Ok(n) => self.inbox.extend_from_slice(&chunk[..n]),
+                Ok(0) => self.input_ended = true,
+                Ok(n) => self.input.extend_from_slice(&chunk[..n]),
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(true),
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 // What came before a reset is used first, like what comes before an orderly end.
-                Err(_) if self.inbox.len() > before => self.ended = true,
+                Err(_) if self.input.len() > before => self.input_ended = true,
                 Err(e) => return Err(e),
             }
         }
@@ -221,13 +226,13 @@
 
     /// Tells the system what is waited for now.
     fn register(&mut self, registry: &Registry) -> io::Result<()> {
-        let wanted = match (self.up, self.waiting() > 0) {
+        let wanted = match (self.connected, self.unsent() > 0) {
             (false, _) => Interest::WRITABLE,
             (true, true) => Interest::READABLE | Interest::WRITABLE,
             (true, false) => Interest::READABLE,
         };
         // Events come once a change. Input that was left in the socket is only told of again if asked for.
-        let again = self.held && !self.held_back();
+        let again = self.held && !self.reading_paused();
         if self.interest == Some(wanted) && !again {
             return Ok(());
         }
@@ -253,17 +258,18 @@
         let (near, mut far) = UnixStream::pair().unwrap();
         let mut poll = Poll::new().unwrap();
         let mut events = Events::with_capacity(4);
-        let mut socket = BufferedStream::new(Stream::Unix(near), Token(1), true, (100, 0));
+        let mut socket =
+            BufferedStream::new(Stream::Unix(near), Token(1), true, BufferLimits { input: 100, output: 0 });
         socket.register(poll.registry()).unwrap();
         far.write_all(b"x").unwrap();
         poll.poll(&mut events, Some(Duration::from_secs(10))).unwrap();
         socket.enqueue(b"y");
-        assert!(!socket.fill().unwrap() && socket.inbox.is_empty(), "held back");
+        assert!(!socket.fill().unwrap() && socket.input.is_empty(), "held back");
         assert!(socket.flush().unwrap());
         socket.register(poll.registry()).unwrap();
         poll.poll(&mut events, Some(Duration::from_secs(10))).unwrap();
         assert!(events.iter().any(|event| event.is_readable()));
         assert!(socket.fill().unwrap());
-        assert_eq!(socket.inbox, b"x");
+        assert_eq!(socket.input, b"x");
     }
 }
--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -1,10 +1,13 @@
 //! The reactor: one poll, all connections, their timers. Connections are objects that it calls back.
 
-use super::{BufferedStream, Stream, SystemClock};
-use crate::model::{Span, Time};
-use crate::scheduler::{Response, Scheduler};
-use mio::net::{TcpListener, TcpStream, UnixListener, UnixStream};
+use super::{
+    BufferLimits, BufferedStream, ClientConnection, Connection, ConnectionFlow, Context, Stream, SystemClock,
+};
+use crate::model::Time;
+use crate::scheduler::Scheduler;
+use mio::net::{TcpListener, TcpStream, UdpSocket, UnixListener, UnixStream};
 use mio::{Events, Interest, Poll, Token};
+use std::any::Any;
 use std::collections::{BTreeSet, HashMap};
 use std::io;
 use std::net::SocketAddr;
@@ -13,95 +16,27 @@
 use std::path::Path;
 use std::time::Duration;
 
-/// Whether a connection goes on after a callback.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ConnectionFlow {
-    /// It does.
-    Continue,
-    /// Nothing more is read; it ends once what is owed has been written.
-    Finish,
-    /// It ends now.
-    Close,
-}
+/// A listener of the reactor.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ListenerId(usize);
 
-/// What a callback may use.
-pub struct Context<'a> {
-    /// The scheduler.
-    pub scheduler: &'a mut Scheduler,
-    /// The present time.
-    pub now: Time,
-    /// Whether new calls are taken.
-    pub ready: bool,
-    /// Whether this daemon takes new calls on fronts of its host; see [`crate::vrrp`].
-    pub active: bool,
-}
+/// A pipe that the reactor watches.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct PipeId(usize);
 
-/// A connection as an object: the reactor calls it back with what happens to it.
-pub trait Connection {
-    /// The connection stands.
-    fn opened(&mut self, socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow;
-    /// There is new input in the socket, or the other side has ended its half.
-    fn received(&mut self, socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow;
-    /// Everything put in line has been handed to the system.
-    fn flushed(&mut self, _socket: &mut BufferedStream, _context: &mut Context) -> ConnectionFlow {
-        ConnectionFlow::Continue
-    }
-    /// The time told by [`Connection::deadline`] has come.
-    fn due(&mut self, _socket: &mut BufferedStream, _context: &mut Context) -> ConnectionFlow {
-        ConnectionFlow::Continue
-    }
-    /// When to be called back; asked after every callback.
-    fn deadline(&self) -> Option<Time> {
-        None
-    }
-    /// The connection has ended, by whichever side. Called once.
-    fn closed(&mut self, socket: &BufferedStream, context: &mut Context);
-    /// The final answer of a call that came in here.
-    fn answer(
-        &mut self,
-        _stream: u64,
-        _answer: &Response,
-        _socket: &mut BufferedStream,
-        _context: &mut Context,
-    ) -> ConnectionFlow {
-        ConnectionFlow::Continue
-    }
-    /// A job for the worker at the other end.
-    fn job(
-        &mut self,
-        _job: crate::backend::Job,
-        _socket: &mut BufferedStream,
-        _context: &mut Context,
-    ) -> ConnectionFlow {
-        ConnectionFlow::Continue
-    }
-    /// Whether a job could be given now: its reference is not open here and there is room.
-    fn accepts(&self, _reference: Option<&str>) -> bool {
-        false
-    }
-    /// How many calls are open here.
-    fn load(&self) -> usize {
-        0
-    }
-    /// No new call is wanted here any more.
-    fn leave(&mut self, _socket: &mut BufferedStream, _context: &mut Context) -> ConnectionFlow {
-        ConnectionFlow::Continue
-    }
-    /// Since when nothing is open here, so that it may be closed to make room; none while something is.
-    fn idle(&self) -> Option<Time> {
-        None
-    }
-}
+/// A UDP socket of the reactor.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct UdpSocketId(usize);
 
-/// What woke the reactor beside connections.
+/// An event that the reactor leaves to its caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Signal {
-    /// A client has come in at the listener of this number.
-    Client(usize),
-    /// The pipe of this number has something.
-    Pipe(usize),
-    /// The UDP socket of this number has something.
-    Datagram(usize),
+pub enum ReactorEvent {
+    /// A client waits to be accepted at a listener.
+    ClientWaiting(ListenerId),
+    /// Something was written to a pipe.
+    PipeReadable(PipeId),
+    /// A UDP socket has datagrams to read.
+    DatagramWaiting(UdpSocketId),
 }
 
 struct Entry {
@@ -137,16 +72,16 @@
     clock: SystemClock,
     listeners: Vec<Option<Listener>>,
     pipes: Vec<mio::net::UnixStream>,
-    sockets: Vec<mio::net::UdpSocket>,
+    sockets: Vec<UdpSocket>,
     entries: HashMap<Token, Entry>,
     next: usize,
     timers: BTreeSet<(Time, Token)>,
     /// Nothing happened in the last turn: no socket has anything that has not been looked at.
     quiet: bool,
-    /// Bytes that wait to be written, on all connections together.
-    waiting: usize,
-    /// Beyond so many of them a connection that adds to them is closed, if its other side reads nothing.
-    pub waiting_limit: usize,
+    /// Bytes of output that wait to be written, on all connections together.
+    unsent: usize,
+    /// Beyond so many bytes of unsent output a connection that adds to it is closed, if its peer reads nothing.
+    pub unsent_limit: usize,
     /// Callbacks are handed this; false while the scheduler is not ready.
     pub ready: bool,
     /// Callbacks are handed this too; false while another daemon is the active one.
@@ -167,8 +102,8 @@
             next: FIRST,
             timers: BTreeSet::new(),
             quiet: false,
-            waiting: 0,
-            waiting_limit: usize::MAX,
+            unsent: 0,
+            unsent_limit: usize::MAX,
             ready: false,
             active: true,
         })
@@ -179,26 +114,26 @@
         self.clock.now()
     }
 
-    /// Connections that stand or are coming up.
-    pub fn count(&self) -> usize {
+    /// How many connections are open or being opened.
+    pub fn connection_count(&self) -> usize {
         self.entries.len()
     }
 
     /// Listens on a TCP address; the address, with its port where any would do.
-    pub fn listen(&mut self, at: SocketAddr) -> io::Result<SocketAddr> {
+    pub fn listen_tcp(&mut self, at: SocketAddr) -> io::Result<SocketAddr> {
         let listener = TcpListener::bind(at)?;
         let at = listener.local_addr()?;
         self.add_listener(Listener::Tcp(listener))?;
         Ok(at)
     }
 
-    /// Listens on a Unix socket that has been made; the listener's number.
-    pub fn listen_unix(&mut self, listener: std::os::unix::net::UnixListener) -> io::Result<usize> {
+    /// Listens on a Unix socket that is bound already.
+    pub fn listen_unix(&mut self, listener: std::os::unix::net::UnixListener) -> io::Result<ListenerId> {
         listener.set_nonblocking(true)?;
         self.add_listener(Listener::Unix(UnixListener::from_std(listener)))
     }
 
-    fn add_listener(&mut self, mut listener: Listener) -> io::Result<usize> {
+    fn add_listener(&mut self, mut listener: Listener) -> io::Result<ListenerId> {
         let number = self.listeners.len();
         let registry = self.poll.registry();
         match &mut listener {
@@ -206,12 +141,12 @@
             Listener::Unix(l) => registry.register(l, Token(number), Interest::READABLE)?,
         }
         self.listeners.push(Some(listener));
-        Ok(number)
+        Ok(ListenerId(number))
     }
 
-    /// Listens there no longer.
-    pub fn unlisten(&mut self, listener: usize) {
-        let gone = self.listeners.get_mut(listener).and_then(Option::take);
+    /// Closes a listener.
+    pub fn close_listener(&mut self, listener: ListenerId) {
+        let gone = self.listeners.get_mut(listener.0).and_then(Option::take);
         let _ = match gone {
             Some(Listener::Tcp(mut l)) => self.poll.registry().deregister(&mut l),
             Some(Listener::Unix(mut l)) => self.poll.registry().deregister(&mut l),
@@ -219,29 +154,29 @@
         };
     }
 
-    /// Watches the reading end of a pipe; its number.
-    pub fn watch(&mut self, pipe: StdUnixStream) -> io::Result<usize> {
+    /// Watches the reading end of a pipe.
+    pub fn watch_pipe(&mut self, pipe: StdUnixStream) -> io::Result<PipeId> {
         pipe.set_nonblocking(true)?;
         let mut pipe = UnixStream::from_std(pipe);
         let number = self.pipes.len();
         self.poll.registry().register(&mut pipe, Token(PIPES + number), Interest::READABLE)?;
         self.pipes.push(pipe);
-        Ok(number)
+        Ok(PipeId(number))
     }
 
-    /// Hears datagrams at an address; the socket's number, and the address with its port.
-    pub fn hear(&mut self, at: SocketAddr) -> io::Result<(usize, SocketAddr)> {
-        let mut socket = mio::net::UdpSocket::bind(at)?;
+    /// Binds a UDP socket; its id, and the address with its port.
+    pub fn bind_udp(&mut self, at: SocketAddr) -> io::Result<(UdpSocketId, SocketAddr)> {
+        let mut socket = UdpSocket::bind(at)?;
         let (number, at) = (self.sockets.len(), socket.local_addr()?);
         self.poll.registry().register(&mut socket, Token(SOCKETS + number), Interest::READABLE)?;
         self.sockets.push(socket);
-        Ok((number, at))
+        Ok((UdpSocketId(number), at))
     }
 
-    /// The next datagram of a socket, with its sender and size, if there is one.
-    pub fn datagram(&self, socket: usize, into: &mut [u8]) -> Option<(usize, SocketAddr)> {
+    /// Reads the next datagram of a socket, if there is one; its size and sender.
+    pub fn receive_datagram(&self, socket: UdpSocketId, into: &mut [u8]) -> Option<(usize, SocketAddr)> {
         loop {
-            match self.sockets[socket].recv_from(into) {
+            match self.sockets[socket.0].recv_from(into) {
                 Ok(taken) => return Some(taken),
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return None,
                 // A peer that is down shows as an error of the socket; what else waits is still there.
@@ -253,18 +188,18 @@
     }
 
     /// Sends a datagram; what the system does not take is lost, as datagrams may be.
-    pub fn send_datagram(&self, socket: usize, bytes: &[u8], to: SocketAddr) {
-        let _ = self.sockets[socket].send_to(bytes, to);
+    pub fn send_datagram(&self, socket: UdpSocketId, bytes: &[u8], to: SocketAddr) {
+        let _ = self.sockets[socket.0].send_to(bytes, to);
     }
 
-    /// How many listeners there have been; their numbers are below it.
-    pub fn listeners(&self) -> usize {
-        self.listeners.len()
+    /// All listeners, closed ones included.
+    pub fn listener_ids(&self) -> Vec<ListenerId> {
+        (0..self.listeners.len()).map(ListenerId).collect()
     }
 
     /// Takes the next client of a listener, if one waits.
-    pub fn accept(&mut self, listener: usize) -> io::Result<Option<Stream>> {
-        let taken = match &self.listeners[listener] {
+    pub fn accept(&mut self, listener: ListenerId) -> io::Result<Option<Stream>> {
+        let taken = match &self.listeners[listener.0] {
             None => return Ok(None),
             Some(Listener::Tcp(l)) => l.accept().map(|(stream, _)| {
                 let _ = stream.set_nodelay(true);
@@ -291,21 +226,42 @@
         UnixStream::connect(to).map(Stream::Unix)
     }
 
-    /// Adds a connection; `up` if it stands already. Its id, or none where it broke at once.
-    pub fn add(
+    /// Adds a connection whose stream is connected; its id, or none where it closed at once.
+    pub fn add_connected(
         &mut self,
         stream: Stream,
         connection: Box<dyn Connection>,
-        up: bool,
-        limits: (usize, usize),
+        limits: BufferLimits,
+        scheduler: &mut Scheduler,
+    ) -> Option<u64> {
+        self.add_connection(stream, connection, true, limits, scheduler)
+    }
+
+    /// Adds a connection whose stream is still connecting; its id, or none where it closed at once.
+    pub fn add_connecting(
+        &mut self,
+        stream: Stream,
+        connection: Box<dyn Connection>,
+        limits: BufferLimits,
+        scheduler: &mut Scheduler,
+    ) -> Option<u64> {
+        self.add_connection(stream, connection, false, limits, scheduler)
+    }
+
+    fn add_connection(
+        &mut self,
+        stream: Stream,
+        connection: Box<dyn Connection>,
+        connected: bool,
+        limits: BufferLimits,
         scheduler: &mut Scheduler,
     ) -> Option<u64> {
         let token = Token(self.next);
         self.next += 1;
-        let socket = BufferedStream::new(stream, token, up, limits);
+        let socket = BufferedStream::new(stream, token, connected, limits);
         self.entries
             .insert(token, Entry { socket, connection, due: None, finishing: false, shut: false, wasted: 0 });
-        self.call(token, scheduler, |entry, context| match entry.socket.up {
+        self.call(token, scheduler, |entry, context| match entry.socket.connected {
             true => entry.connection.opened(&mut entry.socket, context),
             false => ConnectionFlow::Continue,
         });
@@ -322,11 +278,11 @@
         let (now, ready, active) = (self.clock.now(), self.ready, self.active);
         let Some(entry) = self.entries.get_mut(&token) else { return };
         let context = &mut Context { scheduler, now, ready, active };
-        let before = entry.socket.waiting();
+        let before = entry.socket.unsent();
         let flow = catch_unwind(AssertUnwindSafe(|| {
             let mut flow = what(entry, context);
             // What was put in line goes out at once; a connection may put more whenever all has gone.
-            while flow != ConnectionFlow::Close && entry.socket.up && entry.socket.waiting() > 0 {
+            while flow != ConnectionFlow::Close && entry.socket.connected && entry.socket.unsent() > 0 {
                 match entry.socket.flush() {
                     Ok(true) => flow = flow.and(entry.connection.flushed(&mut entry.socket, context)),
                     Ok(false) => break,
@@ -340,18 +296,18 @@
             eprintln!("function-scheduler: panic connection={} closed", token.0);
             ConnectionFlow::Close
         });
-        let after = entry.socket.waiting();
-        self.waiting = (self.waiting + after).saturating_sub(before);
+        let after = entry.socket.unsent();
+        self.unsent = (self.unsent + after).saturating_sub(before);
         // Memory is bounded, and so is what those who do not read may hold of it.
-        let clogged = self.waiting > self.waiting_limit && after > before && after > CLOGGED;
+        let clogged = self.unsent > self.unsent_limit && after > before && after > CLOGGED;
         let flow = if clogged { ConnectionFlow::Close } else { flow };
         entry.finishing |= flow == ConnectionFlow::Finish;
         // Closed with input unread, the system would throw away what the other side has not read yet: this
         // half is shut, and the rest waits for the other side's end or the connection's own deadline.
-        if entry.finishing && entry.socket.waiting() == 0 && !std::mem::replace(&mut entry.shut, true) {
+        if entry.finishing && entry.socket.unsent() == 0 && !std::mem::replace(&mut entry.shut, true) {
             entry.socket.stream.shut();
         }
-        let done = flow == ConnectionFlow::Close || entry.shut && entry.socket.ended;
+        let done = flow == ConnectionFlow::Close || entry.shut && entry.socket.input_ended;
         if done || entry.socket.register(self.poll.registry()).is_err() {
             return self.close(token, context.scheduler);
         }
@@ -369,7 +325,7 @@
 
     fn close(&mut self, token: Token, scheduler: &mut Scheduler) {
         let Some(mut entry) = self.entries.remove(&token) else { return };
-        self.waiting = self.waiting.saturating_sub(entry.socket.waiting());
+        self.unsent = self.unsent.saturating_sub(entry.socket.unsent());
         if let Some(at) = entry.due {
             self.timers.remove(&(at, token));
         }
@@ -382,13 +338,13 @@
         let _ = self.poll.registry().deregister(entry.socket.stream.source());
     }
 
-    /// Ends a connection from outside.
-    pub fn end(&mut self, id: u64, scheduler: &mut Scheduler) {
+    /// Closes a connection.
+    pub fn close_connection(&mut self, id: u64, scheduler: &mut Scheduler) {
         self.close(Token(id as usize), scheduler);
     }
 
-    /// Gives a connection something to do; false if it has gone.
-    pub fn with(
+    /// Calls a connection, as the reactor itself does with an event; false if it is closed.
+    pub fn with_connection(
         &mut self,
         id: u64,
         scheduler: &mut Scheduler,
@@ -402,28 +358,72 @@
         there
     }
 
-    /// Looks at a connection.
-    pub fn look<T>(&self, id: u64, at: impl FnOnce(&dyn Connection) -> T) -> Option<T> {
-        self.entries.get(&Token(id as usize)).map(|entry| at(entry.connection.as_ref()))
+    /// Like [`Reactor::with_connection`], for a connection that was added as a `C`; false also for another type.
+    pub fn with_connection_of<C: Connection>(
+        &mut self,
+        id: u64,
+        scheduler: &mut Scheduler,
+        callback: impl FnOnce(&mut C, &mut BufferedStream, &mut Context) -> ConnectionFlow,
+    ) -> bool {
+        let mut found = false;
+        self.with_connection(id, scheduler, |connection, socket, context| {
+            let connection: &mut dyn Any = connection;
+            let Some(connection) = connection.downcast_mut::<C>() else { return ConnectionFlow::Continue };
+            found = true;
+            callback(connection, socket, context)
+        });
+        found
+    }
+
+    /// Like [`Reactor::with_connection`], for a connection with a client at its other end; false also for another.
+    pub fn with_client(
+        &mut self,
+        id: u64,
+        scheduler: &mut Scheduler,
+        callback: impl FnOnce(&mut dyn ClientConnection, &mut BufferedStream, &mut Context) -> ConnectionFlow,
+    ) -> bool {
+        let mut found = false;
+        self.with_connection(id, scheduler, |connection, socket, context| {
+            let Some(client) = connection.as_client() else { return ConnectionFlow::Continue };
+            found = true;
+            callback(client, socket, context)
+        });
+        found
+    }
+
+    /// Whether a connection is open or being opened.
+    pub fn has_connection(&self, id: u64) -> bool {
+        self.entries.contains_key(&Token(id as usize))
+    }
+
+    /// Since when a connection has been idle; see [`Connection::idle_since`].
+    pub fn idle_since(&self, id: u64) -> Option<Time> {
+        self.entries.get(&Token(id as usize))?.connection.idle_since()
     }
 
-    /// All connections.
-    pub fn ids(&self) -> Vec<u64> {
+    /// The connection of this id, if it was added as a `C` and is still there.
+    pub fn connection<C: Connection>(&self, id: u64) -> Option<&C> {
+        let connection: &dyn Any = self.entries.get(&Token(id as usize))?.connection.as_ref();
+        connection.downcast_ref()
+    }
+
+    /// The ids of all connections.
+    pub fn connection_ids(&self) -> Vec<u64> {
         self.entries.keys().map(|token| token.0 as u64).collect()
     }
 
-    /// Whether any connection still has something to write.
-    pub fn unwritten(&self) -> bool {
-        self.entries.values().any(|entry| entry.socket.up && entry.socket.waiting() > 0)
+    /// Whether any connection still has output to write.
+    pub fn has_unsent_output(&self) -> bool {
+        self.entries.values().any(|entry| entry.socket.connected && entry.socket.unsent() > 0)
     }
 
-    /// Whether the last turn found nothing to do.
-    pub fn quiet(&self) -> bool {
+    /// Whether the last [`Reactor::poll`] found no event.
+    pub fn last_poll_was_empty(&self) -> bool {
         self.quiet
     }
 
     /// Waits until something happens or `until` comes, calls connections back, and returns the rest.
-    pub fn turn(&mut self, until: Option<Time>, scheduler: &mut Scheduler) -> io::Result<Vec<Signal>> {
+    pub fn poll(&mut self, until: Option<Time>, scheduler: &mut Scheduler) -> io::Result<Vec<ReactorEvent>> {
         let due = self.timers.first().map(|(at, _)| *at).into_iter().chain(until).min();
         // Rounded up, so that a timer is not asked for a little early again and again.
         let mut rest = due.map(|at| Duration::from_nanos((at - self.clock.now()).0 + 50_000));
@@ -444,13 +444,13 @@
         self.quiet = ready.is_empty();
         for (token, readable) in ready {
             match token.0 {
-                number if number < PIPES => signals.push(Signal::Client(number)),
+                number if number < PIPES => signals.push(ReactorEvent::ClientWaiting(ListenerId(number))),
                 number if (SOCKETS..FIRST).contains(&number) => {
-                    signals.push(Signal::Datagram(number - SOCKETS))
+                    signals.push(ReactorEvent::DatagramWaiting(UdpSocketId(number - SOCKETS)))
                 }
                 number if number < FIRST => {
                     self.empty(number - PIPES);
-                    signals.push(Signal::Pipe(number - PIPES));
+                    signals.push(ReactorEvent::PipeReadable(PipeId(number - PIPES)));
                 }
                 _ => self.happened(token, readable, scheduler),
             }
@@ -461,7 +461,9 @@
             if let Some(entry) = self.entries.get_mut(&token) {
                 entry.due = None;
             }
-            self.call(token, scheduler, |entry, context| entry.connection.due(&mut entry.socket, context));
+            self.call(token, scheduler, |entry, context| {
+                entry.connection.timer_expired(&mut entry.socket, context)
+            });
         }
         Ok(signals)
     }
@@ -476,9 +478,9 @@
     fn happened(&mut self, token: Token, readable: bool, scheduler: &mut Scheduler) {
         self.call(token, scheduler, |entry, context| {
             let Entry { socket, connection, finishing, wasted, .. } = entry;
-            if !socket.up {
+            if !socket.connected {
                 match socket.stream.connected() {
-                    Ok(true) => socket.up = true,
+                    Ok(true) => socket.connected = true,
                     Ok(false) => return ConnectionFlow::Continue,
                     Err(_) => return ConnectionFlow::Close,
                 }
@@ -488,7 +490,7 @@
                 }
             }
             let mut flow = ConnectionFlow::Continue;
-            if socket.waiting() > 0 {
+            if socket.unsent() > 0 {
                 match socket.flush() {
                     Ok(true) => flow = connection.flushed(socket, context),
                     Ok(false) => {}
@@ -502,22 +504,22 @@
             // with other connections.
             let mut taken = 0;
             loop {
-                let held = socket.inbox.len();
+                let held = socket.input.len();
                 let all = match socket.fill() {
                     Ok(all) => all,
                     Err(_) => return ConnectionFlow::Close,
                 };
-                taken += socket.inbox.len() - held;
+                taken += socket.input.len() - held;
                 if *finishing {
-                    *wasted += socket.inbox.len();
-                    socket.inbox.clear();
+                    *wasted += socket.input.len();
+                    socket.input.clear();
                     if *wasted > WASTE {
                         return ConnectionFlow::Close;
                     }
-                } else if socket.inbox.len() > held || socket.ended {
+                } else if socket.input.len() > held || socket.input_ended {
                     flow = flow.and(connection.received(socket, context));
                 }
-                if all || flow != ConnectionFlow::Continue || socket.held_back() {
+                if all || flow != ConnectionFlow::Continue || socket.reading_paused() {
                     return flow;
                 }
                 if taken > TURN {
@@ -530,26 +532,11 @@
 
     /// Closes the connection that has had nothing open for longest, if there is one: whoever will use it again
     /// has most likely done so before.
-    pub fn shed_idle(&mut self, scheduler: &mut Scheduler) -> bool {
-        let idle = self.entries.iter().filter_map(|(token, entry)| Some((entry.connection.idle()?, *token)));
+    pub fn close_longest_idle(&mut self, scheduler: &mut Scheduler) -> bool {
+        let idle =
+            self.entries.iter().filter_map(|(token, entry)| Some((entry.connection.idle_since()?, *token)));
         idle.min().map(|(_, token)| token).map(|token| self.close(token, scheduler)).is_some()
     }
-
-    /// A span as the reactor's own absolute time.
-    pub fn after(&self, span: Span) -> Time {
-        self.now() + span
-    }
-}
-
-impl ConnectionFlow {
-    /// The stricter of the two.
-    pub fn and(self, other: ConnectionFlow) -> ConnectionFlow {
-        match (self, other) {
-            (ConnectionFlow::Close, _) | (_, ConnectionFlow::Close) => ConnectionFlow::Close,
-            (ConnectionFlow::Finish, _) | (_, ConnectionFlow::Finish) => ConnectionFlow::Finish,
-            _ => ConnectionFlow::Continue,
-        }
-    }
 }
 
 #[cfg(test)]
@@ -565,7 +552,7 @@
             ConnectionFlow::Continue
         }
         fn received(&mut self, socket: &mut BufferedStream, _context: &mut Context) -> ConnectionFlow {
-            let bytes = std::mem::take(&mut socket.inbox);
+            let bytes = std::mem::take(&mut socket.input);
             assert!(!bytes.contains(&b'!'), "as the test wants");
             socket.enqueue(&bytes);
             ConnectionFlow::Continue
@@ -581,17 +568,24 @@
             "familyInfo": {"keepNs": 1, "notLoaded": "load", "loadSpanNs": 0}}"#;
         let mut scheduler = Scheduler::new(crate::config::parse_site(site).unwrap(), 1);
         let mut reactor = Reactor::new(SystemClock::new()).unwrap();
-        reactor.waiting_limit = 8 << 20;
+        reactor.unsent_limit = 8 << 20;
         let (near, _far) = StdUnixStream::pair().unwrap();
         near.set_nonblocking(true).unwrap();
         let stream = Stream::Unix(UnixStream::from_std(near));
-        let id = reactor.add(stream, Box::new(Fragile), true, (100, usize::MAX), &mut scheduler).unwrap();
+        let id = reactor
+            .add_connected(
+                stream,
+                Box::new(Fragile),
+                BufferLimits { input: 100, output: usize::MAX },
+                &mut scheduler,
+            )
+            .unwrap();
         let mut put = |bytes: usize| {
-            reactor.with(id, &mut scheduler, |_, socket, _| {
+            reactor.with_connection(id, &mut scheduler, |_, socket, _| {
                 socket.enqueue(&vec![0; bytes]);
                 ConnectionFlow::Continue
             });
-            (reactor.count(), reactor.waiting > 0)
+            (reactor.connection_count(), reactor.unsent > 0)
         };
         assert_eq!(put(7 << 20), (1, true));
         assert_eq!(put(7 << 20), (0, false));
@@ -608,19 +602,21 @@
             let (near, far) = StdUnixStream::pair().unwrap();
             near.set_nonblocking(true).unwrap();
             let stream = Stream::Unix(UnixStream::from_std(near));
-            reactor.add(stream, Box::new(Fragile), true, (100, 100), scheduler).unwrap();
+            reactor
+                .add_connected(stream, Box::new(Fragile), BufferLimits { input: 100, output: 100 }, scheduler)
+                .unwrap();
             far
         };
         let (mut first, mut second) = (add(&mut scheduler), add(&mut scheduler));
         first.write_all(b"!").unwrap();
         second.write_all(b"x").unwrap();
-        while scheduler.counters().panics == 0 || reactor.count() > 1 {
-            reactor.turn(None, &mut scheduler).unwrap();
+        while scheduler.counters().panics == 0 || reactor.connection_count() > 1 {
+            reactor.poll(None, &mut scheduler).unwrap();
         }
         let mut byte = [0];
         assert_eq!(first.read(&mut byte).unwrap(), 0, "ended");
-        let soon = Some(reactor.after(Span::from_millis(100)));
-        reactor.turn(soon, &mut scheduler).unwrap();
+        let soon = Some(reactor.now() + crate::model::Span::from_millis(100));
+        reactor.poll(soon, &mut scheduler).unwrap();
         second.read_exact(&mut byte).unwrap();
         assert_eq!((byte, scheduler.counters().panics), ([b'x'], 1));
     }
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -3,11 +3,10 @@
 use crate::backend::{self, Pool};
 use crate::config::{ConfigSources, Configuration, OperatorConfig, SchedulerConfig, VrrpConfig};
 use crate::discovery::{self, WatchConnection, WatchEvent, WatchQueue};
-use crate::frontend::frames::{self, FrameConnection};
-use crate::frontend::jsonrpc::RpcConnection;
-use crate::frontend::socket::{self, SocketFile};
+use crate::frontend::unix_socket::{self, SocketFile};
+use crate::frontend::{FrameConnection, JsonRpcConnection};
 use crate::model::{Endpoint, EndpointState, EndpointUpdateKind, Span, Time};
-use crate::net::{Reactor, Signal, Stream, SystemClock};
+use crate::net::{BufferLimits, ListenerId, PipeId, Reactor, ReactorEvent, Stream, SystemClock, UdpSocketId};
 use crate::scheduler::{Command, Scheduler};
 use crate::vrrp::packet::{Advertisement, MAX_MESSAGE_LENGTH};
 use crate::vrrp::{self, Event};
@@ -34,12 +33,12 @@
 struct Router {
     machine: vrrp::StateMachine,
     setting: VrrpConfig,
-    socket: usize,
+    socket: UdpSocketId,
 }
 
 impl Router {
     fn new(setting: &VrrpConfig, reactor: &mut Reactor) -> io::Result<Router> {
-        let (socket, own) = reactor.hear(setting.bind)?;
+        let (socket, own) = reactor.bind_udp(setting.bind)?;
         let machine = vrrp::StateMachine::new(vrrp::Configuration {
             priority: setting.priority,
             advertisement_interval: Span::from_millis(u64::from(setting.interval_cs) * 10),
@@ -76,11 +75,11 @@
     /// When to look again at the listeners: the system tells of a client that waits there once only.
     accept_again: Option<Time>,
     /// The listener of the second front, and its file.
-    rpc: Option<(usize, SocketFile)>,
+    rpc: Option<(ListenerId, SocketFile)>,
     rpc_clients: BTreeSet<u64>,
     router: Option<Router>,
     /// The pipes of the signals: to end, to print counters, and to read the files anew.
-    pipes: (usize, usize, usize),
+    pipes: (PipeId, PipeId, PipeId),
     /// Since when the daemon is on its way out.
     ending: Option<Time>,
     /// Since when nothing is owed any more, on the way out.
@@ -100,12 +99,12 @@
         let end = signal_pipe(&[SIGTERM, SIGINT])?;
         let print = signal_pipe(&[SIGUSR1])?;
         let reload = signal_pipe(&[SIGHUP])?;
-        let pipes = (reactor.watch(end)?, reactor.watch(print)?, reactor.watch(reload)?);
-        config.listen = reactor.listen(config.listen)?;
+        let pipes = (reactor.watch_pipe(end)?, reactor.watch_pipe(print)?, reactor.watch_pipe(reload)?);
+        config.listen = reactor.listen_tcp(config.listen)?;
         let rpc = match &operator.jsonrpc {
             None => None,
             Some(front) => {
-                let (listener, file) = socket::bind(&front.socket, front.mode)?;
+                let (listener, file) = unix_socket::bind(&front.socket, front.mode)?;
                 Some((reactor.listen_unix(listener)?, file))
             }
         };
@@ -170,20 +169,20 @@
             let router = self.router.as_ref().and_then(|router| router.machine.next_timer());
             let until = self.scheduler.next_timer().into_iter().chain(self.bus_again);
             let until = until.chain(self.next_step()).chain(self.accept_again).chain(router).min();
-            for signal in self.reactor.turn(until, &mut self.scheduler)? {
+            for signal in self.reactor.poll(until, &mut self.scheduler)? {
                 match signal {
-                    Signal::Client(listener) => self.accept(listener),
-                    Signal::Pipe(pipe) if pipe == self.pipes.0 => self.begin_end(),
-                    Signal::Pipe(pipe) if pipe == self.pipes.1 => {
+                    ReactorEvent::ClientWaiting(listener) => self.accept(listener),
+                    ReactorEvent::PipeReadable(pipe) if pipe == self.pipes.0 => self.begin_end(),
+                    ReactorEvent::PipeReadable(pipe) if pipe == self.pipes.1 => {
                         eprintln!("function-scheduler: {}", self.scheduler.counters())
                     }
-                    Signal::Pipe(_) => self.reload(),
-                    Signal::Datagram(socket) => self.hear(socket),
+                    ReactorEvent::PipeReadable(_) => self.reload(),
+                    ReactorEvent::DatagramWaiting(socket) => self.hear(socket),
                 }
             }
             let now = self.reactor.now();
             if self.accept_again.take_if(|at| *at <= now).is_some() {
-                (0..self.reactor.listeners()).for_each(|listener| self.accept(listener));
+                self.reactor.listener_ids().into_iter().for_each(|listener| self.accept(listener));
             }
             self.vrrp(Event::TimerExpired);
             self.settle();
@@ -210,13 +209,10 @@
         while let Some(command) = self.scheduler.next_command() {
             match command {
                 Command::Respond { origin, response: answer } => {
-                    self.reactor.with(
-                        origin.connection,
-                        &mut self.scheduler,
-                        |connection, socket, context| {
-                            connection.answer(origin.stream, &answer, socket, context)
-                        },
-                    );
+                    let id = origin.connection;
+                    self.reactor.with_client(id, &mut self.scheduler, |client, socket, context| {
+                        client.deliver(origin.stream, &answer, socket, context)
+                    });
                 }
                 command => self.pool.command(command, &mut self.reactor, &mut self.scheduler),
             }
@@ -224,20 +220,21 @@
         self.pool.forget_ended(&self.scheduler);
     }
 
-    fn accept(&mut self, listener: usize) {
+    fn accept(&mut self, listener: ListenerId) {
         loop {
             // Clients hold a third of the descriptors at most; what workers need is kept free.
             let budget = self.config.max_descriptors.saturating_sub(RESERVED);
-            let room = self.reactor.count() < budget - budget / 8;
+            let room = self.reactor.connection_count() < budget - budget / 8;
             match self.reactor.accept(listener) {
-                Ok(Some(stream)) if room || self.reactor.shed_idle(&mut self.scheduler) => {
+                Ok(Some(stream)) if room || self.reactor.close_longest_idle(&mut self.scheduler) => {
                     let now = self.reactor.now();
                     if self.rpc.as_ref().is_some_and(|(number, _)| *number == listener) {
                         self.accept_rpc(now, stream);
                         continue;
                     }
                     let connection = Box::new(FrameConnection::new(now));
-                    self.reactor.add(stream, connection, true, frames::LIMITS, &mut self.scheduler);
+                    let limits = FrameConnection::buffer_limits();
+                    self.reactor.add_connected(stream, connection, limits, &mut self.scheduler);
                 }
                 Ok(Some(_)) if !self.scheduler.may_log(self.reactor.now()) => {}
                 Ok(Some(_)) => eprintln!("function-scheduler: accept dropped why=\"no descriptors left\""),
@@ -258,12 +255,12 @@
     fn accept_rpc(&mut self, now: Time, stream: Stream) {
         let Some(front) = &self.operator.jsonrpc else { return };
         let reactor = &mut self.reactor;
-        self.rpc_clients.retain(|id| reactor.look(*id, |_| ()).is_some());
+        self.rpc_clients.retain(|id| reactor.has_connection(*id));
         if self.rpc_clients.len() >= front.max_clients {
             // The one that has held its place longest without anything open makes room, if there is one.
-            let idle = |id: &u64| Some((reactor.look(*id, |connection| connection.idle())??, *id));
+            let idle = |id: &u64| Some((reactor.idle_since(*id)?, *id));
             if let Some((_, id)) = self.rpc_clients.iter().filter_map(idle).min() {
-                reactor.end(id, &mut self.scheduler);
+                reactor.close_connection(id, &mut self.scheduler);
                 self.rpc_clients.remove(&id);
             }
         }
@@ -273,9 +270,9 @@
         if self.rpc_clients.len() >= front.max_clients {
             return eprintln!("function-scheduler: accept dropped why=\"max_clients\"");
         }
-        let connection = Box::new(RpcConnection::new(now, front.max_line));
-        let limits = RpcConnection::limits(front.max_line);
-        self.rpc_clients.extend(reactor.add(stream, connection, true, limits, &mut self.scheduler));
+        let connection = Box::new(JsonRpcConnection::new(now, front.max_line));
+        let limits = JsonRpcConnection::buffer_limits(front.max_line);
+        self.rpc_clients.extend(reactor.add_connected(stream, connection, limits, &mut self.scheduler));
     }
 
     // ---- The bus
@@ -307,7 +304,8 @@
             eprintln!("function-scheduler: bus connection failed why=\"{e}\"");
         }
         let up = stream.ok().and_then(|stream| {
-            self.reactor.add(stream, connection, false, (discovery::FRAME + 4, 4096), &mut self.scheduler)
+            let limits = BufferLimits { input: discovery::FRAME + 4, output: 4096 };
+            self.reactor.add_connecting(stream, connection, limits, &mut self.scheduler)
         });
         if up.is_none() {
             let mut inbox = self.inbox.borrow_mut();
@@ -418,7 +416,7 @@
         self.inbox =
             Rc::new(RefCell::new(WatchQueue { events: news, offset, disconnected: true, failures: 0 }));
         if let Some(id) = self.bus_id.take() {
-            self.reactor.end(id, &mut self.scheduler);
+            self.reactor.close_connection(id, &mut self.scheduler);
         }
         self.bus_again = Some(now);
     }
@@ -432,12 +430,12 @@
             (Some(front), Some((_, file))) if same => return file.set_mode(front.mode),
             (None, _) => None,
             (Some(front), _) => {
-                let (listener, file) = socket::bind(&front.socket, front.mode)?;
+                let (listener, file) = unix_socket::bind(&front.socket, front.mode)?;
                 Some((self.reactor.listen_unix(listener)?, file))
             }
         };
         if let Some((listener, _)) = std::mem::replace(&mut self.rpc, new) {
-            self.reactor.unlisten(listener);
+            self.reactor.close_listener(listener);
         }
         Ok(())
     }
@@ -475,9 +473,9 @@
         }
     }
 
-    fn hear(&mut self, socket: usize) {
+    fn hear(&mut self, socket: UdpSocketId) {
         let mut bytes = [0; MAX_MESSAGE_LENGTH + 1];
-        while let Some((size, from)) = self.reactor.datagram(socket, &mut bytes) {
+        while let Some((size, from)) = self.reactor.receive_datagram(socket, &mut bytes) {
             let Some(router) = &self.router else { return };
             let read = match router.setting.peers.contains(&from) {
                 true => Advertisement::decode(&bytes[..size]).map_err(|error| error.to_string()),
@@ -516,9 +514,9 @@
     }
 
     fn leave_all(&mut self) {
-        for id in self.reactor.ids() {
-            self.reactor.with(id, &mut self.scheduler, |connection, socket, context| {
-                connection.leave(socket, context)
+        for id in self.reactor.connection_ids() {
+            self.reactor.with_client(id, &mut self.scheduler, |client, socket, context| {
+                client.request_leave(socket, context)
             });
         }
     }
@@ -526,7 +524,7 @@
     fn next_step(&self) -> Option<Time> {
         let since = self.ending?;
         let now = self.reactor.now();
-        if self.settled.is_some() && now >= since + PART && !self.reactor.unwritten() {
+        if self.settled.is_some() && now >= since + PART && !self.reactor.has_unsent_output() {
             // One more look at the sockets.
             return Some(now);
         }
@@ -550,7 +548,7 @@
         let settled = (*self.settled.get_or_insert(now)).max(since + PART);
         // A request may wait unread behind answers that have just gone out, and closing on it would take from
         // its client also what that has not read yet. The end comes when the sockets have nothing more.
-        let done = !self.reactor.unwritten() && self.reactor.quiet();
+        let done = !self.reactor.has_unsent_output() && self.reactor.last_poll_was_empty();
         now >= since + PART && (done || now >= settled + LAST_WRITE)
     }
 }
@@ -558,7 +556,7 @@
 /// Bodies of open calls take a sixth of the memory, and output that nobody reads another.
 fn limit_memory(config: &SchedulerConfig, scheduler: &mut Scheduler, reactor: &mut Reactor) {
     scheduler.set_memory_limit(config.memory_mb << 20);
-    reactor.waiting_limit = (config.memory_mb << 20) / 6;
+    reactor.unsent_limit = (config.memory_mb << 20) / 6;
 }
 
 /// What the configuration lets connections to workers take.
