Share the request's parameters between the embedded client and the scheduler

Outgoing in the client was a copy of the scheduler's ClientRequest but for the origin and the correlation id, and each submit copied it field by field.

RequestParameters is what a client asks for; ClientRequest is that with its origin and correlation id. The embedded client takes RequestParameters, and its functions are submit, poll and set_endpoints; the pairs that it took and gave are WorkerEndpoint and CompletedRequest.

--- a/src/client.rs
+++ b/src/client.rs
@@ -1,23 +1,28 @@
-//! The plug-in for an RPC client: the scheduler and its back ends in the caller's own thread, without the daemon.
+//! The scheduler inside an RPC client: requests are placed on workers in the caller's own thread, without the server
+//! program.
+//!
+//! A [`Client`] owns the scheduler, its connections to workers and its clock. It does nothing between calls: the
+//! embedding program submits requests and calls [`Client::poll`] until their responses have come.
 //!
 //! ```
 //! use function_scheduler::backend::WorkerAddress;
-//! use function_scheduler::client::{Client, Outgoing};
-//! use function_scheduler::scheduler::Outcome;
-//! use function_scheduler::{FunctionId, Endpoint, Span, WorkerId, config};
+//! use function_scheduler::client::{Client, WorkerEndpoint};
+//! use function_scheduler::scheduler::{Outcome, RequestParameters};
+//! use function_scheduler::{Endpoint, FunctionId, Span, WorkerId, config};
 //! use std::io::{BufRead, BufReader, Write};
 //!
 //! # let folder = std::env::temp_dir().join(format!("function-scheduler-doc-{}", std::process::id()));
 //! # std::fs::create_dir(&folder)?;
 //! # let path = folder.join("checker.sock");
-//! // A checker that answers each call with one body.
+//! // A worker that answers each request with the same body.
 //! let listener = std::os::unix::net::UnixListener::bind(&path)?;
 //! std::thread::spawn(move || {
 //!     let (mut stream, _) = listener.accept().unwrap();
 //!     for line in BufReader::new(stream.try_clone().unwrap()).lines() {
-//!         let call: serde_json::Value = serde_json::from_str(&line.unwrap()).unwrap();
-//!         let answer = serde_json::json!({"jsonrpc": "2.0", "id": call["id"], "result": {"body": "NCBvZiA1"}});
-//!         stream.write_all(format!("{answer}\n").as_bytes()).unwrap();
+//!         let request: serde_json::Value = serde_json::from_str(&line.unwrap()).unwrap();
+//!         let response =
+//!             serde_json::json!({"jsonrpc": "2.0", "id": request["id"], "result": {"body": "NCBvZiA1"}});
+//!         stream.write_all(format!("{response}\n").as_bytes()).unwrap();
 //!     }
 //! });
 //!
@@ -28,61 +33,59 @@
 //!   "contract": {"coldFrom": 0.2, "coldNs": 9000000000, "fallMultiple": 3, "fallNs": 2000000000},
 //!   "familyInfo": {"keepNs": 9000000000, "notLoaded": "load", "loadSpanNs": 0}}"#).unwrap();
 //! let mut client = Client::new(site, 7)?;
-//! let worker = Endpoint { worker: WorkerId(1), weight: 1.0, ..Endpoint::default() };
-//! client.workers(vec![(worker, WorkerAddress::Checker(path))]);
+//! let endpoint = Endpoint { worker: WorkerId(1), weight: 1.0, ..Endpoint::default() };
+//! client.set_endpoints(vec![WorkerEndpoint { endpoint, address: WorkerAddress::Checker(path) }]);
 //!
 //! let deadline = client.now() + Span::from_millis(3000);
-//! let call = client.call(Outgoing::new("check", FunctionId(9), deadline, b"my exercise".to_vec()));
-//! let (answered, answer) = loop {
-//!     if let Some(answer) = client.turn(deadline)?.pop() {
-//!         break answer;
+//! let request = RequestParameters::new("check", FunctionId(9), deadline, b"my exercise".to_vec());
+//! let submitted = client.submit(request);
+//! let completed = loop {
+//!     if let Some(completed) = client.poll(deadline)?.pop() {
+//!         break completed;
 //!     }
 //! };
-//! assert_eq!((answered, answer.outcome), (call, Outcome::Served(b"4 of 5".to_vec())));
+//! assert_eq!(completed.request, submitted);
+//! assert_eq!(completed.response.outcome, Outcome::Served(b"4 of 5".to_vec()));
 //! # std::fs::remove_dir_all(&folder)?;
 //! # Ok::<(), std::io::Error>(())
 //! ```
 
 use crate::backend::{Limits, Pool, WorkerAddress};
-use crate::model::{Endpoint, EndpointState, EndpointUpdateKind, FunctionId, Site, Span, Time};
+use crate::model::{Endpoint, EndpointState, EndpointUpdateKind, Site, Time, WorkerId};
 use crate::net::{Reactor, SystemClock};
-use crate::scheduler::{ClientRequest, Command, Counters, RequestOrigin, Response, Scheduler};
+use crate::scheduler::{
+    ClientRequest, Command, Counters, RequestOrigin, RequestParameters, Response, Scheduler,
+};
 use std::io;
 
-/// Connections that an embedded scheduler opens at most.
-const CONNECTIONS: usize = 256;
+/// Most connections to workers that a client opens.
+const MAX_CONNECTIONS: usize = 256;
+/// An idle connection is closed after this part of the time in which the worker would close it, so that no request
+/// is written to a connection that the worker is closing.
+const IDLE_TIMEOUT_FRACTION: f64 = 0.8;
+/// All requests of the embedding program count as coming from one connection.
+const CONNECTION: u64 = 0;
 
-/// A call of the embedding client.
+/// A request that was submitted; unique within its client.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct CallId(pub u64);
+pub struct SubmittedRequestId(pub u64);
 
-/// What a client asks for.
+/// A worker and where it is reached.
 #[derive(Clone, Debug)]
-pub struct Outgoing {
-    /// Name of the class.
-    pub class: String,
-    /// The function called.
-    pub function: FunctionId,
-    /// Idempotency key, in keyed classes: the same for all tries of one request.
-    pub key: Option<String>,
-    /// Memory of one loaded copy, in MB.
-    pub memory_mb: f64,
-    /// Calls that one copy runs at a time.
-    pub lanes: f64,
-    /// Usual time of a load.
-    pub load_time: Option<Span>,
-    /// When the answer is no longer of use.
-    pub deadline: Time,
-    /// The body.
-    pub body: Vec<u8>,
+pub struct WorkerEndpoint {
+    /// Its line of the endpoint list.
+    pub endpoint: Endpoint,
+    /// Where it listens.
+    pub address: WorkerAddress,
 }
 
-impl Outgoing {
-    /// A call without a key, of a function of which nothing more is known.
-    pub fn new(class: &str, function: FunctionId, deadline: Time, body: Vec<u8>) -> Outgoing {
-        let (class, key, load_time) = (class.to_owned(), None, None);
-        Outgoing { class, function, key, memory_mb: 0.0, lanes: 1.0, load_time, deadline, body }
-    }
+/// The end of a request.
+#[derive(Clone, Debug)]
+pub struct CompletedRequest {
+    /// Which request.
+    pub request: SubmittedRequestId,
+    /// How it ended.
+    pub response: Response,
 }
 
 /// A scheduler inside its client. See the module's page.
@@ -90,79 +93,78 @@
     scheduler: Scheduler,
     reactor: Reactor,
     pool: Pool,
-    next: u64,
-    /// Makes names of calls unlike those of other clients of the same workers.
-    salt: u32,
-    answers: Vec<(CallId, Response)>,
+    last_request: u64,
+    /// Makes correlation ids unlike those of other clients of the same workers.
+    correlation_prefix: u32,
+    completed: Vec<CompletedRequest>,
 }
 
 impl Client {
-    /// A scheduler without workers. The seed decides ties, and is to differ between clients.
+    /// A scheduler without workers. The seed decides ties, and has to differ between clients.
+    ///
+    /// # Errors
+    ///
+    /// The system's, where it gives no poll.
     pub fn new(site: Site, seed: u64) -> io::Result<Client> {
-        let reactor = Reactor::new(SystemClock::new())?;
-        let fleet = site.settings.fleet_size as usize;
-        let limits =
-            Limits { multiplex: site.attempts_per_connection, idle: site.idle_timeout.mul_f64(0.8), fleet };
-        let pool = Pool::new(limits, site.connect_timeout, CONNECTIONS);
-        let salt = (seed ^ seed >> 32) as u32 ^ std::process::id();
-        Ok(Client { scheduler: Scheduler::new(site, seed), reactor, pool, next: 0, salt, answers: vec![] })
+        let limits = Limits {
+            multiplex: site.attempts_per_connection,
+            idle: site.idle_timeout.mul_f64(IDLE_TIMEOUT_FRACTION),
+            fleet: site.settings.fleet_size as usize,
+        };
+        Ok(Client {
+            reactor: Reactor::new(SystemClock::new())?,
+            pool: Pool::new(limits, site.connect_timeout, MAX_CONNECTIONS),
+            scheduler: Scheduler::new(site, seed),
+            last_request: 0,
+            correlation_prefix: correlation_prefix(seed),
+            completed: Vec::new(),
+        })
     }
 
-    /// The present time, of which deadlines are points.
+    /// The present time on the clock of deadlines.
     pub fn now(&self) -> Time {
         self.reactor.now()
     }
 
-    /// The whole list of workers, whenever it has changed. A worker absent from it is gone.
-    pub fn workers(&mut self, list: Vec<(Endpoint, WorkerAddress)>) {
-        let listed = |worker| list.iter().any(|(m, _)| m.worker == worker && m.state != EndpointState::Gone);
-        self.pool.retain(listed);
-        for (member, endpoint) in list.iter().filter(|(m, _)| m.state != EndpointState::Gone) {
-            self.pool.set_address(member.worker, endpoint.clone(), member.started_at);
-        }
-        let members = list.into_iter().map(|(member, _)| member).collect();
-        self.scheduler.update_endpoints(self.reactor.now(), EndpointUpdateKind::Full, members);
-        self.carry_out();
+    /// Replaces the endpoint list, to be called whenever it has changed. A worker absent from it is gone.
+    pub fn set_endpoints(&mut self, workers: Vec<WorkerEndpoint>) {
+        self.update_addresses(&workers);
+        let endpoints = workers.into_iter().map(|worker| worker.endpoint).collect();
+        self.scheduler.update_endpoints(self.reactor.now(), EndpointUpdateKind::Full, endpoints);
+        self.run_commands();
     }
 
-    /// Takes a call. [`Client::turn`] gives its one answer, unless it is cancelled before.
-    pub fn call(&mut self, call: Outgoing) -> CallId {
-        self.next += 1;
-        let Outgoing { class, function, key, memory_mb, lanes, load_time, deadline, body } = call;
-        let reference = format!("{:08x}{:08x}", self.salt, self.next as u32);
-        let origin = RequestOrigin { connection: 0, stream: self.next };
-        let call = ClientRequest {
-            origin,
-            correlation_id: reference,
-            class,
-            function,
-            key,
-            memory_mb,
-            concurrency: lanes,
-            load_time,
-            deadline,
-            body,
-        };
-        self.scheduler.submit(self.reactor.now(), call);
-        self.carry_out();
-        CallId(self.next)
+    /// Takes a request. [`Client::poll`] gives its one response, unless it is cancelled before.
+    pub fn submit(&mut self, parameters: RequestParameters) -> SubmittedRequestId {
+        self.last_request += 1;
+        let id = SubmittedRequestId(self.last_request);
+        let request =
+            ClientRequest { origin: origin(id), correlation_id: self.correlation_id(id), parameters };
+        self.scheduler.submit(self.reactor.now(), request);
+        self.run_commands();
+        id
     }
 
-    /// Nobody waits for this call any more: no answer comes, and workers are told where that helps.
-    pub fn cancel(&mut self, call: CallId) {
-        self.scheduler.cancel(self.reactor.now(), RequestOrigin { connection: 0, stream: call.0 });
-        self.answers.retain(|(id, _)| *id != call);
-        self.carry_out();
+    /// Cancels a request: no response comes, and its worker is told where that helps.
+    pub fn cancel(&mut self, request: SubmittedRequestId) {
+        self.scheduler.cancel(self.reactor.now(), origin(request));
+        self.completed.retain(|completed| completed.request != request);
+        self.run_commands();
     }
 
-    /// Works until something has happened or `until` has come; the calls that have ended.
-    pub fn turn(&mut self, until: Time) -> io::Result<Vec<(CallId, Response)>> {
-        if self.answers.is_empty() {
-            let due = self.scheduler.next_timer().into_iter().chain([until]).min();
-            self.reactor.poll(due, &mut self.scheduler)?;
-            self.carry_out();
+    /// Works until something has happened or `until` has come, and returns the requests that have ended since the
+    /// last call.
+    ///
+    /// # Errors
+    ///
+    /// The system's, where its poll fails.
+    pub fn poll(&mut self, until: Time) -> io::Result<Vec<CompletedRequest>> {
+        if self.completed.is_empty() {
+            let wake_at = self.scheduler.next_timer().map_or(until, |timer| timer.min(until));
+            self.reactor.poll(Some(wake_at), &mut self.scheduler)?;
+            self.run_commands();
         }
-        Ok(std::mem::take(&mut self.answers))
+        Ok(std::mem::take(&mut self.completed))
     }
 
     /// What has been counted so far.
@@ -170,16 +172,44 @@
         self.scheduler.counters()
     }
 
-    fn carry_out(&mut self) {
+    /// Keeps the pool's addresses in step with the endpoint list, before the scheduler may send to new workers.
+    fn update_addresses(&mut self, workers: &[WorkerEndpoint]) {
+        let present = || workers.iter().filter(|worker| worker.endpoint.state != EndpointState::Gone);
+        let is_present = |id: WorkerId| present().any(|worker| worker.endpoint.worker == id);
+        self.pool.retain(is_present);
+        for worker in present() {
+            let endpoint = &worker.endpoint;
+            self.pool.set_address(endpoint.worker, worker.address.clone(), endpoint.started_at);
+        }
+    }
+
+    /// Carries out what the scheduler wants done.
+    fn run_commands(&mut self) {
         self.scheduler.fire_timers(self.reactor.now());
         while let Some(command) = self.scheduler.next_command() {
             match command {
-                Command::Respond { origin, response: answer } => {
-                    self.answers.push((CallId(origin.stream), answer))
+                Command::Respond { origin, response } => {
+                    let request = SubmittedRequestId(origin.stream);
+                    self.completed.push(CompletedRequest { request, response });
                 }
                 command => self.pool.command(command, &mut self.reactor, &mut self.scheduler),
             }
         }
         self.pool.forget_ended(&self.scheduler);
     }
+
+    /// The name under which workers see a request: 16 hexadecimal digits.
+    fn correlation_id(&self, request: SubmittedRequestId) -> String {
+        format!("{:08x}{:08x}", self.correlation_prefix, request.0 as u32)
+    }
+}
+
+/// Where the scheduler is to answer a request to.
+fn origin(request: SubmittedRequestId) -> RequestOrigin {
+    RequestOrigin { connection: CONNECTION, stream: request.0 }
+}
+
+/// Differs between clients of one program by the seed, and between programs by the process id.
+fn correlation_prefix(seed: u64) -> u32 {
+    (seed ^ seed >> 32) as u32 ^ std::process::id()
 }
--- a/src/frontend/frames.rs
+++ b/src/frontend/frames.rs
@@ -3,7 +3,7 @@
 use super::{BODY, LINGER, OPEN, OUTBOX, TRANSIT, WHOLE, read_function};
 use crate::model::{FunctionId, Span, Time};
 use crate::net::{BufferLimits, BufferedStream, ClientConnection, Connection, ConnectionFlow, Context};
-use crate::scheduler::{ClientRequest, Outcome, RequestOrigin, Response};
+use crate::scheduler::{ClientRequest, Outcome, RequestOrigin, RequestParameters, Response};
 use std::collections::BTreeSet;
 
 /// Largest length field.
@@ -161,14 +161,16 @@
     Ok(ClientRequest {
         origin,
         correlation_id: reference.to_owned(),
-        class: class.to_owned(),
-        function,
-        key: field("replay").map(str::to_owned),
-        memory_mb,
-        concurrency: lanes,
-        load_time,
-        deadline,
-        body: body.to_vec(),
+        parameters: RequestParameters {
+            class: class.to_owned(),
+            function,
+            key: field("replay").map(str::to_owned),
+            memory_mb,
+            concurrency: lanes,
+            load_time,
+            deadline,
+            body: body.to_vec(),
+        },
     })
 }
 
@@ -500,7 +502,8 @@
             ("lookup", "7f3a9c21e0b4d655"),
             ("spec", "memory_mb:512;lanes:2;load_ms:640"),
         ];
-        let call = read_request(&[fields(&good), b"body".to_vec()].concat(), OWNER, Time(0)).unwrap();
+        let call =
+            read_request(&[fields(&good), b"body".to_vec()].concat(), OWNER, Time(0)).unwrap().parameters;
         assert_eq!(
             (call.memory_mb, call.concurrency, call.load_time),
             (512.0, 2.0, Some(Span::from_millis(640)))
--- a/src/frontend/jsonrpc.rs
+++ b/src/frontend/jsonrpc.rs
@@ -12,7 +12,7 @@
 use super::{BODY, IDLE, LINGER, OPEN, OUTBOX, TRANSIT, WHOLE, read_function};
 use crate::model::{FunctionId, Span, Time};
 use crate::net::{BufferLimits, BufferedStream, ClientConnection, Connection, ConnectionFlow, Context};
-use crate::scheduler::{ClientRequest, Outcome, RequestOrigin, Response};
+use crate::scheduler::{ClientRequest, Outcome, RequestOrigin, RequestParameters, Response};
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use serde_json::{Map, Value, json};
@@ -338,14 +338,16 @@
             ClientRequest {
                 origin,
                 correlation_id: params.reference.unwrap_or_else(made),
-                class: params.class,
-                function: params.function,
-                key: params.key,
-                memory_mb: params.memory_mb,
-                concurrency: params.lanes,
-                load_time: Some(Span((params.load_ms * 1e6) as u64)).filter(|span| span.0 > 0),
-                deadline: context.now + Span(allow.saturating_sub(TRANSIT.0)),
-                body: params.body,
+                parameters: RequestParameters {
+                    class: params.class,
+                    function: params.function,
+                    key: params.key,
+                    memory_mb: params.memory_mb,
+                    concurrency: params.lanes,
+                    load_time: Some(Span((params.load_ms * 1e6) as u64)).filter(|span| span.0 > 0),
+                    deadline: context.now + Span(allow.saturating_sub(TRANSIT.0)),
+                    body: params.body,
+                },
             },
         );
     }
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -43,24 +43,20 @@
     pub stream: u64,
 }
 
-/// A call as a front has read it.
+/// What a client asks for.
 #[derive(Clone, Debug)]
-pub struct ClientRequest {
-    /// Where the answer goes.
-    pub origin: RequestOrigin,
-    /// The client's name for this try; workers see it unchanged.
-    pub correlation_id: String,
-    /// Name of the class.
+pub struct RequestParameters {
+    /// Name of the request's class.
     pub class: String,
     /// The function called.
     pub function: FunctionId,
-    /// Idempotency key, in keyed classes.
+    /// Idempotency key, in keyed classes: the same for all tries of one request.
     pub key: Option<String>,
-    /// Memory of one copy, in MB.
+    /// Memory of one loaded instance, in MB.
     pub memory_mb: f64,
-    /// Calls that one copy runs at a time.
+    /// Requests that one instance runs at a time.
     pub concurrency: f64,
-    /// Usual time of a load, where told.
+    /// Usual time of a load, where known.
     pub load_time: Option<Span>,
     /// When the client gives up.
     pub deadline: Time,
@@ -68,6 +64,33 @@
     pub body: Vec<u8>,
 }
 
+impl RequestParameters {
+    /// A request without an idempotency key, for a function of which nothing more is known.
+    pub fn new(class: &str, function: FunctionId, deadline: Time, body: Vec<u8>) -> RequestParameters {
+        RequestParameters {
+            class: class.to_owned(),
+            function,
+            key: None,
+            memory_mb: 0.0,
+            concurrency: 1.0,
+            load_time: None,
+            deadline,
+            body,
+        }
+    }
+}
+
+/// A request as a client's connection hands it in.
+#[derive(Clone, Debug)]
+pub struct ClientRequest {
+    /// Where the answer goes.
+    pub origin: RequestOrigin,
+    /// The client's name for this try; workers see it unchanged.
+    pub correlation_id: String,
+    /// What is asked for.
+    pub parameters: RequestParameters,
+}
+
 /// What every attempt of a call carries to a worker.
 #[derive(Debug)]
 pub struct RequestPayload {
@@ -255,7 +278,9 @@
 /// The scheduler. See the module's page.
 ///
 /// ```
-/// use function_scheduler::scheduler::{Command, Scheduler, ClientRequest, RequestOrigin, WorkerResponse, Outcome};
+/// use function_scheduler::scheduler::{
+///     ClientRequest, Command, Outcome, RequestOrigin, RequestParameters, Scheduler, WorkerResponse,
+/// };
 /// use function_scheduler::{FunctionId, EndpointUpdateKind, Endpoint, Time, WorkerId};
 ///
 /// let site = function_scheduler::config::parse_site(br#"{"fleetSize": 1, "index": 0,
@@ -268,8 +293,13 @@
 /// scheduler.update_endpoints(Time(0), EndpointUpdateKind::Full, vec![Endpoint { worker: WorkerId(1), ..Endpoint::default() }]);
 /// let origin = RequestOrigin { connection: 1, stream: 1 };
 /// scheduler.submit(Time(0), ClientRequest {
-///     origin, correlation_id: "9b1f03aa5c7e2d41".into(), class: "check".into(), function: FunctionId(9), key: None,
-///     memory_mb: 400.0, concurrency: 2.0, load_time: None, deadline: Time(3_000_000_000), body: vec![],
+///     origin,
+///     correlation_id: "9b1f03aa5c7e2d41".into(),
+///     parameters: RequestParameters {
+///         memory_mb: 400.0,
+///         concurrency: 2.0,
+///         ..RequestParameters::new("check", FunctionId(9), Time(3_000_000_000), vec![])
+///     },
 /// });
 /// let Some(Command::Send { attempt, .. }) = scheduler.next_command() else { panic!("it is sent") };
 /// scheduler.attempt_written(Time(1), attempt);
@@ -417,20 +447,21 @@
     }
 
     /// A call has come in whole. From here on one final answer is owed.
-    pub fn submit(&mut self, now: Time, call: ClientRequest) {
+    pub fn submit(&mut self, now: Time, request: ClientRequest) {
+        let ClientRequest { origin, correlation_id, parameters: call } = request;
         self.counters.taken += 1;
         self.taken.push_back(now);
         let class = self.site.class_index(&call.class);
-        let Some(class) = class else { return self.answer(call.origin, Outcome::Failed, false) };
+        let Some(class) = class else { return self.answer(origin, Outcome::Failed, false) };
         // A name that is open already would make two calls' answers look alike at a worker.
-        if self.names.contains(&call.correlation_id) {
-            return self.answer(call.origin, Outcome::Failed, false);
+        if self.names.contains(&correlation_id) {
+            return self.answer(origin, Outcome::Failed, false);
         }
         let full = self.requests.len() >= self.site.max_open_requests
             || self.bodies + call.body.len() > self.memory / BODIES;
-        if full || call.deadline <= now || self.origins.contains_key(&call.origin) {
+        if full || call.deadline <= now || self.origins.contains_key(&origin) {
             let retry_after = self.default_retry_after();
-            return self.answer(call.origin, Outcome::Rejected { retry_after }, call.deadline <= now);
+            return self.answer(origin, Outcome::Rejected { retry_after }, call.deadline <= now);
         }
         let id = RequestId(self.next_request);
         self.next_request = self.next_request.wrapping_add(1);
@@ -440,16 +471,16 @@
         }
         self.called[0].insert(call.function);
         self.bodies += call.body.len();
-        self.names.insert(call.correlation_id.clone());
+        self.names.insert(correlation_id.clone());
         let work = Rc::new(RequestPayload {
-            correlation_id: call.correlation_id,
+            correlation_id,
             class: call.class,
             function: call.function,
             key: call.key,
             body: call.body,
         });
         let effect = self.site.settings.classes[class].idempotency;
-        let (origin, deadline) = (call.origin, call.deadline);
+        let deadline = call.deadline;
         self.requests.insert(id, Taken { origin, work, effect, deadline, attempts: 0, first_out: None });
         self.origins.insert(origin, id);
         self.due.insert((deadline + BACKSTOP, Due::Call(id)));
@@ -818,22 +849,13 @@
 
     fn call(scheduler: &mut Scheduler, stream: u64, class: &str) -> Vec<Command> {
         let origin = RequestOrigin { connection: 1, stream };
-        let (reference, class) = (format!("{stream:016x}"), class.to_owned());
-        scheduler.submit(
-            MS(0),
-            ClientRequest {
-                origin,
-                correlation_id: reference,
-                class,
-                function: FUNCTION,
-                key: None,
-                memory_mb: 100.0,
-                concurrency: 2.0,
-                load_time: None,
-                deadline: MS(3000),
-                body: vec![],
-            },
-        );
+        let parameters = RequestParameters {
+            memory_mb: 100.0,
+            concurrency: 2.0,
+            ..RequestParameters::new(class, FUNCTION, MS(3000), vec![])
+        };
+        let correlation_id = format!("{stream:016x}");
+        scheduler.submit(MS(0), ClientRequest { origin, correlation_id, parameters });
         std::iter::from_fn(|| scheduler.next_command()).collect()
     }
 
--- a/tests/server/crossings.rs
+++ b/tests/server/crossings.rs
@@ -4,7 +4,7 @@
 use function_scheduler::backend::{Limits, Pool, WorkerAddress};
 use function_scheduler::net::{Reactor, SystemClock};
 use function_scheduler::scheduler::{
-    ClientRequest, Command, LoadResult, RequestOrigin, Scheduler, WorkerResponse,
+    ClientRequest, Command, LoadResult, RequestOrigin, RequestParameters, Scheduler, WorkerResponse,
 };
 use function_scheduler::{Endpoint, EndpointUpdateKind, FunctionId, Span, Status, Time, WorkerId};
 use serde_json::{Value, json};
@@ -313,14 +313,11 @@
     ClientRequest {
         origin: RequestOrigin { connection: 1, stream: n },
         correlation_id: format!("{n:016x}"),
-        class: "practice-check".into(),
-        function: FunctionId(9),
-        key: None,
-        memory_mb: 1.0,
-        concurrency: 64.0,
-        load_time: None,
-        deadline: now + Span::from_millis(60_000),
-        body: vec![],
+        parameters: RequestParameters {
+            memory_mb: 1.0,
+            concurrency: 64.0,
+            ..RequestParameters::new("practice-check", FunctionId(9), now + Span::from_millis(60_000), vec![])
+        },
     }
 }
 
@@ -411,7 +408,9 @@
     let order = |scheduler: &mut Scheduler, n: u64| {
         let now = begin + Span::from_millis(n * 100);
         scheduler.fire_timers(now);
-        scheduler.submit(now, ClientRequest { function: FunctionId(n), ..incoming(n, now) });
+        let mut request = incoming(n, now);
+        request.parameters.function = FunctionId(n);
+        scheduler.submit(now, request);
         while let Some(command) = scheduler.next_command() {
             match command {
                 Command::Send { attempt, .. } => {
