Backend: codecs, jobs, addresses and limits in modules of their own

Why: one file held jobs, codec trait, limits and the connection, commands were built as loose JSON values, and the codec's methods carried the wire's words.

Change: codec.rs has the trait (encode_request, encode_cancel, encode_load, encode_unload, encode_health_check, decode) and a typed DecodeError; the two codecs name their wire words, methods and error codes in one place each. Commands are serde structs with keys in the order that was on the wire before (alphabetical). Answers are still interpreted leniently: repeated keys, unknown keys and unusable attributes are tolerated as before. Limits has named fields and takes in the connect timeout and the number of connections. Unit tests moved to src/backend/tests; every case kept, the load report's case and the malformed lines under names of their own; new: commands byte for byte, and lines that are unusual but tolerated, both compared with the output of the code before this change.

--- /dev/null
+++ b/src/backend/address.rs
@@ -0,0 +1,13 @@
+//! Where workers listen.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+/// The address of a worker, which also tells the wire format that the worker speaks.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum WorkerAddress {
+    /// A node agent on TCP.
+    NodeAgent(SocketAddr),
+    /// A JSON-RPC worker on a Unix socket of this host.
+    JsonRpc(PathBuf),
+}
--- a/src/backend/mod.rs
+++ b/src/backend/mod.rs
@@ -4,113 +4,34 @@
 //! the one before has gone to the system whole, so that for every attempt it knows how far it had come when
 //! the connection broke; and it asks the scheduler right before the first byte whether the command may still go.
 
-pub mod agent;
-pub mod jsonrpc;
+mod address;
+mod codec;
+mod job;
+mod jsonrpc_codec;
+mod limits;
+mod node_agent_codec;
 mod pool;
+#[cfg(test)]
+mod tests;
 
-pub use pool::{Pool, WorkerAddress};
+pub use address::WorkerAddress;
+pub use codec::{Codec, DecodeError, DecodeErrorKind, WorkerMessage};
+pub use job::Job;
+pub use jsonrpc_codec::JsonRpcCodec;
+pub use limits::Limits;
+pub use node_agent_codec::NodeAgentCodec;
+pub use pool::Pool;
 
-use crate::model::{FunctionId, Span, Time};
+use crate::model::{Span, Time};
 use crate::net::{BufferedStream, Connection, ConnectionFlow, Context};
 use crate::scheduler::{
-    AttemptError, AttemptId, FailureCause, HealthCheckId, LoadOrderId, LoadResult, RequestPayload,
-    WorkerResponse, WriteProgress,
+    AttemptError, AttemptId, FailureCause, HealthCheckId, LoadOrderId, LoadResult, WorkerResponse,
+    WriteProgress,
 };
 use std::cell::Cell;
 use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
 
-/// A command for a worker, waiting for its turn on a connection.
-#[derive(Clone, Debug)]
-pub enum Job {
-    /// Start an attempt.
-    Start {
-        /// Which.
-        attempt: AttemptId,
-        /// What it carries.
-        payload: Rc<RequestPayload>,
-        /// When its answer is no longer waited for.
-        deadline: Time,
-    },
-    /// Give an attempt up.
-    Cancel {
-        /// Which.
-        attempt: AttemptId,
-    },
-    /// Order a load.
-    Load {
-        /// Which order.
-        order: LoadOrderId,
-        /// What.
-        function: FunctionId,
-        /// How many copies.
-        instances: u8,
-    },
-    /// Ask whether the worker lives.
-    HealthCheck {
-        /// Which probe.
-        check: HealthCheckId,
-        /// When its answer is no longer waited for.
-        deadline: Time,
-    },
-    /// Unload the idle copies.
-    Unload {
-        /// What.
-        function: FunctionId,
-    },
-}
-
-/// What a worker's line says.
-#[derive(Clone, Debug, PartialEq)]
-pub enum WorkerMessage {
-    /// An answer to a call or, for orders, with the copies that stand.
-    Response {
-        /// The name under which the command went out.
-        correlation_id: String,
-        /// What it says.
-        response: WorkerResponse,
-        /// Copies that stand, where told.
-        instances: Option<u32>,
-        /// The load report: its values by name, where there is one.
-        load_report: Vec<(String, f32)>,
-    },
-    /// The answer to a probe.
-    Alive {
-        /// The name under which the probe went out.
-        correlation_id: String,
-    },
-}
-
-/// A line that cannot be read; with the name it answers, where that much could be read.
-#[derive(Clone, Debug, PartialEq)]
-pub struct DecodeError {
-    /// The name under which the command went out.
-    pub correlation_id: Option<String>,
-    /// What is wrong.
-    pub cause: &'static str,
-}
-
-/// The words of one kind of worker: pure functions from commands to lines and back.
-pub trait Codec {
-    /// The line that starts an attempt at `now`, whose answer is waited for until the deadline.
-    fn go(&self, work: &RequestPayload, now: Time, deadline: Time) -> Vec<u8>;
-    /// The line that gives it up.
-    fn halt(&self, correlation_id: &str) -> Vec<u8>;
-    /// The line that orders a load.
-    fn stage(&self, correlation_id: &str, function: FunctionId, copies: u8) -> Vec<u8>;
-    /// The line that unloads idle copies.
-    fn purge(&self, function: FunctionId) -> Vec<u8>;
-    /// The line that probes under this name.
-    fn probe(&self, correlation_id: &str) -> Vec<u8>;
-    /// Reads a line, without its line feed.
-    fn read(&self, line: &[u8]) -> Result<WorkerMessage, DecodeError>;
-}
-
-/// What remains until a deadline in whole milliseconds, as the wires tell it; never 0, which could mean none.
-fn left_ms(now: Time, deadline: Time) -> u64 {
-    (deadline - now).0.div_ceil(1_000_000).max(1)
-}
-
 /// Longest line taken from a worker: a body of 16 KiB in base64 with room to spare.
 pub const LINE: usize = 64 << 10;
 /// Open commands, with those that wait, on one connection.
@@ -131,17 +52,6 @@
     Shadow(Time),
 }
 
-/// Figures that all connections to workers share.
-#[derive(Clone, Copy, Debug)]
-pub struct Limits {
-    /// Attempts at a time.
-    pub multiplex: usize,
-    /// Closed by us after so long without anything open: before the worker does, or a command could cross.
-    pub idle: Span,
-    /// Schedulers that connect to the same workers.
-    pub fleet: usize,
-}
-
 /// A connection to a worker.
 pub struct WorkerConnection {
     codec: Rc<dyn Codec>,
@@ -209,12 +119,12 @@
                         context.scheduler.attempt_not_sent(context.now, attempt);
                         continue;
                     }
-                    socket.enqueue(&self.codec.go(&work, context.now, deadline));
+                    socket.enqueue(&self.codec.encode_request(&work, context.now, deadline));
                     self.writing = Some(Open::Attempt(attempt));
                 }
                 Job::Cancel { attempt } => {
                     if let Some(name) = self.names.remove(&attempt) {
-                        socket.enqueue(&self.codec.halt(&name));
+                        socket.enqueue(&self.codec.encode_cancel(&name));
                     }
                 }
                 Job::Load { order, function, instances: copies } => {
@@ -223,13 +133,13 @@
                         context.scheduler.load_order_not_sent(context.now, order);
                         continue;
                     }
-                    socket.enqueue(&self.codec.stage(&Self::order_name(order), function, copies));
+                    socket.enqueue(&self.codec.encode_load(&Self::order_name(order), function, copies));
                     self.writing = Some(Open::Order(order));
                 }
                 Job::HealthCheck { check: probe, .. } => {
-                    socket.enqueue(&self.codec.probe(&Self::probe_name(probe)))
+                    socket.enqueue(&self.codec.encode_health_check(&Self::probe_name(probe)))
                 }
-                Job::Unload { function } => socket.enqueue(&self.codec.purge(function)),
+                Job::Unload { function } => socket.enqueue(&self.codec.encode_unload(function)),
             }
             match socket.flush() {
                 Ok(true) => {}
@@ -242,7 +152,7 @@
 
     fn line(&mut self, line: &[u8], context: &mut Context) -> ConnectionFlow {
         self.silent = false;
-        let (correlation_id, reply, copies, load) = match self.codec.read(line) {
+        let (correlation_id, reply, copies, load) = match self.codec.decode(line) {
             Ok(WorkerMessage::Alive { correlation_id }) => {
                 if let Some(Open::Probe(probe)) = self.open.get(&correlation_id) {
                     let probe = *probe;
@@ -369,12 +279,13 @@
             context.scheduler.health_check_ended(context.now, probe, Err(broken));
         }
         let late = self.connect_by.into_iter().chain(self.line_by).any(|by| by <= context.now);
-        let idle = self.idle_since().is_some_and(|since| since + self.limits.get().idle <= context.now);
+        let idle =
+            self.idle_since().is_some_and(|since| since + self.limits.get().idle_timeout <= context.now);
         if late || idle { ConnectionFlow::Close } else { ConnectionFlow::Continue }
     }
 
     fn deadline(&self) -> Option<Time> {
-        let idle = self.idle_since().map(|since| since + self.limits.get().idle);
+        let idle = self.idle_since().map(|since| since + self.limits.get().idle_timeout);
         let shadow = self.shadows.front().map(|(at, _)| *at + SHADOW.0 + Span(1));
         let probe = self.probe_by.map(|(by, _)| by);
         let due = self.connect_by.into_iter().chain(probe).chain(self.line_by);
@@ -469,7 +380,7 @@
     pub fn accepts(&self, correlation_id: Option<&str>) -> bool {
         let free = correlation_id.is_none_or(|name| !self.open.contains_key(name));
         free && !self.silent
-            && self.attempts < self.limits.get().multiplex
+            && self.attempts < self.limits.get().attempts_per_connection
             && self.open.len() - self.shadows.len().min(self.open.len()) + self.pending.len() < QUEUE
     }
 
--- /dev/null
+++ b/src/backend/node_agent_codec.rs
@@ -0,0 +1,220 @@
+//! The wire format of node agents: one JSON object a line, bodies in base64.
+//!
+//! The protocol page defines the words. Keys are written in alphabetical order.
+
+use super::codec::{
+    Codec, DecodeError, DecodeErrorKind, WorkerMessage, function_name, json_line, remaining_milliseconds,
+};
+use crate::model::{FunctionId, Time};
+use crate::scheduler::{RequestPayload, WorkerResponse};
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+/// Encodes commands to node agents and decodes their answers.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct NodeAgentCodec;
+
+/// A command to a node agent.
+#[derive(Serialize)]
+struct Command<'a> {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    attrs: Option<Attributes<'a>>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    content: Option<String>,
+    rid: &'a str,
+    verb: CommandVerb,
+}
+
+#[derive(Serialize)]
+#[serde(rename_all = "lowercase")]
+enum CommandVerb {
+    /// Run a request.
+    Go,
+    /// Cancel a request.
+    Halt,
+    /// Load instances.
+    Stage,
+    /// Unload idle instances.
+    Purge,
+    /// Check the health of the node agent and its process.
+    Stat,
+}
+
+#[derive(Serialize)]
+#[serde(untagged)]
+enum Attributes<'a> {
+    Request(RequestAttributes<'a>),
+    Load(LoadAttributes),
+}
+
+#[derive(Serialize)]
+struct RequestAttributes<'a> {
+    /// Idempotency key.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    dedupe: Option<&'a str>,
+    /// Request class.
+    lane: &'a str,
+    /// Function.
+    name: String,
+    /// Time until the deadline, in milliseconds.
+    ttl: u64,
+}
+
+#[derive(Serialize)]
+struct LoadAttributes {
+    /// Function.
+    name: String,
+    /// Number of instances to have loaded.
+    replicas: u8,
+}
+
+/// A command that consists of a verb and an id.
+fn bare_command(verb: CommandVerb, rid: &str) -> Vec<u8> {
+    json_line(&Command { attrs: None, content: None, rid, verb })
+}
+
+/// An answer of a node agent. Fields may be numbers or text, and unknown or unusable attributes are tolerated,
+/// so that most fields are interpreted only after parsing.
+#[derive(Deserialize)]
+struct Answer {
+    verb: Value,
+    #[serde(default)]
+    rid: Value,
+    #[serde(default)]
+    attrs: Value,
+    #[serde(default)]
+    content: Option<String>,
+}
+
+enum AnswerVerb {
+    Ok,
+    Miss,
+    Full,
+    Error,
+    Expired,
+    Alive,
+    /// The node agent answers, but its process takes no work.
+    Dead,
+}
+
+impl AnswerVerb {
+    fn from_wire(word: &str) -> Option<AnswerVerb> {
+        match word {
+            "200" => Some(AnswerVerb::Ok),
+            "404" => Some(AnswerVerb::Miss),
+            "503" => Some(AnswerVerb::Full),
+            "500" => Some(AnswerVerb::Error),
+            "504" => Some(AnswerVerb::Expired),
+            "alive" => Some(AnswerVerb::Alive),
+            "dead" => Some(AnswerVerb::Dead),
+            _ => None,
+        }
+    }
+}
+
+/// Key of the number of loaded instances in an answer's attributes.
+const INSTANCES_KEY: &str = "replicas";
+/// Key of the load report in an answer's attributes.
+const LOAD_REPORT_KEY: &str = "rep";
+
+impl Codec for NodeAgentCodec {
+    fn encode_request(&self, payload: &RequestPayload, now: Time, deadline: Time) -> Vec<u8> {
+        let attributes = RequestAttributes {
+            dedupe: payload.key.as_deref(),
+            lane: &payload.class,
+            name: function_name(payload.function),
+            ttl: remaining_milliseconds(now, deadline),
+        };
+        json_line(&Command {
+            attrs: Some(Attributes::Request(attributes)),
+            content: Some(STANDARD.encode(&payload.body)),
+            rid: &payload.correlation_id,
+            verb: CommandVerb::Go,
+        })
+    }
+
+    fn encode_cancel(&self, correlation_id: &str) -> Vec<u8> {
+        bare_command(CommandVerb::Halt, correlation_id)
+    }
+
+    fn encode_load(&self, correlation_id: &str, function: FunctionId, instances: u8) -> Vec<u8> {
+        let attributes = LoadAttributes { name: function_name(function), replicas: instances };
+        json_line(&Command {
+            attrs: Some(Attributes::Load(attributes)),
+            content: None,
+            rid: correlation_id,
+            verb: CommandVerb::Stage,
+        })
+    }
+
+    fn encode_unload(&self, function: FunctionId) -> Vec<u8> {
+        bare_command(CommandVerb::Purge, &function_name(function))
+    }
+
+    fn encode_health_check(&self, correlation_id: &str) -> Vec<u8> {
+        bare_command(CommandVerb::Stat, correlation_id)
+    }
+
+    fn decode(&self, line: &[u8]) -> Result<WorkerMessage, DecodeError> {
+        let answer: Answer = serde_json::from_slice(line)
+            .map_err(|_| DecodeError::without_correlation_id(DecodeErrorKind::NotAnAnswer))?;
+        let correlation_id = text_or_number(&answer.rid)
+            .ok_or_else(|| DecodeError::without_correlation_id(DecodeErrorKind::MissingRid))?;
+        interpret(&answer, &correlation_id).map_err(|kind| DecodeError::in_answer_to(&correlation_id, kind))
+    }
+}
+
+fn interpret(answer: &Answer, correlation_id: &str) -> Result<WorkerMessage, DecodeErrorKind> {
+    let verb = text_or_number(&answer.verb).ok_or(DecodeErrorKind::InvalidVerb)?;
+    let verb = AnswerVerb::from_wire(&verb).ok_or(DecodeErrorKind::UnknownVerb)?;
+    let correlation_id = correlation_id.to_owned();
+    let response = match verb {
+        AnswerVerb::Ok => WorkerResponse::Ok(decode_content(answer)?),
+        AnswerVerb::Miss => WorkerResponse::Miss,
+        AnswerVerb::Full => WorkerResponse::Full,
+        AnswerVerb::Error | AnswerVerb::Dead => WorkerResponse::Error,
+        AnswerVerb::Expired => WorkerResponse::Expired,
+        AnswerVerb::Alive => return Ok(WorkerMessage::Alive { correlation_id }),
+    };
+    Ok(WorkerMessage::Response {
+        correlation_id,
+        response,
+        instances: loaded_instances(&answer.attrs),
+        load_report: load_report(&answer.attrs),
+    })
+}
+
+/// The body of an answer; an answer without content has an empty one.
+fn decode_content(answer: &Answer) -> Result<Vec<u8>, DecodeErrorKind> {
+    let content = answer.content.as_deref().unwrap_or_default();
+    STANDARD.decode(content).map_err(|_| DecodeErrorKind::ContentNotBase64)
+}
+
+fn loaded_instances(attributes: &Value) -> Option<u32> {
+    let text = text_or_number(attributes.get(INSTANCES_KEY)?)?;
+    text.parse().ok()
+}
+
+/// The values of a load report such as `inflight:7;util:0.61`. Those that cannot be read are left out, so that a
+/// malformed load report does not spoil the answer that carries it.
+fn load_report(attributes: &Value) -> Vec<(String, f32)> {
+    let report = attributes.get(LOAD_REPORT_KEY).and_then(Value::as_str).unwrap_or_default();
+    let pairs = report.split(';').filter_map(|pair| pair.split_once(':'));
+    pairs.filter_map(|(name, value)| Some((name.trim().to_owned(), load_value(value)?))).collect()
+}
+
+fn load_value(text: &str) -> Option<f32> {
+    let value: f32 = text.trim().parse().ok()?;
+    (value.is_finite() && value >= 0.0).then_some(value)
+}
+
+/// The text of a field that may be given as text or as a number.
+fn text_or_number(value: &Value) -> Option<String> {
+    match value {
+        Value::String(text) => Some(text.clone()),
+        Value::Number(number) => Some(number.to_string()),
+        _ => None,
+    }
+}
--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -1,13 +1,11 @@
 //! Which connections lead to which worker.
 
-use super::{Codec, Job, Limits, WorkerConnection};
-use crate::model::{Span, Time, WorkerId};
+use super::{Codec, Job, JsonRpcCodec, Limits, NodeAgentCodec, WorkerAddress, WorkerConnection};
+use crate::model::{Time, WorkerId};
 use crate::net::{BufferLimits, ConnectionFlow, Reactor};
 use crate::scheduler::{AttemptError, AttemptId, Command, FailureCause, Scheduler, WriteProgress};
 use std::cell::Cell;
 use std::collections::{BTreeMap, HashMap};
-use std::net::SocketAddr;
-use std::path::PathBuf;
 use std::rc::Rc;
 
 /// Connections to one worker at a time, those coming up included.
@@ -25,15 +23,6 @@
 /// Buffers of a connection to a worker.
 const BUFFER_LIMITS: BufferLimits = BufferLimits { input: super::LINE, output: 4 << 20 };
 
-/// Where a worker listens.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum WorkerAddress {
-    /// A node agent.
-    Agent(SocketAddr),
-    /// A checker on a Unix socket.
-    Checker(PathBuf),
-}
-
 #[derive(Default)]
 struct Target {
     endpoint: Option<WorkerAddress>,
@@ -50,39 +39,26 @@
     checker: Rc<dyn Codec>,
     /// Shared with all connections.
     limits: Rc<Cell<Limits>>,
-    connect_limit: Span,
-    /// Descriptors that connections to workers may take.
-    budget: usize,
     /// Connections to one worker over which calls are spread.
     spread: usize,
 }
 
 impl Pool {
     /// A pool without workers.
-    pub fn new(limits: Limits, connect_limit: Span, budget: usize) -> Pool {
+    pub fn new(limits: Limits) -> Pool {
         Pool {
             targets: BTreeMap::new(),
             went: HashMap::new(),
-            agent: Rc::new(super::agent::AgentCodec),
-            checker: Rc::new(super::jsonrpc::CheckerCodec),
+            agent: Rc::new(NodeAgentCodec),
+            checker: Rc::new(JsonRpcCodec),
             limits: Rc::new(Cell::new(limits)),
-            connect_limit,
-            budget,
             spread: 1,
         }
     }
 
     /// New limits, also for the connections that stand: the workers go by them from now on.
-    pub fn configure(
-        &mut self,
-        limits: Limits,
-        connect_limit: Span,
-        budget: usize,
-        reactor: &mut Reactor,
-        scheduler: &mut Scheduler,
-    ) {
+    pub fn configure(&mut self, limits: Limits, reactor: &mut Reactor, scheduler: &mut Scheduler) {
         self.limits.set(limits);
-        (self.connect_limit, self.budget) = (connect_limit, budget);
         // Deadlines are asked for after a callback.
         for id in reactor.connection_ids() {
             reactor.with_connection(id, scheduler, |_, _, _| ConnectionFlow::Continue);
@@ -177,8 +153,9 @@
         scheduler: &mut Scheduler,
     ) -> Option<u64> {
         // Clients may hold a third of the descriptors; what is left after them is for all workers alike.
-        let own = (self.budget * 2 / 3 / self.targets.len().max(1))
-            .min(ALL_TOGETHER / self.limits.get().fleet.max(1));
+        let limits = self.limits.get();
+        let own = (limits.max_connections * 2 / 3 / self.targets.len().max(1))
+            .min(ALL_TOGETHER / limits.schedulers.max(1));
         self.spread = own.clamp(1, PER_WORKER);
         let target = self.targets.get_mut(&worker)?;
         target.connections.retain(|id| reactor.has_connection(*id));
@@ -190,20 +167,21 @@
         // Orders and probes share what there is.
         let free = least.filter(|(load, _)| name.is_none() || *load < SHARED);
         let spread = target.connections.len() < self.spread;
-        if let Some((_, id)) = free.or(least.filter(|_| !spread || reactor.connection_count() >= self.budget))
+        if let Some((_, id)) =
+            free.or(least.filter(|_| !spread || reactor.connection_count() >= limits.max_connections))
         {
             return Some(id);
         }
         if target.connections.len() >= PER_WORKER
-            || reactor.connection_count() >= self.budget && !reactor.close_longest_idle(scheduler)
+            || reactor.connection_count() >= limits.max_connections && !reactor.close_longest_idle(scheduler)
         {
             return None;
         }
         let (stream, codec) = match target.endpoint.as_ref()? {
-            WorkerAddress::Agent(address) => (reactor.connect(*address), &self.agent),
-            WorkerAddress::Checker(path) => (reactor.connect_unix(path), &self.checker),
+            WorkerAddress::NodeAgent(address) => (reactor.connect(*address), &self.agent),
+            WorkerAddress::JsonRpc(path) => (reactor.connect_unix(path), &self.checker),
         };
-        let by = reactor.now() + self.connect_limit;
+        let by = reactor.now() + limits.connect_timeout;
         let connection = Box::new(WorkerConnection::new(codec.clone(), self.limits.clone(), by));
         let id = reactor.add_connecting(stream.ok()?, connection, BUFFER_LIMITS, scheduler)?;
         target.connections.push(id);
--- /dev/null
+++ b/src/backend/tests/mod.rs
@@ -0,0 +1,68 @@
+//! Unit tests of the back end.
+
+mod jsonrpc_codec;
+mod node_agent_codec;
+
+use super::{DecodeError, DecodeErrorKind, WorkerMessage};
+use crate::model::FunctionId;
+use crate::scheduler::{RequestPayload, WorkerResponse};
+use serde_json::Value;
+
+/// A function and its name on the wires.
+const FUNCTION: FunctionId = FunctionId(0x7f);
+const FUNCTION_NAME: &str = "000000000000007f";
+
+/// The outcome of decoding a line.
+type Decoded = Result<WorkerMessage, DecodeError>;
+
+fn response(correlation_id: &str, response: WorkerResponse, instances: Option<u32>) -> Decoded {
+    Ok(WorkerMessage::Response {
+        correlation_id: correlation_id.to_owned(),
+        response,
+        instances,
+        load_report: Vec::new(),
+    })
+}
+
+fn alive(correlation_id: &str) -> Decoded {
+    Ok(WorkerMessage::Alive { correlation_id: correlation_id.to_owned() })
+}
+
+fn decode_error(correlation_id: Option<&str>, kind: DecodeErrorKind) -> Decoded {
+    Err(DecodeError { correlation_id: correlation_id.map(str::to_owned), kind })
+}
+
+fn parse(line: &[u8]) -> Value {
+    serde_json::from_slice(line).unwrap()
+}
+
+fn text(line: Vec<u8>) -> String {
+    String::from_utf8(line).unwrap()
+}
+
+/// A request whose class has characters that JSON escapes, or may.
+fn request_with_key() -> RequestPayload {
+    RequestPayload {
+        correlation_id: "9b1f".to_owned(),
+        class: "a\"é/".to_owned(),
+        function: FUNCTION,
+        key: Some("k".to_owned()),
+        body: b"hi".to_vec(),
+    }
+}
+
+fn empty_request() -> RequestPayload {
+    RequestPayload {
+        correlation_id: "9b1f".to_owned(),
+        class: "c".to_owned(),
+        function: FUNCTION,
+        key: None,
+        body: Vec::new(),
+    }
+}
+
+#[test]
+fn decode_errors_describe_the_fault() {
+    let error = decode_error(Some("a"), DecodeErrorKind::MissingRid).unwrap_err();
+    assert_eq!(error.to_string(), "no rid");
+}
--- a/src/client.rs
+++ b/src/client.rs
@@ -34,7 +34,7 @@
 //!   "familyInfo": {"keepNs": 9000000000, "notLoaded": "load", "loadSpanNs": 0}}"#).unwrap();
 //! let mut client = Client::new(site, 7)?;
 //! let endpoint = Endpoint { worker: WorkerId(1), weight: 1.0, ..Endpoint::default() };
-//! client.set_endpoints(vec![WorkerEndpoint { endpoint, address: WorkerAddress::Checker(path) }]);
+//! client.set_endpoints(vec![WorkerEndpoint { endpoint, address: WorkerAddress::JsonRpc(path) }]);
 //!
 //! let deadline = client.now() + Span::from_millis(3000);
 //! let request = RequestParameters::new("check", FunctionId(9), deadline, b"my exercise".to_vec());
@@ -107,13 +107,15 @@
     /// The system's, where it gives no poll.
     pub fn new(site: Site, seed: u64) -> io::Result<Client> {
         let limits = Limits {
-            multiplex: site.attempts_per_connection,
-            idle: site.idle_timeout.mul_f64(IDLE_TIMEOUT_FRACTION),
-            fleet: site.settings.fleet_size as usize,
+            attempts_per_connection: site.attempts_per_connection,
+            idle_timeout: site.idle_timeout.mul_f64(IDLE_TIMEOUT_FRACTION),
+            connect_timeout: site.connect_timeout,
+            max_connections: MAX_CONNECTIONS,
+            schedulers: site.settings.fleet_size as usize,
         };
         Ok(Client {
             reactor: Reactor::new(SystemClock::new())?,
-            pool: Pool::new(limits, site.connect_timeout, MAX_CONNECTIONS),
+            pool: Pool::new(limits),
             scheduler: Scheduler::new(site, seed),
             last_request: 0,
             correlation_prefix: correlation_prefix(seed),
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -115,11 +115,10 @@
         reactor.active = router.is_none();
         let mut scheduler = Scheduler::new(config.site.clone(), config.seed);
         limit_memory(&config, &mut scheduler, &mut reactor);
-        let (limits, connect, budget) = worker_limits(&config);
-        let mut pool = Pool::new(limits, connect, budget);
+        let mut pool = Pool::new(worker_limits(&config));
         let mut fixed = Vec::new();
         for (member, path) in operator.checker_endpoints(&config.site) {
-            pool.set_address(member.worker, backend::WorkerAddress::Checker(path), None);
+            pool.set_address(member.worker, backend::WorkerAddress::JsonRpc(path), None);
             fixed.push(member);
         }
         let inbox = Rc::new(RefCell::new(WatchQueue { disconnected: true, ..WatchQueue::default() }));
@@ -324,7 +323,7 @@
         }
         let mut members: Vec<Endpoint> = Vec::with_capacity(news.endpoints.len());
         for entry in news.endpoints {
-            let (mut member, endpoint) = (entry.endpoint, backend::WorkerAddress::Agent(entry.address));
+            let (mut member, endpoint) = (entry.endpoint, backend::WorkerAddress::NodeAgent(entry.address));
             // An address is one process's at a time: the id of the older one has gone, told or not, and what
             // went out under it would reach the newer one unnoticed.
             if member.state == EndpointState::Ready
@@ -386,8 +385,7 @@
         let moved = config.bus != self.config.bus;
         self.config = config;
         self.scheduler.reconfigure(now, self.config.site.clone());
-        let (limits, connect, budget) = worker_limits(&self.config);
-        self.pool.configure(limits, connect, budget, &mut self.reactor, &mut self.scheduler);
+        self.pool.configure(worker_limits(&self.config), &mut self.reactor, &mut self.scheduler);
         limit_memory(&self.config, &mut self.scheduler, &mut self.reactor);
         self.replace_checkers(now);
         // The bus's numbers go on. What the file knows is of use where it follows on what is known here.
@@ -443,7 +441,7 @@
     fn replace_checkers(&mut self, now: Time) {
         let old = std::mem::take(&mut self.fixed);
         for (member, path) in self.operator.checker_endpoints(&self.config.site) {
-            self.pool.set_address(member.worker, backend::WorkerAddress::Checker(path), None);
+            self.pool.set_address(member.worker, backend::WorkerAddress::JsonRpc(path), None);
             self.fixed.push(member);
         }
         let left = old.into_iter().filter(|o| !self.fixed.iter().any(|n| n.worker == o.worker));
@@ -560,18 +558,17 @@
 }
 
 /// What the configuration lets connections to workers take.
-fn worker_limits(config: &SchedulerConfig) -> (backend::Limits, Span, usize) {
+fn worker_limits(config: &SchedulerConfig) -> backend::Limits {
     let site = &config.site;
-    // Closed before the worker's own limit, or a command could cross its close.
-    let fleet = site.settings.fleet_size as usize;
-    let limits = backend::Limits {
-        multiplex: site.attempts_per_connection,
-        idle: site.idle_timeout.mul_f64(0.8),
-        fleet,
-    };
-    // The platform allows connects 50 ms more than the simulator does.
-    let connect = Span(site.connect_timeout.0 + Span::from_millis(50).0);
-    (limits, connect, config.max_descriptors.saturating_sub(RESERVED))
+    backend::Limits {
+        attempts_per_connection: site.attempts_per_connection,
+        // Closed before the worker's own limit, or a command could cross its close.
+        idle_timeout: site.idle_timeout.mul_f64(0.8),
+        // The platform allows connects 50 ms more than the simulator does.
+        connect_timeout: Span(site.connect_timeout.0 + Span::from_millis(50).0),
+        max_connections: config.max_descriptors.saturating_sub(RESERVED),
+        schedulers: site.settings.fleet_size as usize,
+    }
 }
 
 /// The reading end of a pipe that gets a byte for each of these signals.
--- a/tests/server/crossings.rs
+++ b/tests/server/crossings.rs
@@ -279,10 +279,15 @@
     let site = function_scheduler::config::parse_site(settings().to_string().as_bytes()).unwrap();
     let mut scheduler = Scheduler::new(site, 7);
     let mut reactor = Reactor::new(SystemClock::new()).unwrap();
-    let limits = Limits { multiplex: 1 << 20, idle: Span::from_millis(60_000), fleet: 100 };
-    let mut pool = Pool::new(limits, Span::from_millis(60_000), 200);
+    let mut pool = Pool::new(Limits {
+        attempts_per_connection: 1 << 20,
+        idle_timeout: Span::from_millis(60_000),
+        connect_timeout: Span::from_millis(60_000),
+        max_connections: 200,
+        schedulers: 100,
+    });
     let member = Endpoint { worker: WorkerId(1), ..Endpoint::default() };
-    pool.set_address(member.worker, WorkerAddress::Agent(told.address()), None);
+    pool.set_address(member.worker, WorkerAddress::NodeAgent(told.address()), None);
     scheduler.update_endpoints(reactor.now(), EndpointUpdateKind::Full, vec![member]);
     let mut most = 0;
     for n in 0..10_000 {
