--- /dev/null
+++ b/src/scheduler/messages.rs
@@ -0,0 +1,134 @@
+//! What passes between the scheduler, the front ends and the back end: requests, workers' responses, final responses.
+
+use super::RequestOrigin;
+use crate::model::{FunctionId, Span, Status, Time};
+
+/// What a client asks for.
+#[derive(Clone, Debug)]
+pub struct RequestParameters {
+    /// Name of the request class.
+    pub class: String,
+    /// The requested function.
+    pub function: FunctionId,
+    /// Idempotency key, in keyed classes: the same in all of a client's retries of one request.
+    pub key: Option<String>,
+    /// Memory of one loaded instance, in MB.
+    pub memory_mb: f64,
+    /// Requests that one instance runs at a time.
+    pub concurrency: f64,
+    /// Usual time to load the function, where known.
+    pub load_time: Option<Span>,
+    /// When the client stops waiting.
+    pub deadline: Time,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+impl RequestParameters {
+    /// A request without an idempotency key, for a function of which nothing more is known.
+    pub fn new(class: &str, function: FunctionId, deadline: Time, body: Vec<u8>) -> RequestParameters {
+        RequestParameters {
+            class: class.to_owned(),
+            function,
+            key: None,
+            memory_mb: 0.0,
+            concurrency: 1.0,
+            load_time: None,
+            deadline,
+            body,
+        }
+    }
+}
+
+/// A request as a client connection hands it in.
+#[derive(Clone, Debug)]
+pub struct ClientRequest {
+    /// Where the final response goes.
+    pub origin: RequestOrigin,
+    /// The client's id for this request; workers get it unchanged.
+    pub correlation_id: String,
+    /// What is asked for.
+    pub parameters: RequestParameters,
+}
+
+/// The part of a request that every attempt carries to a worker.
+#[derive(Debug)]
+pub struct RequestPayload {
+    /// The client's id for this request.
+    pub correlation_id: String,
+    /// Name of the request class.
+    pub class: String,
+    /// The requested function.
+    pub function: FunctionId,
+    /// Idempotency key, in keyed classes.
+    pub key: Option<String>,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+/// A worker's response to an attempt.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum WorkerResponse {
+    /// Served, with the response body.
+    Ok(Vec<u8>),
+    /// The function is not loaded there; the request never ran.
+    Miss,
+    /// Rejected for lack of capacity; the request never ran.
+    Full,
+    /// Failed; the request may have run.
+    Error,
+    /// The request was over before it ran.
+    Expired,
+}
+
+impl WorkerResponse {
+    /// The status that the policy is told for this response.
+    pub fn status(&self) -> Status {
+        match self {
+            WorkerResponse::Ok(_) => Status::Ok,
+            WorkerResponse::Miss => Status::Miss,
+            WorkerResponse::Full => Status::Full,
+            WorkerResponse::Error => Status::Error,
+            WorkerResponse::Expired => Status::Moot,
+        }
+    }
+}
+
+/// A worker's response to a load order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LoadResult {
+    /// How the order ended.
+    pub status: Status,
+    /// Instances that are loaded now.
+    pub instances: u32,
+}
+
+impl LoadResult {
+    /// The result of an order after which no instance is known to be loaded.
+    pub(super) fn without_instances(status: Status) -> LoadResult {
+        LoadResult { status, instances: 0 }
+    }
+}
+
+/// How a request ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// Served, with a worker's response body.
+    Served(Vec<u8>),
+    /// Not executed; a retry is harmless after `retry_after`.
+    Rejected {
+        /// How long the client should wait; zero for no advice.
+        retry_after: Span,
+    },
+    /// Failed; the request may or may not have run.
+    Failed,
+}
+
+/// The one final response to a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Response {
+    /// How the request ended.
+    pub outcome: Outcome,
+    /// Whether it ended because its deadline had come.
+    pub expired: bool,
+}
