Cut the reactor and the buffered stream into modules with one job each

Now the clock, the stream and the buffered stream stand alone, and the reactor has modules for listeners, pipes, UDP sockets, timers, tokens (decoded to a typed event source) and connections, with an entry that handles one connection's events in short steps. Errors of a stream close its connection by `?` in one place. Limits are constants of their own with units. Unit tests stand in tests.rs beside their modules, every case kept; one is new, for the tokens.

--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -35,7 +35,8 @@
     pub now: Time,
     /// Whether the scheduler takes requests.
     pub ready: bool,
-    /// Whether this instance is the active VRRP router, and so takes requests over JSON-RPC; see [`crate::vrrp`].
+    /// Whether this instance is the active VRRP router, and so takes requests over JSON-RPC; see
+    /// [`crate::vrrp`].
     pub active: bool,
 }
 
--- /dev/null
+++ b/src/net/reactor/entry.rs
@@ -0,0 +1,145 @@
+//! A connection as the reactor keeps it: its stream, the object that is called back, and how far its end has
+//! come.
+
+use super::super::{BufferedStream, Connection, ConnectionFlow, Context};
+use crate::model::Time;
+use std::io;
+use std::panic::{AssertUnwindSafe, catch_unwind};
+
+/// Bytes read from one connection in one turn. A peer that sends at full speed must not keep the others
+/// waiting.
+const MAX_READ_PER_TURN: usize = 256 << 10;
+/// Bytes that are still read, and discarded, from a connection that is closing. A peer that goes on beyond
+/// them is cut off, so that it doesn't keep the processor busy.
+const MAX_DISCARDED_INPUT: usize = 1 << 20;
+
+pub(super) struct Entry {
+    pub(super) stream: BufferedStream,
+    pub(super) connection: Box<dyn Connection>,
+    /// The time that the connection's timer is set to.
+    pub(super) timer: Option<Time>,
+    /// The connection closes once its output has been written.
+    finishing: bool,
+    /// The sending half of the stream is shut down.
+    write_shut_down: bool,
+    /// Bytes read and discarded since the connection is closing.
+    discarded: usize,
+}
+
+impl Entry {
+    pub(super) fn new(stream: BufferedStream, connection: Box<dyn Connection>) -> Entry {
+        Entry { stream, connection, timer: None, finishing: false, write_shut_down: false, discarded: 0 }
+    }
+
+    /// Runs a callback and writes the output that it adds. A panic closes this connection alone.
+    pub(super) fn call(
+        &mut self,
+        context: &mut Context,
+        callback: impl FnOnce(&mut Entry, &mut Context) -> ConnectionFlow,
+    ) -> ConnectionFlow {
+        let flow = catch_unwind(AssertUnwindSafe(|| {
+            let flow = callback(self, context);
+            self.flush_output(flow, context)
+        }));
+        flow.unwrap_or_else(|_| {
+            context.scheduler.counters().panics += 1;
+            eprintln!("function-scheduler: panic connection={} closed", self.stream.id());
+            ConnectionFlow::Close
+        })
+    }
+
+    /// Writes the output at once; a connection may add more whenever all of it has been written.
+    fn flush_output(&mut self, mut flow: ConnectionFlow, context: &mut Context) -> ConnectionFlow {
+        while flow != ConnectionFlow::Close && self.stream.is_connected() && self.stream.unsent() > 0 {
+            match self.stream.flush() {
+                Ok(true) => flow = flow.and(self.connection.flushed(&mut self.stream, context)),
+                Ok(false) => break,
+                Err(_) => flow = ConnectionFlow::Close,
+            }
+        }
+        flow
+    }
+
+    /// Acts on what the system has reported of the stream.
+    pub(super) fn handle_event(&mut self, readable: bool, context: &mut Context) -> ConnectionFlow {
+        self.try_handle_event(readable, context).unwrap_or(ConnectionFlow::Close)
+    }
+
+    fn try_handle_event(&mut self, readable: bool, context: &mut Context) -> io::Result<ConnectionFlow> {
+        if !self.stream.is_connected() {
+            if !self.stream.check_connected()? {
+                return Ok(ConnectionFlow::Continue);
+            }
+            let flow = self.connection.opened(&mut self.stream, context);
+            if flow != ConnectionFlow::Continue {
+                return Ok(flow);
+            }
+        }
+        let mut flow = ConnectionFlow::Continue;
+        if self.stream.unsent() > 0 && self.stream.flush()? {
+            flow = self.connection.flushed(&mut self.stream, context);
+        }
+        if !readable {
+            return Ok(flow);
+        }
+        self.read_input(flow, context)
+    }
+
+    /// Reads until the socket is empty, as edge-triggered events ask for, in turns with the connection's own
+    /// work and with other connections.
+    fn read_input(&mut self, mut flow: ConnectionFlow, context: &mut Context) -> io::Result<ConnectionFlow> {
+        let mut read_in_turn = 0;
+        loop {
+            let buffered = self.stream.input.len();
+            let socket_is_empty = self.stream.fill()?;
+            let added = self.stream.input.len() - buffered;
+            read_in_turn += added;
+            if self.finishing {
+                self.discard_input();
+                if self.discarded > MAX_DISCARDED_INPUT {
+                    return Ok(ConnectionFlow::Close);
+                }
+            } else if added > 0 || self.stream.input_ended {
+                flow = flow.and(self.connection.received(&mut self.stream, context));
+            }
+            if socket_is_empty || flow != ConnectionFlow::Continue || self.stream.reading_paused() {
+                return Ok(flow);
+            }
+            if read_in_turn > MAX_READ_PER_TURN {
+                self.stream.leave_input_in_socket();
+                return Ok(flow);
+            }
+        }
+    }
+
+    fn discard_input(&mut self) {
+        self.discarded += self.stream.input.len();
+        self.stream.input.clear();
+    }
+
+    /// Takes note of how a callback ended; whether the connection is to be closed now.
+    ///
+    /// If a stream is closed while it has unread input, the system drops what the peer has not read yet. So a
+    /// connection that finishes shuts its sending half down only, and waits for the peer's end or its own
+    /// deadline.
+    pub(super) fn apply_flow(&mut self, flow: ConnectionFlow) -> bool {
+        if flow == ConnectionFlow::Finish {
+            self.finishing = true;
+        }
+        if self.finishing && self.stream.unsent() == 0 && !self.write_shut_down {
+            self.write_shut_down = true;
+            self.stream.shutdown_write();
+        }
+        flow == ConnectionFlow::Close || self.write_shut_down && self.stream.input_ended
+    }
+
+    /// Tells the connection that it is closed.
+    pub(super) fn notify_closed(&mut self, context: &mut Context) {
+        let closed = catch_unwind(AssertUnwindSafe(|| {
+            self.connection.closed(&self.stream, context);
+        }));
+        if closed.is_err() {
+            context.scheduler.counters().panics += 1;
+        }
+    }
+}
--- /dev/null
+++ b/src/net/reactor/mod.rs
@@ -0,0 +1,256 @@
+//! The reactor: waits for events of all sockets and timers, and calls the connections back.
+
+mod connections;
+mod entry;
+mod listeners;
+mod pipes;
+#[cfg(test)]
+mod tests;
+mod timers;
+mod token;
+mod udp_sockets;
+
+pub use listeners::ListenerId;
+pub use pipes::PipeId;
+pub use udp_sockets::UdpSocketId;
+
+use super::{Stream, SystemClock};
+use crate::model::{Span, Time};
+use crate::scheduler::Scheduler;
+use entry::Entry;
+use listeners::Listeners;
+use mio::{Events, Poll};
+use pipes::Pipes;
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::os::unix::net::{UnixListener, UnixStream};
+use std::path::Path;
+use std::time::Duration;
+use timers::Timers;
+use token::EventSource;
+use udp_sockets::UdpSockets;
+
+/// Events taken from the system at a time.
+const EVENT_CAPACITY: usize = 1024;
+/// Added to the wait for a timer, so that the system, which rounds, doesn't end it a little early again and
+/// again.
+const TIMER_ROUNDING: Span = Span(50_000);
+
+/// An event that the reactor leaves to its caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReactorEvent {
+    /// A client waits to be accepted at a listener.
+    ClientWaiting(ListenerId),
+    /// Something was written to a pipe.
+    PipeReadable(PipeId),
+    /// A UDP socket has datagrams to read.
+    DatagramWaiting(UdpSocketId),
+}
+
+/// What the system has reported of a source.
+struct ReadySource {
+    source: EventSource,
+    /// There is input, an end or an error to read.
+    readable: bool,
+}
+
+/// Waits for events of all sockets and timers, and calls the connections back. One thread does all of it.
+pub struct Reactor {
+    poll: Poll,
+    events: Events,
+    clock: SystemClock,
+    listeners: Listeners,
+    pipes: Pipes,
+    udp_sockets: UdpSockets,
+    connections: HashMap<u64, Entry>,
+    next_connection: u64,
+    timers: Timers,
+    last_poll_was_empty: bool,
+    /// Bytes of output that wait to be written, on all connections together.
+    unsent: usize,
+    /// Beyond so many bytes of unsent output a connection that adds to it is closed, if its peer reads
+    /// nothing.
+    pub unsent_limit: usize,
+    /// Whether the scheduler takes requests; handed to every callback.
+    pub ready: bool,
+    /// Whether this instance is the active VRRP router; handed to every callback.
+    pub active: bool,
+}
+
+impl Reactor {
+    /// A reactor without connections, not ready but active.
+    ///
+    /// # Errors
+    ///
+    /// The system's error where it has no further poll to give.
+    pub fn new(clock: SystemClock) -> io::Result<Reactor> {
+        Ok(Reactor {
+            poll: Poll::new()?,
+            events: Events::with_capacity(EVENT_CAPACITY),
+            clock,
+            listeners: Listeners::default(),
+            pipes: Pipes::default(),
+            udp_sockets: UdpSockets::default(),
+            connections: HashMap::new(),
+            next_connection: token::FIRST_CONNECTION,
+            timers: Timers::default(),
+            last_poll_was_empty: false,
+            unsent: 0,
+            unsent_limit: usize::MAX,
+            ready: false,
+            active: true,
+        })
+    }
+
+    /// The present time.
+    pub fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+    /// Listens on a TCP address; the address, with its port where any would do.
+    ///
+    /// # Errors
+    ///
+    /// The system's error where the address can't be had.
+    pub fn listen_tcp(&mut self, address: SocketAddr) -> io::Result<SocketAddr> {
+        self.listeners.add_tcp(address, self.poll.registry())
+    }
+
+    /// Listens on a Unix socket that is bound already.
+    ///
+    /// # Errors
+    ///
+    /// The system's error where the socket can't be polled.
+    pub fn listen_unix(&mut self, listener: UnixListener) -> io::Result<ListenerId> {
+        self.listeners.add_unix(listener, self.poll.registry())
+    }
+
+    /// Closes a listener.
+    pub fn close_listener(&mut self, listener: ListenerId) {
+        self.listeners.close(listener, self.poll.registry());
+    }
+
+    /// All listeners, closed ones included.
+    pub fn listener_ids(&self) -> Vec<ListenerId> {
+        self.listeners.ids()
+    }
+
+    /// Accepts the next client of a listener, if one waits.
+    ///
+    /// # Errors
+    ///
+    /// The system's error, most likely for want of descriptors; the client may still wait.
+    pub fn accept(&mut self, listener: ListenerId) -> io::Result<Option<Stream>> {
+        self.listeners.accept(listener)
+    }
+
+    /// Watches the reading end of a pipe.
+    ///
+    /// # Errors
+    ///
+    /// The system's error where the pipe can't be polled.
+    pub fn watch_pipe(&mut self, pipe: UnixStream) -> io::Result<PipeId> {
+        self.pipes.add(pipe, self.poll.registry())
+    }
+
+    /// Binds a UDP socket; its id, and the address with its port.
+    ///
+    /// # Errors
+    ///
+    /// The system's error where the address can't be had.
+    pub fn bind_udp(&mut self, address: SocketAddr) -> io::Result<(UdpSocketId, SocketAddr)> {
+        self.udp_sockets.bind(address, self.poll.registry())
+    }
+
+    /// Reads the next datagram of a socket, if there is one; its size in bytes and its sender.
+    pub fn receive_datagram(&self, socket: UdpSocketId, buffer: &mut [u8]) -> Option<(usize, SocketAddr)> {
+        self.udp_sockets.receive(socket, buffer)
+    }
+
+    /// Sends a datagram; what the system does not take is lost, as datagrams may be.
+    pub fn send_datagram(&self, socket: UdpSocketId, bytes: &[u8], to: SocketAddr) {
+        self.udp_sockets.send(socket, bytes, to);
+    }
+
+    /// Begins a TCP connection.
+    ///
+    /// # Errors
+    ///
+    /// The system's error where the connect fails at once.
+    pub fn connect(&self, address: SocketAddr) -> io::Result<Stream> {
+        Stream::connect_tcp(address)
+    }
+
+    /// Begins a connection to a Unix socket.
+    ///
+    /// # Errors
+    ///
+    /// The system's error where the connect fails at once.
+    pub fn connect_unix(&self, path: &Path) -> io::Result<Stream> {
+        Stream::connect_unix(path)
+    }
+
+    /// Whether the last [`Reactor::poll`] found no event: no socket has input that was not looked at.
+    pub fn last_poll_was_empty(&self) -> bool {
+        self.last_poll_was_empty
+    }
+
+    /// Waits until something happens or `until` comes, calls connections back, and returns the other events.
+    ///
+    /// # Errors
+    ///
+    /// The system's error where it can't be polled any more.
+    pub fn poll(&mut self, until: Option<Time>, scheduler: &mut Scheduler) -> io::Result<Vec<ReactorEvent>> {
+        self.last_poll_was_empty = false;
+        self.wait(until)?;
+        let ready = self.ready_sources();
+        self.last_poll_was_empty = ready.is_empty();
+        let events = ready.into_iter().filter_map(|ready| self.dispatch(ready, scheduler)).collect();
+        self.fire_timers(scheduler);
+        Ok(events)
+    }
+
+    /// Waits for events, the first timer or `until`.
+    fn wait(&mut self, until: Option<Time>) -> io::Result<()> {
+        let wake_up = self.timers.next().into_iter().chain(until).min();
+        let mut timeout = wake_up.map(|time| {
+            let remaining = time - self.clock.now();
+            Duration::from_nanos(remaining.0 + TIMER_ROUNDING.0)
+        });
+        // A signal interrupts the wait and hides what the sockets have: that is asked for once more, as it
+        // goes before the timers and the signal itself.
+        while let Err(error) = self.poll.poll(&mut self.events, timeout) {
+            if error.kind() != io::ErrorKind::Interrupted {
+                return Err(error);
+            }
+            timeout = Some(Duration::ZERO);
+        }
+        Ok(())
+    }
+
+    fn ready_sources(&self) -> Vec<ReadySource> {
+        self.events
+            .iter()
+            .map(|event| ReadySource {
+                source: EventSource::from_token(event.token()),
+                readable: event.is_readable() || event.is_read_closed() || event.is_error(),
+            })
+            .collect()
+    }
+
+    fn dispatch(&mut self, ready: ReadySource, scheduler: &mut Scheduler) -> Option<ReactorEvent> {
+        match ready.source {
+            EventSource::Listener(listener) => Some(ReactorEvent::ClientWaiting(listener)),
+            EventSource::UdpSocket(socket) => Some(ReactorEvent::DatagramWaiting(socket)),
+            EventSource::Pipe(pipe) => {
+                self.pipes.drain(pipe);
+                Some(ReactorEvent::PipeReadable(pipe))
+            }
+            EventSource::Connection(id) => {
+                self.call(id, scheduler, |entry, context| entry.handle_event(ready.readable, context));
+                None
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/net/reactor/tests.rs
@@ -0,0 +1,96 @@
+use super::super::{BufferLimits, BufferedStream, Connection, ConnectionFlow, Context};
+use super::*;
+use std::io::{Read, Write};
+
+/// A site without classes, for tests that send no request.
+const SITE: &[u8] = br#"{"fleetSize": 1, "index": 0, "classes": [], "bounds": {"mostTries": 1},
+    "contract": {"coldFrom": 1, "coldNs": 1, "fallMultiple": 1, "fallNs": 1},
+    "familyInfo": {"keepNs": 1, "notLoaded": "load", "loadSpanNs": 0}}"#;
+
+/// Echoes its input, and panics at an `!`.
+struct PanickingEcho;
+
+impl Connection for PanickingEcho {
+    fn opened(&mut self, _socket: &mut BufferedStream, _context: &mut Context) -> ConnectionFlow {
+        ConnectionFlow::Continue
+    }
+
+    fn received(&mut self, socket: &mut BufferedStream, _context: &mut Context) -> ConnectionFlow {
+        let bytes = std::mem::take(&mut socket.input);
+        assert!(!bytes.contains(&b'!'), "as the test wants");
+        socket.enqueue(&bytes);
+        ConnectionFlow::Continue
+    }
+
+    fn closed(&mut self, _socket: &BufferedStream, _context: &mut Context) {}
+}
+
+fn scheduler() -> Scheduler {
+    Scheduler::new(crate::config::parse_site(SITE).unwrap(), 1)
+}
+
+/// Adds a connection; its id, and the other end of its stream.
+fn add_echo(reactor: &mut Reactor, limits: BufferLimits, scheduler: &mut Scheduler) -> (u64, UnixStream) {
+    let (near, far) = UnixStream::pair().unwrap();
+    near.set_nonblocking(true).unwrap();
+    let stream = Stream::Unix(mio::net::UnixStream::from_std(near));
+    let id = reactor.add_connected(stream, Box::new(PanickingEcho), limits, scheduler);
+    (id.unwrap(), far)
+}
+
+/// A peer that reads nothing must not hold memory without bound.
+#[test]
+fn output_beyond_the_limit_closes_the_connection_that_adds_to_it() {
+    let mut scheduler = scheduler();
+    let mut reactor = Reactor::new(SystemClock::new()).unwrap();
+    reactor.unsent_limit = 8 << 20;
+    let limits = BufferLimits { input: 100, output: usize::MAX };
+    let (id, _far) = add_echo(&mut reactor, limits, &mut scheduler);
+    let mut enqueue = |bytes: usize| {
+        reactor.with_connection(id, &mut scheduler, |_, socket, _| {
+            socket.enqueue(&vec![0; bytes]);
+            ConnectionFlow::Continue
+        });
+        (reactor.connection_count(), reactor.unsent > 0)
+    };
+    assert_eq!(enqueue(7 << 20), (1, true));
+    assert_eq!(enqueue(7 << 20), (0, false));
+}
+
+#[test]
+fn a_panic_closes_its_connection_and_no_other() {
+    let mut scheduler = scheduler();
+    let mut reactor = Reactor::new(SystemClock::new()).unwrap();
+    let limits = BufferLimits { input: 100, output: 100 };
+    let (_, mut first) = add_echo(&mut reactor, limits, &mut scheduler);
+    let (_, mut second) = add_echo(&mut reactor, limits, &mut scheduler);
+    first.write_all(b"!").unwrap();
+    second.write_all(b"x").unwrap();
+    while scheduler.counters().panics == 0 || reactor.connection_count() > 1 {
+        reactor.poll(None, &mut scheduler).unwrap();
+    }
+    let mut byte = [0];
+    assert_eq!(first.read(&mut byte).unwrap(), 0, "closed");
+    let soon = Some(reactor.now() + Span::from_millis(100));
+    reactor.poll(soon, &mut scheduler).unwrap();
+    second.read_exact(&mut byte).unwrap();
+    assert_eq!(byte, [b'x']);
+    assert_eq!(scheduler.counters().panics, 1);
+}
+
+#[test]
+fn each_event_source_is_found_again_by_its_token() {
+    let sources = [
+        EventSource::Listener(ListenerId(0)),
+        EventSource::Listener(ListenerId(255)),
+        EventSource::Pipe(PipeId(0)),
+        EventSource::Pipe(PipeId(255)),
+        EventSource::UdpSocket(UdpSocketId(0)),
+        EventSource::UdpSocket(UdpSocketId(511)),
+        EventSource::Connection(token::FIRST_CONNECTION),
+        EventSource::Connection(1 << 40),
+    ];
+    for source in sources {
+        assert_eq!(EventSource::from_token(source.token()), source);
+    }
+}
--- /dev/null
+++ b/src/net/reactor/token.rs
@@ -0,0 +1,44 @@
+//! Which source of events a poll token stands for.
+
+use super::{ListenerId, PipeId, UdpSocketId};
+use mio::Token;
+
+/// First token of the pipes; the listeners' tokens are below it.
+const FIRST_PIPE: usize = 1 << 8;
+/// First token of the UDP sockets.
+const FIRST_UDP_SOCKET: usize = 1 << 9;
+/// First token of the connections, whose ids are their tokens. None is used twice.
+pub(super) const FIRST_CONNECTION: u64 = 1 << 10;
+
+/// A source of events. Each kind has a range of tokens of its own.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum EventSource {
+    Listener(ListenerId),
+    Pipe(PipeId),
+    UdpSocket(UdpSocketId),
+    Connection(u64),
+}
+
+impl EventSource {
+    pub(super) fn from_token(token: Token) -> EventSource {
+        let number = token.0;
+        if number < FIRST_PIPE {
+            EventSource::Listener(ListenerId(number))
+        } else if number < FIRST_UDP_SOCKET {
+            EventSource::Pipe(PipeId(number - FIRST_PIPE))
+        } else if (number as u64) < FIRST_CONNECTION {
+            EventSource::UdpSocket(UdpSocketId(number - FIRST_UDP_SOCKET))
+        } else {
+            EventSource::Connection(number as u64)
+        }
+    }
+
+    pub(super) fn token(self) -> Token {
+        match self {
+            EventSource::Listener(ListenerId(index)) => Token(index),
+            EventSource::Pipe(PipeId(index)) => Token(FIRST_PIPE + index),
+            EventSource::UdpSocket(UdpSocketId(index)) => Token(FIRST_UDP_SOCKET + index),
+            EventSource::Connection(id) => Token(id as usize),
+        }
+    }
+}
