Give discovery the watch's state, backoff and move, and the endpoint list

Half of discovery lived in the server: the queue of events, the time of the next connection, the connection's id, the events known from the configuration, and the rule that an address belongs to one process at a time. A reader had to know both files to follow one event.

Now `Discovery` owns the watch and `EndpointList` the list; the server takes one change after the other and polls the watch. The codec is a module of its own with named wire numbers and a typed decode error, whose texts in the log are the old ones. The list keeps the addresses that it has handed out itself, so `Pool::other_worker_at` goes. Order of actions, delays and log lines are unchanged.

--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -74,18 +74,6 @@
         }
     }
 
-    /// The worker of another id that the list has put there, with its start.
-    pub fn other_worker_at(
-        &self,
-        endpoint: &WorkerAddress,
-        worker: WorkerId,
-    ) -> Option<(WorkerId, Option<Time>)> {
-        let at = |(id, target): &(&WorkerId, &Target)| {
-            **id != worker && target.endpoint.as_ref() == Some(endpoint)
-        };
-        self.targets.iter().find(at).map(|(id, target)| (*id, target.started))
-    }
-
     /// The list says that a worker is gone.
     pub fn remove(&mut self, worker: WorkerId) {
         self.targets.remove(&worker);
--- a/src/discovery/mod.rs
+++ b/src/discovery/mod.rs
@@ -1,214 +1,188 @@
-//! The event bus: a pure codec, and the connection that follows the list of workers.
+//! Service discovery: which workers there are, and where they listen.
+//!
+//! The platform's event bus publishes numbered changes of the endpoint list. [`Discovery`] follows it: it
+//! owns the connection, its backoff and its move to another address, and the endpoint list that the events
+//! make up. The server takes changes from it one by one and carries them out. The wire format is in `codec`,
+//! a single connection in `watch_connection`, the list in `endpoint_list`.
+
+mod codec;
+mod endpoint_list;
+mod event;
+#[cfg(test)]
+mod tests;
+mod watch_connection;
+
+pub(crate) use endpoint_list::{AddressChange, EndpointChange};
+pub use event::{EndpointRecord, WatchEvent, started_at};
 
 use crate::collections::ExponentialBackoff;
-use crate::model::*;
-use crate::net::{BufferedStream, Connection, ConnectionFlow, Context};
+use crate::model::{Endpoint, EndpointUpdateKind, Span, Time};
+use crate::net::{BufferLimits, Reactor};
+use crate::scheduler::Scheduler;
+use codec::{LENGTH_FIELD_LENGTH, MAX_FRAME_LENGTH};
+use endpoint_list::EndpointList;
 use std::cell::RefCell;
 use std::collections::VecDeque;
-use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::net::SocketAddr;
 use std::rc::Rc;
-
-/// Largest frame taken: some 38,000 workers.
-pub const FRAME: usize = 1 << 20;
-/// Without even an empty frame for this long the bus is held to be dead; it sends one each second.
-pub const SILENCE: Span = Span::from_millis(2_500);
-/// First pause before a new connection, and how often it doubles: what the bus has to tell counts as told
-/// whether or not it was heard, so a scheduler is never long without it.
-pub(crate) const BACKOFF: ExponentialBackoff = ExponentialBackoff::new(Span::from_millis(100), 2);
-
-/// A worker as the bus tells of it.
-#[derive(Clone, Debug)]
-pub struct EndpointRecord {
-    /// What the module is told.
-    pub endpoint: Endpoint,
-    /// Where it listens.
-    pub address: SocketAddr,
-}
-
-/// A numbered event.
-#[derive(Clone, Debug)]
-pub struct WatchEvent {
-    /// Its number.
-    pub offset: u64,
-    /// The whole list, or changes.
-    pub kind: EndpointUpdateKind,
-    /// The lines.
-    pub endpoints: Vec<EndpointRecord>,
+use watch_connection::{WatchConnection, WatchQueue};
+
+/// Delays before a new connection. They stay short: what the event bus publishes counts as known to the
+/// scheduler whether it is connected or not.
+const RECONNECT_BACKOFF: ExponentialBackoff = ExponentialBackoff::new(Span::from_millis(100), 2);
+/// Buffers of a connection: input for the largest frame; nearly no output, as only an offset is sent.
+const BUFFER_LIMITS: BufferLimits =
+    BufferLimits { input: LENGTH_FIELD_LENGTH + MAX_FRAME_LENGTH, output: 4096 };
+
+/// The watch of the endpoint list, and the list.
+pub(crate) struct Discovery {
+    endpoints: EndpointList,
+    /// Where the event bus listens. Without an address the list changes on reloads only.
+    watch_address: Option<SocketAddr>,
+    /// Shared with the current connection, and with no earlier one after a move.
+    queue: Rc<RefCell<WatchQueue>>,
+    /// When to begin the next connection, once that is known.
+    reconnect_at: Option<Time>,
+    /// The last connection that was begun; it may have ended.
+    connection: Option<u64>,
 }
 
-/// Reads the first frame of a buffer with the bytes it took; no news where it is empty, `Ok(None)` where it
-/// is not whole yet.
-pub fn read_frame(bytes: &[u8]) -> Result<Option<(Option<WatchEvent>, usize)>, &'static str> {
-    let Some(head) = bytes.first_chunk::<4>() else { return Ok(None) };
-    let length = u32::from_be_bytes(*head) as usize;
-    if !(9..=FRAME).contains(&length) {
-        return Err("length out of range");
-    }
-    let Some(rest) = bytes.get(4..4 + length) else { return Ok(None) };
-    let offset = u64::from_be_bytes(rest[..8].try_into().map_err(|_| "cut short")?);
-    let kind = match rest[8] {
-        0 => return Ok(Some((None, 4 + length))),
-        1 => EndpointUpdateKind::Full,
-        2 => EndpointUpdateKind::Delta,
-        _ => return Err("unknown kind"),
-    };
-    let (records, left) = rest[9..].as_chunks::<27>();
-    if !left.is_empty() {
-        return Err("a record is cut short");
+impl Discovery {
+    /// Begins with the workers of the operator's file and the events that the configuration holds. The first
+    /// connection to the event bus is due at `now`.
+    pub(crate) fn new(
+        watch_address: Option<SocketAddr>,
+        known: Vec<WatchEvent>,
+        configured: Vec<Endpoint>,
+        now: Time,
+    ) -> Discovery {
+        let mut queue = WatchQueue::new(VecDeque::new(), 0);
+        for event in known {
+            queue.push(event);
+        }
+        Discovery {
+            endpoints: EndpointList::new(configured),
+            watch_address,
+            queue: Rc::new(RefCell::new(queue)),
+            reconnect_at: Some(now),
+            connection: None,
+        }
     }
-    let entries = records.iter().map(read_record).collect::<Result<_, _>>()?;
-    Ok(Some((Some(WatchEvent { offset, kind, endpoints: entries }), 4 + length)))
-}
 
-fn read_record(r: &[u8; 27]) -> Result<EndpointRecord, &'static str> {
-    let word = |at: usize| u32::from_be_bytes([r[at], r[at + 1], r[at + 2], r[at + 3]]);
-    let state = match r[10] {
-        0 => EndpointState::Ready,
-        1 => EndpointState::Draining,
-        2 => EndpointState::Gone,
-        _ => return Err("unknown state"),
-    };
-    let started = u64::from(word(19)) << 32 | u64::from(word(23));
-    let member = Endpoint {
-        worker: WorkerId(u64::from(word(0))),
-        zone: ZoneId(r[11]),
-        cell: CellId(u16::from_be_bytes([r[13], r[14]])),
-        state,
-        weight: f64::from(word(15)) / 1000.0,
-        started_at: started_at(started),
-        kind: KindId(r[12]),
-    };
-    let port = u16::from_be_bytes([r[8], r[9]]);
-    Ok(EndpointRecord {
-        endpoint: member,
-        address: SocketAddr::V4(SocketAddrV4::new(Ipv4Addr::from_bits(word(4)), port)),
-    })
-}
-
-/// A Unix millisecond of a start; 0 means long ago.
-pub fn started_at(unix_ms: u64) -> Option<Time> {
-    (unix_ms > 0).then(|| Time(unix_ms.saturating_mul(1_000_000)))
-}
+    /// The number of the last event received.
+    pub(crate) fn last_offset(&self) -> u64 {
+        self.queue.borrow().last_offset
+    }
 
-/// What the bus connection leaves for the daemon.
-#[derive(Default)]
-pub struct WatchQueue {
-    /// News in order, not yet acted on.
-    pub events: VecDeque<WatchEvent>,
-    /// The last event's number; a new connection goes on from here.
-    pub offset: u64,
-    /// No connection stands or is coming up.
-    pub disconnected: bool,
-    /// Connections in a row that ended without a frame.
-    pub failures: u32,
-}
+    /// When [`Discovery::poll_watch`] has something to do although no connection calls back.
+    pub(crate) fn next_timer(&self) -> Option<Time> {
+        self.reconnect_at
+    }
 
-/// A connection to the bus.
-pub struct WatchConnection {
-    inbox: Rc<RefCell<WatchQueue>>,
-    silent_at: Time,
-}
+    /// The change that makes the statically configured workers known at the start, if there are any.
+    pub(crate) fn initial_change(&self) -> Option<EndpointChange> {
+        self.endpoints.initial_change()
+    }
 
-impl WatchConnection {
-    /// A connection that is coming up at `now`.
-    pub fn new(inbox: Rc<RefCell<WatchQueue>>, now: Time) -> WatchConnection {
-        WatchConnection { inbox, silent_at: now + SILENCE }
+    /// Applies the next event that has been received, if there is one.
+    pub(crate) fn next_change(&mut self) -> Option<EndpointChange> {
+        let event = self.queue.borrow_mut().events.pop_front()?;
+        Some(self.endpoints.apply_watch_event(event))
     }
-}
 
-impl Connection for WatchConnection {
-    fn opened(&mut self, socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow {
-        self.silent_at = context.now + SILENCE;
-        socket.enqueue(&self.inbox.borrow().offset.to_be_bytes());
-        ConnectionFlow::Continue
+    /// Replaces the statically configured workers; `None` where there were and are none.
+    pub(crate) fn set_configured(&mut self, configured: Vec<Endpoint>) -> Option<EndpointChange> {
+        self.endpoints.set_configured(configured)
     }
 
-    fn received(&mut self, socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow {
-        let mut inbox = self.inbox.borrow_mut();
-        let mut from = 0;
-        loop {
-            match read_frame(&socket.input[from..]) {
-                Ok(None) => break,
-                Ok(Some((news, size))) => {
-                    from += size;
-                    self.silent_at = context.now + SILENCE;
-                    inbox.failures = 0;
-                    // Told twice after a new connection: the list moves forward only.
-                    if let Some(news) = news.filter(|news| news.offset > inbox.offset) {
-                        inbox.offset = news.offset;
-                        inbox.events.push_back(news);
-                    }
-                }
-                Err(why) => {
-                    context.scheduler.counters().unreadable += 1;
-                    eprintln!("function-scheduler: bus unreadable why=\"{why}\"");
-                    return ConnectionFlow::Close;
-                }
-            }
+    /// Begins a connection to the event bus when there is none and its time has come.
+    pub(crate) fn poll_watch(&mut self, now: Time, reactor: &mut Reactor, scheduler: &mut Scheduler) {
+        let Some(address) = self.watch_address else {
+            self.reconnect_at = None;
+            return;
+        };
+        self.schedule_reconnect(now);
+        if self.reconnect_at.take_if(|at| *at <= now).is_none() {
+            return;
+        }
+        self.connection = self.connect(address, now, reactor, scheduler);
+        if self.connection.is_none() {
+            self.schedule_after_immediate_failure(now);
         }
-        socket.consume(from);
-        if socket.input_ended { ConnectionFlow::Close } else { ConnectionFlow::Continue }
     }
 
-    fn timer_expired(&mut self, _socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow {
-        if self.silent_at <= context.now {
-            eprintln!("function-scheduler: bus silent");
-            return ConnectionFlow::Close;
+    /// Takes the events that a reloaded configuration holds, as far as they continue what has been received:
+    /// the event bus goes on counting, and a delta is of use only directly after the event before it.
+    pub(crate) fn offer_known(&mut self, known: Vec<WatchEvent>) {
+        let mut queue = self.queue.borrow_mut();
+        for event in known {
+            let is_next = event.offset == queue.last_offset + 1;
+            let applies = event.kind == EndpointUpdateKind::Full || is_next;
+            if event.offset > queue.last_offset && applies {
+                queue.push(event);
+            }
         }
-        ConnectionFlow::Continue
     }
 
-    fn deadline(&self) -> Option<Time> {
-        Some(self.silent_at)
+    /// Sets the address for the connections that are begun from now on; true if it is another than before.
+    /// Then [`Discovery::restart_watch`] is to follow.
+    pub(crate) fn set_address(&mut self, address: Option<SocketAddr>) -> bool {
+        let previous = std::mem::replace(&mut self.watch_address, address);
+        previous != address
     }
 
-    fn closed(&mut self, _socket: &BufferedStream, _context: &mut Context) {
-        let mut inbox = self.inbox.borrow_mut();
-        inbox.disconnected = true;
-        inbox.failures += 1;
+    /// Ends the present connection, as the old address publishes nothing more, and has the next one begun at
+    /// once. It continues after the last event received; the end of the old one neither counts nor delays it.
+    pub(crate) fn restart_watch(&mut self, now: Time, reactor: &mut Reactor, scheduler: &mut Scheduler) {
+        let pending = std::mem::take(&mut self.queue.borrow_mut().events);
+        let queue = WatchQueue::new(pending, self.last_offset());
+        self.queue = Rc::new(RefCell::new(queue));
+        if let Some(connection) = self.connection.take() {
+            reactor.close_connection(connection, scheduler);
+        }
+        self.reconnect_at = Some(now);
     }
-}
 
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn record(state: u8) -> Vec<u8> {
-        let mut r =
-            vec![0x00, 0xc4, 0x1f, 0x7a, 10, 1, 0, 9, 0x27, 0x60, state, 2, 1, 0, 2, 0, 0, 0x0f, 0xa0];
-        r.extend(5u64.to_be_bytes());
-        r
+    /// Sets the time of the next connection if the last one has ended.
+    fn schedule_reconnect(&mut self, now: Time) {
+        let mut queue = self.queue.borrow_mut();
+        if !std::mem::take(&mut queue.disconnected) {
+            return;
+        }
+        let delay = match queue.failed_connections {
+            0 => Span(0),
+            failures => RECONNECT_BACKOFF.delay(failures - 1),
+        };
+        self.reconnect_at = Some(now + delay);
     }
 
-    fn frame(kind: u8, payload: &[u8]) -> Vec<u8> {
-        [&(9 + payload.len() as u32).to_be_bytes()[..], &41u64.to_be_bytes(), &[kind], payload].concat()
+    /// Sets the time of the next connection after one that the system refused to begin. Such a failure counts
+    /// itself as an earlier one, so that its delay starts one step higher.
+    fn schedule_after_immediate_failure(&mut self, now: Time) {
+        let mut queue = self.queue.borrow_mut();
+        queue.disconnected = false;
+        queue.failed_connections += 1;
+        self.reconnect_at = Some(now + RECONNECT_BACKOFF.delay(queue.failed_connections));
     }
 
-    #[test]
-    fn frames_are_read() {
-        let bytes = frame(2, &record(1));
-        for cut in 0..bytes.len() {
-            assert!(matches!(read_frame(&bytes[..cut]), Ok(None)), "{cut}");
-        }
-        let (news, size) = read_frame(&bytes).unwrap().unwrap();
-        let news = news.unwrap();
-        assert_eq!((size, news.offset, news.kind), (bytes.len(), 41, EndpointUpdateKind::Delta));
-        let entry = &news.endpoints[0];
-        let member = Endpoint {
-            worker: WorkerId(0x00c4_1f7a),
-            zone: ZoneId(2),
-            cell: CellId(2),
-            state: EndpointState::Draining,
-            weight: 4.0,
-            started_at: Some(Time(5_000_000)),
-            kind: KindId(1),
+    /// Begins a connection; none if it failed at once.
+    fn connect(
+        &self,
+        address: SocketAddr,
+        now: Time,
+        reactor: &mut Reactor,
+        scheduler: &mut Scheduler,
+    ) -> Option<u64> {
+        let stream = match reactor.connect(address) {
+            Ok(stream) => stream,
+            Err(error) => {
+                if scheduler.may_log(now) {
+                    eprintln!("function-scheduler: bus connection failed why=\"{error}\"");
+                }
+                return None;
+            }
         };
-        assert_eq!((entry.endpoint, entry.address), (member, "10.1.0.9:10080".parse().unwrap()));
-        let empty = frame(0, &[]);
-        assert!(matches!(read_frame(&empty), Ok(Some((None, 13)))));
-        let odd = [frame(3, &[]), frame(1, &record(3)), frame(1, &record(0)[..26]), vec![0; 8], vec![255; 8]];
-        for bytes in odd {
-            assert!(read_frame(&bytes).is_err(), "{bytes:?}");
-        }
+        let connection = WatchConnection::new(self.queue.clone(), now);
+        reactor.add_connecting(stream, Box::new(connection), BUFFER_LIMITS, scheduler)
     }
 }
--- /dev/null
+++ b/src/discovery/watch_connection.rs
@@ -0,0 +1,111 @@
+//! One TCP connection of the endpoint watch.
+
+use super::codec::{DecodeError, Frame, decode_frame};
+use super::event::WatchEvent;
+use crate::model::{Span, Time};
+use crate::net::{BufferedStream, Connection, ConnectionFlow, Context};
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::rc::Rc;
+
+/// A connection without a frame for this long counts as dead: the event bus sends a heartbeat each second.
+pub(super) const WATCH_SILENCE_TIMEOUT: Span = Span::from_millis(2_500);
+
+/// What a connection of the watch leaves for [`Discovery`](super::Discovery), which shares it.
+#[derive(Debug)]
+pub(super) struct WatchQueue {
+    /// Events in order, not yet applied.
+    pub(super) events: VecDeque<WatchEvent>,
+    /// The number of the last event received; a new connection continues after it.
+    pub(super) last_offset: u64,
+    /// The connection has ended and no other has been scheduled yet.
+    pub(super) disconnected: bool,
+    /// Connections in a row that ended without a frame.
+    pub(super) failed_connections: u32,
+}
+
+impl WatchQueue {
+    /// A queue for a watch that has no connection yet and has failed at none.
+    pub(super) fn new(events: VecDeque<WatchEvent>, last_offset: u64) -> WatchQueue {
+        WatchQueue { events, last_offset, disconnected: true, failed_connections: 0 }
+    }
+
+    /// Appends an event.
+    pub(super) fn push(&mut self, event: WatchEvent) {
+        self.last_offset = self.last_offset.max(event.offset);
+        self.events.push_back(event);
+    }
+}
+
+/// A connection to the event bus: asks for the events after the last one received, and queues them.
+pub(super) struct WatchConnection {
+    queue: Rc<RefCell<WatchQueue>>,
+    silent_at: Time,
+}
+
+impl WatchConnection {
+    /// A connection that is being established at `now`.
+    pub(super) fn new(queue: Rc<RefCell<WatchQueue>>, now: Time) -> WatchConnection {
+        WatchConnection { queue, silent_at: now + WATCH_SILENCE_TIMEOUT }
+    }
+
+    fn handle_frame(&mut self, frame: Frame, now: Time) {
+        self.silent_at = now + WATCH_SILENCE_TIMEOUT;
+        let mut queue = self.queue.borrow_mut();
+        queue.failed_connections = 0;
+        // A new connection may repeat events; the list only moves forward.
+        if let Frame::Event(event) = frame
+            && event.offset > queue.last_offset
+        {
+            queue.push(event);
+        }
+    }
+
+    fn handle_undecodable(&self, error: DecodeError, context: &mut Context) -> ConnectionFlow {
+        context.scheduler.counters().unreadable += 1;
+        eprintln!("function-scheduler: bus unreadable why=\"{error}\"");
+        ConnectionFlow::Close
+    }
+}
+
+impl Connection for WatchConnection {
+    fn opened(&mut self, socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow {
+        self.silent_at = context.now + WATCH_SILENCE_TIMEOUT;
+        socket.enqueue(&self.queue.borrow().last_offset.to_be_bytes());
+        ConnectionFlow::Continue
+    }
+
+    fn received(&mut self, socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow {
+        let mut consumed = 0;
+        loop {
+            match decode_frame(&socket.input[consumed..]) {
+                Ok(None) => break,
+                Ok(Some(decoded)) => {
+                    consumed += decoded.encoded_length;
+                    self.handle_frame(decoded.frame, context.now);
+                }
+                Err(error) => return self.handle_undecodable(error, context),
+            }
+        }
+        socket.consume(consumed);
+        if socket.input_ended { ConnectionFlow::Close } else { ConnectionFlow::Continue }
+    }
+
+    fn timer_expired(&mut self, _socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow {
+        if self.silent_at <= context.now {
+            eprintln!("function-scheduler: bus silent");
+            return ConnectionFlow::Close;
+        }
+        ConnectionFlow::Continue
+    }
+
+    fn deadline(&self) -> Option<Time> {
+        Some(self.silent_at)
+    }
+
+    fn closed(&mut self, _socket: &BufferedStream, _context: &mut Context) {
+        let mut queue = self.queue.borrow_mut();
+        queue.disconnected = true;
+        queue.failed_connections += 1;
+    }
+}
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -2,21 +2,20 @@
 
 use crate::backend::{self, Pool};
 use crate::config::{ConfigSources, Configuration, OperatorConfig, SchedulerConfig, VrrpConfig};
-use crate::discovery::{self, WatchConnection, WatchEvent, WatchQueue};
+use crate::discovery::{AddressChange, Discovery, EndpointChange, WatchEvent};
 use crate::frontend::unix_socket::{self, SocketFile};
 use crate::frontend::{FrameConnection, JsonRpcConnection};
-use crate::model::{Endpoint, EndpointState, EndpointUpdateKind, Span, Time};
-use crate::net::{BufferLimits, ListenerId, PipeId, Reactor, ReactorEvent, Stream, SystemClock, UdpSocketId};
+use crate::model::{Endpoint, Site, Span, Time};
+use crate::net::{ListenerId, PipeId, Reactor, ReactorEvent, Stream, SystemClock, UdpSocketId};
 use crate::scheduler::{Command, Scheduler};
 use crate::vrrp::packet::{Advertisement, MAX_MESSAGE_LENGTH};
 use crate::vrrp::{self, Event};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
-use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::io;
+use std::net::SocketAddr;
 use std::os::unix::net::UnixStream;
 use std::panic::{AssertUnwindSafe, catch_unwind};
-use std::rc::Rc;
 
 /// After SIGTERM clients still come for a while; nothing ends before this.
 const PART: Span = Span::from_millis(1_200);
@@ -66,12 +65,7 @@
     pool: Pool,
     config: SchedulerConfig,
     operator: OperatorConfig,
-    /// Workers of the operator's file: the bus tells nothing of them.
-    fixed: Vec<Endpoint>,
-    inbox: Rc<RefCell<WatchQueue>>,
-    bus_again: Option<Time>,
-    /// The connection to the bus, while there is one.
-    bus_id: Option<u64>,
+    discovery: Discovery,
     /// When to look again at the listeners: the system tells of a client that waits there once only.
     accept_again: Option<Time>,
     /// The listener of the second front, and its file.
@@ -116,25 +110,18 @@
         let mut scheduler = Scheduler::new(config.site.clone(), config.seed);
         limit_memory(&config, &mut scheduler, &mut reactor);
         let mut pool = Pool::new(worker_limits(&config));
-        let mut fixed = Vec::new();
-        for (member, path) in operator.checker_endpoints(&config.site) {
-            pool.set_address(member.worker, backend::WorkerAddress::JsonRpc(path), None);
-            fixed.push(member);
-        }
-        let inbox = Rc::new(RefCell::new(WatchQueue { disconnected: true, ..WatchQueue::default() }));
-        let bus_again = Some(reactor.now());
+        let configured = assign_checker_addresses(&operator, &config.site, &mut pool);
+        let known = std::mem::take(&mut config.known_events);
+        let discovery = Discovery::new(config.bus, known, configured, reactor.now());
         Ok(Daemon {
             sources,
             scheduler,
             reactor,
             pool,
             config,
-            inbox,
-            bus_again,
-            bus_id: None,
+            discovery,
             accept_again: None,
             operator,
-            fixed,
             rpc,
             rpc_clients: BTreeSet::new(),
             router,
@@ -146,14 +133,8 @@
     }
 
     fn serve(&mut self) -> io::Result<()> {
-        if !self.fixed.is_empty() {
-            let now = self.reactor.now();
-            self.scheduler.update_endpoints(now, EndpointUpdateKind::Full, self.fixed.clone());
-        }
-        for news in std::mem::take(&mut self.config.known_events) {
-            let mut inbox = self.inbox.borrow_mut();
-            inbox.offset = inbox.offset.max(news.offset);
-            inbox.events.push_back(news);
+        if let Some(change) = self.discovery.initial_change() {
+            self.apply_endpoint_change(self.reactor.now(), change);
         }
         self.settle();
         self.reactor.ready = true;
@@ -162,11 +143,11 @@
         eprintln!(
             "function-scheduler: serving name={} listen={at} offset={}",
             self.config.name,
-            self.inbox.borrow().offset
+            self.discovery.last_offset()
         );
         loop {
             let router = self.router.as_ref().and_then(|router| router.machine.next_timer());
-            let until = self.scheduler.next_timer().into_iter().chain(self.bus_again);
+            let until = self.scheduler.next_timer().into_iter().chain(self.discovery.next_timer());
             let until = until.chain(self.next_step()).chain(self.accept_again).chain(router).min();
             for signal in self.reactor.poll(until, &mut self.scheduler)? {
                 match signal {
@@ -196,7 +177,7 @@
     /// Acts on everything that waits, until nothing does.
     fn settle(&mut self) {
         let now = self.reactor.now();
-        self.follow_bus(now);
+        self.poll_discovery(now);
         if self.scheduler.next_timer().is_some_and(|at| at <= now) {
             // There is no connection to end here. What the panic leaves undone runs into its deadlines.
             let woken = catch_unwind(AssertUnwindSafe(|| self.scheduler.fire_timers(now)));
@@ -274,82 +255,38 @@
         self.rpc_clients.extend(reactor.add_connected(stream, connection, limits, &mut self.scheduler));
     }
 
-    // ---- The bus
+    // ---- Discovery
 
-    fn follow_bus(&mut self, now: Time) {
-        loop {
-            let Some(news) = self.inbox.borrow_mut().events.pop_front() else { break };
-            self.learn(now, news);
-        }
-        let Some(address) = self.config.bus else { return self.bus_again = None };
-        if std::mem::take(&mut self.inbox.borrow_mut().disconnected) {
-            let failures = self.inbox.borrow().failures;
-            let pause = match failures {
-                0 => Span(0),
-                n => discovery::BACKOFF.delay(n - 1),
-            };
-            self.bus_again = Some(now + pause);
+    /// Carries out the changes of the endpoint list that have been received, and lets the watch reconnect.
+    fn poll_discovery(&mut self, now: Time) {
+        while let Some(change) = self.discovery.next_change() {
+            self.apply_endpoint_change(now, change);
         }
-        if self.bus_again.is_none_or(|at| at > now) {
-            return;
-        }
-        self.bus_again = None;
-        self.bus_id = None;
-        let connection = Box::new(WatchConnection::new(self.inbox.clone(), now));
-        let stream = self.reactor.connect(address);
-        if let Err(e) = &stream
-            && self.scheduler.may_log(now)
-        {
-            eprintln!("function-scheduler: bus connection failed why=\"{e}\"");
-        }
-        let up = stream.ok().and_then(|stream| {
-            let limits = BufferLimits { input: discovery::FRAME + 4, output: 4096 };
-            self.reactor.add_connecting(stream, connection, limits, &mut self.scheduler)
-        });
-        if up.is_none() {
-            let mut inbox = self.inbox.borrow_mut();
-            (inbox.disconnected, inbox.failures) = (false, inbox.failures + 1);
-            let pause = discovery::BACKOFF.delay(inbox.failures);
-            self.bus_again = Some(now + pause);
-        }
-        self.bus_id = up;
+        self.discovery.poll_watch(now, &mut self.reactor, &mut self.scheduler);
     }
 
-    fn learn(&mut self, now: Time, news: WatchEvent) {
-        if news.kind == EndpointUpdateKind::Full {
-            let listed: BTreeSet<_> = news.endpoints.iter().map(|entry| entry.endpoint.worker).collect();
-            let fixed: BTreeSet<_> = self.fixed.iter().map(|member| member.worker).collect();
-            self.pool.retain(|worker| listed.contains(&worker) || fixed.contains(&worker));
-        }
-        let mut members: Vec<Endpoint> = Vec::with_capacity(news.endpoints.len());
-        for entry in news.endpoints {
-            let (mut member, endpoint) = (entry.endpoint, backend::WorkerAddress::NodeAgent(entry.address));
-            // An address is one process's at a time: the id of the older one has gone, told or not, and what
-            // went out under it would reach the newer one unnoticed.
-            if member.state == EndpointState::Ready
-                && let Some((other, started)) = self.pool.other_worker_at(&endpoint, member.worker)
-            {
-                if started > member.started_at {
-                    member.state = EndpointState::Gone;
-                } else {
-                    self.pool.remove(other);
-                    members.push(Endpoint {
-                        worker: other,
-                        state: EndpointState::Gone,
-                        ..Endpoint::default()
-                    });
+    fn apply_endpoint_change(&mut self, now: Time, change: EndpointChange) {
+        for address_change in change.address_changes {
+            match address_change {
+                AddressChange::Removed(worker) => self.pool.remove(worker),
+                AddressChange::Assigned { worker, address, started_at } => {
+                    let address = backend::WorkerAddress::NodeAgent(address);
+                    self.pool.set_address(worker, address, started_at);
                 }
             }
-            match member.state {
-                EndpointState::Gone => self.pool.remove(member.worker),
-                _ => self.pool.set_address(member.worker, endpoint, member.started_at),
-            }
-            members.push(member);
         }
-        if news.kind == EndpointUpdateKind::Full {
-            members.extend(&self.fixed);
+        self.scheduler.update_endpoints(now, change.kind, change.endpoints);
+    }
+
+    /// The watch's part of a reload: it goes on counting, at another address if the configuration has changed
+    /// it.
+    fn reload_discovery(&mut self, now: Time, address: Option<SocketAddr>, known: Vec<WatchEvent>) {
+        let moved = self.discovery.set_address(address);
+        self.poll_discovery(now);
+        self.discovery.offer_known(known);
+        if moved {
+            self.discovery.restart_watch(now, &mut self.reactor, &mut self.scheduler);
         }
-        self.scheduler.update_endpoints(now, news.kind, members);
     }
 
     // ---- New configurations
@@ -382,41 +319,13 @@
         let vrrp = self.operator.vrrp.take();
         self.operator = OperatorConfig { vrrp, ..operator };
         let known = std::mem::take(&mut config.known_events);
-        let moved = config.bus != self.config.bus;
         self.config = config;
         self.scheduler.reconfigure(now, self.config.site.clone());
         self.pool.configure(worker_limits(&self.config), &mut self.reactor, &mut self.scheduler);
         limit_memory(&self.config, &mut self.scheduler, &mut self.reactor);
         self.replace_checkers(now);
-        // The bus's numbers go on. What the file knows is of use where it follows on what is known here.
-        self.follow_bus(now);
-        for news in known {
-            let mut inbox = self.inbox.borrow_mut();
-            let follows = news.kind == EndpointUpdateKind::Full || news.offset == inbox.offset + 1;
-            if news.offset > inbox.offset && follows {
-                inbox.offset = news.offset;
-                inbox.events.push_back(news);
-            }
-        }
-        if moved {
-            self.move_bus(now);
-        }
-        eprintln!("function-scheduler: reloaded offset={}", self.inbox.borrow().offset);
-    }
-
-    /// The bus has another address: the old one tells nothing more. The new one is asked at once, from the
-    /// last event on, and the old connection's end is none of the new one's.
-    fn move_bus(&mut self, now: Time) {
-        let (offset, news) = {
-            let mut old = self.inbox.borrow_mut();
-            (old.offset, std::mem::take(&mut old.events))
-        };
-        self.inbox =
-            Rc::new(RefCell::new(WatchQueue { events: news, offset, disconnected: true, failures: 0 }));
-        if let Some(id) = self.bus_id.take() {
-            self.reactor.close_connection(id, &mut self.scheduler);
-        }
-        self.bus_again = Some(now);
+        self.reload_discovery(now, self.config.bus, known);
+        eprintln!("function-scheduler: reloaded offset={}", self.discovery.last_offset());
     }
 
     /// The second front's part of the operator's file. Its socket moves if the file names another; clients
@@ -439,17 +348,9 @@
     }
 
     fn replace_checkers(&mut self, now: Time) {
-        let old = std::mem::take(&mut self.fixed);
-        for (member, path) in self.operator.checker_endpoints(&self.config.site) {
-            self.pool.set_address(member.worker, backend::WorkerAddress::JsonRpc(path), None);
-            self.fixed.push(member);
-        }
-        let left = old.into_iter().filter(|o| !self.fixed.iter().any(|n| n.worker == o.worker));
-        let mut changes: Vec<Endpoint> = left.map(|o| Endpoint { state: EndpointState::Gone, ..o }).collect();
-        changes.iter().for_each(|gone| self.pool.remove(gone.worker));
-        changes.extend(&self.fixed);
-        if !changes.is_empty() {
-            self.scheduler.update_endpoints(now, EndpointUpdateKind::Delta, changes);
+        let configured = assign_checker_addresses(&self.operator, &self.config.site, &mut self.pool);
+        if let Some(change) = self.discovery.set_configured(configured) {
+            self.apply_endpoint_change(now, change);
         }
     }
 
@@ -571,6 +472,16 @@
     }
 }
 
+/// Gives the pool the addresses of the operator's checkers; their entries of the endpoint list.
+fn assign_checker_addresses(operator: &OperatorConfig, site: &Site, pool: &mut Pool) -> Vec<Endpoint> {
+    let mut endpoints = Vec::new();
+    for (endpoint, path) in operator.checker_endpoints(site) {
+        pool.set_address(endpoint.worker, backend::WorkerAddress::JsonRpc(path), None);
+        endpoints.push(endpoint);
+    }
+    endpoints
+}
+
 /// The reading end of a pipe that gets a byte for each of these signals.
 fn signal_pipe(signals: &[i32]) -> io::Result<UnixStream> {
     let (read, write) = UnixStream::pair()?;
