VRRP: state machine and packet in files of their own, in RFC 9568's terms

All events of all states were one match with bare priorities, the packet was read by index, and the unit tests stood in the sources as one table each.

The state machine has one function for each state and for each transition, named constants for the priorities of the address owner and of a router that resigns, and the RFC's names for intervals and timers. The packet's header fields and limits are named. The tests are in files beside the modules; all 20 state cases and 12 message cases are kept, split by state, and messages are compared by error as well as by the text that the log shows.

--- /dev/null
+++ b/src/vrrp/packet/tests.rs
@@ -0,0 +1,60 @@
+//! Messages byte for byte, and each reason to drop one.
+
+use super::*;
+
+fn example() -> Advertisement {
+    Advertisement {
+        virtual_router_id: 7,
+        priority: 100,
+        interval_centiseconds: 100,
+        addresses: vec![Ipv4Addr::new(127, 0, 0, 100)],
+    }
+}
+
+/// The example's message with a change, and the checksum that fits it.
+fn changed(change: fn(&mut Vec<u8>)) -> Vec<u8> {
+    let mut message = example().encode();
+    change(&mut message);
+    set_checksum(&mut message);
+    message
+}
+
+#[test]
+fn a_message_is_encoded_as_the_protocol_writes_it_and_decoded_again() {
+    let message = example().encode();
+    // 0x3107 + 0x6401 + 0x0064 + 0x7f00 + 0x0064 = 0x114d0, folded 0x14d1, inverted 0xeb2e.
+    assert_eq!(message, [0x31, 7, 100, 1, 0, 100, 0xeb, 0x2e, 127, 0, 0, 100]);
+    assert_eq!(Advertisement::decode(&message), Ok(example()));
+}
+
+#[test]
+fn a_malformed_message_is_dropped_with_its_reason() {
+    let message = example().encode();
+    let wrong_priority = [&message[..2], &[101], &message[3..]].concat();
+    let without_address = changed(|message| {
+        message[3] = 0;
+        message.truncate(HEADER_LENGTH);
+    });
+    let zero_interval = changed(|message| message[4..6].copy_from_slice(&[0xf0, 0]));
+    for (message, error, text) in [
+        (vec![], DecodeError::TooShort, "cut short"),
+        (message[..7].to_vec(), DecodeError::TooShort, "cut short"),
+        (message[..11].to_vec(), DecodeError::AddressCountMismatch, "length and count differ"),
+        (changed(|message| message[0] = 0x21), DecodeError::UnsupportedVersion, "not version 3"),
+        (changed(|message| message[0] = 0x32), DecodeError::UnknownType, "not an advertisement"),
+        (changed(|message| message[3] = 2), DecodeError::AddressCountMismatch, "length and count differ"),
+        (changed(|message| message[1] = 0), DecodeError::ZeroField, "a field is zero"),
+        (zero_interval, DecodeError::ZeroField, "a field is zero"),
+        (without_address, DecodeError::NoAddress, "no address"),
+        (wrong_priority, DecodeError::ChecksumMismatch, "checksum"),
+    ] {
+        assert_eq!(Advertisement::decode(&message), Err(error), "{message:?}");
+        assert_eq!(error.to_string(), text);
+    }
+}
+
+#[test]
+fn reserved_bits_are_not_looked_at() {
+    let message = changed(|message| message[4] |= 0xf0);
+    assert_eq!(Advertisement::decode(&message), Ok(example()));
+}
--- /dev/null
+++ b/src/vrrp/state_machine.rs
@@ -0,0 +1,231 @@
+//! The state machine of one virtual router (RFC 9568, section 6).
+
+use crate::model::{Span, Time};
+use std::net::SocketAddr;
+
+#[cfg(test)]
+mod tests;
+
+/// Priority of the owner of the virtual router's address, which is active whenever it runs.
+pub const PRIORITY_ADDRESS_OWNER: u8 = 255;
+/// Priority in the last advertisement of an active router that shuts down.
+pub const PRIORITY_RESIGNED: u8 = 0;
+
+/// Number of priorities; the skew time is the part of an interval that a priority lacks of it.
+const PRIORITY_COUNT: u64 = 256;
+/// Advertisements that a backup router may miss before it takes the active one for down.
+const MISSED_ADVERTISEMENTS: u64 = 3;
+
+/// States of a virtual router (RFC 9568, section 6.4).
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    /// Not started, or shut down.
+    Initialize,
+    /// Watches the advertisements of the active router.
+    Backup,
+    /// Takes new requests and sends advertisements.
+    Active,
+}
+
+/// Parameters of a virtual router (RFC 9568, section 6.1).
+#[derive(Clone, Debug)]
+pub struct Configuration {
+    /// Priority in the election: 1 to 254, or [`PRIORITY_ADDRESS_OWNER`].
+    pub priority: u8,
+    /// Time between the advertisements of this router while it is active (Advertisement_Interval).
+    pub advertisement_interval: Span,
+    /// Whether it takes over from an active router of lower priority (Preempt_Mode).
+    pub preempt: bool,
+    /// Address of this router: of two routers with the same priority, the one with the higher address wins.
+    pub address: SocketAddr,
+}
+
+/// Input of the state machine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// The server has started.
+    Startup,
+    /// The server shuts down.
+    Shutdown,
+    /// The time of [`StateMachine::next_timer`] has come.
+    TimerExpired,
+    /// A valid advertisement for this virtual router has arrived.
+    AdvertisementReceived {
+        /// Priority of its sender; [`PRIORITY_RESIGNED`] where the sender shuts down.
+        priority: u8,
+        /// Time between the advertisements of its sender (Max Advertise Interval).
+        interval: Span,
+        /// Address of its sender.
+        sender: SocketAddr,
+    },
+}
+
+/// Output of the state machine: an advertisement for all peers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SendAdvertisement {
+    /// The priority that it carries.
+    pub priority: u8,
+}
+
+/// The state machine of one virtual router.
+#[derive(Clone, Debug)]
+pub struct StateMachine {
+    configuration: Configuration,
+    state: State,
+    /// Adver_Timer while active, Active_Down_Timer while in backup.
+    timer: Option<Time>,
+    /// Time between the advertisements of the active router, as it announces it (Active_Adver_Interval).
+    active_advertisement_interval: Span,
+}
+
+impl StateMachine {
+    /// A router in [`State::Initialize`].
+    pub fn new(configuration: Configuration) -> StateMachine {
+        StateMachine {
+            state: State::Initialize,
+            timer: None,
+            active_advertisement_interval: configuration.advertisement_interval,
+            configuration,
+        }
+    }
+
+    /// The present state.
+    pub fn state(&self) -> State {
+        self.state
+    }
+
+    /// When [`Event::TimerExpired`] is due; `None` while no timer runs.
+    pub fn next_timer(&self) -> Option<Time> {
+        self.timer
+    }
+
+    /// Processes an event; returns the advertisement that is to be sent, if any.
+    ///
+    /// An [`Event::TimerExpired`] before the time of [`StateMachine::next_timer`] has no effect.
+    pub fn handle(&mut self, now: Time, event: Event) -> Option<SendAdvertisement> {
+        match self.state {
+            State::Initialize => self.handle_in_initialize(now, event),
+            State::Backup => self.handle_in_backup(now, event),
+            State::Active => self.handle_in_active(now, event),
+        }
+    }
+
+    fn handle_in_initialize(&mut self, now: Time, event: Event) -> Option<SendAdvertisement> {
+        if event != Event::Startup {
+            return None;
+        }
+        if self.owns_address() {
+            return self.become_active(now);
+        }
+        self.become_backup(now, self.configuration.advertisement_interval);
+        None
+    }
+
+    fn handle_in_backup(&mut self, now: Time, event: Event) -> Option<SendAdvertisement> {
+        match event {
+            Event::Startup => None,
+            Event::Shutdown => {
+                self.become_initialize();
+                None
+            }
+            Event::TimerExpired if self.timer_expired(now) => self.become_active(now),
+            Event::TimerExpired => None,
+            Event::AdvertisementReceived { priority, interval, .. } => {
+                self.watch_active_router(now, priority, interval);
+                None
+            }
+        }
+    }
+
+    /// Takes an advertisement in the backup state as a sign of life of the active router.
+    fn watch_active_router(&mut self, now: Time, priority: u8, interval: Span) {
+        if self.owns_address() {
+            return;
+        }
+        if priority == PRIORITY_RESIGNED {
+            self.timer = Some(now + self.skew_time());
+            return;
+        }
+        let preempts = self.configuration.preempt && priority < self.configuration.priority;
+        if !preempts {
+            self.become_backup(now, interval);
+        }
+    }
+
+    fn handle_in_active(&mut self, now: Time, event: Event) -> Option<SendAdvertisement> {
+        match event {
+            Event::Startup => None,
+            Event::Shutdown => {
+                self.become_initialize();
+                Some(SendAdvertisement { priority: PRIORITY_RESIGNED })
+            }
+            Event::TimerExpired if self.timer_expired(now) => self.advertise(now),
+            Event::TimerExpired => None,
+            Event::AdvertisementReceived { priority, interval, sender } => {
+                self.contend(now, priority, interval, sender)
+            }
+        }
+    }
+
+    /// Settles in the active state who stays active when another router advertises, too.
+    fn contend(
+        &mut self,
+        now: Time,
+        priority: u8,
+        interval: Span,
+        sender: SocketAddr,
+    ) -> Option<SendAdvertisement> {
+        if self.owns_address() {
+            return None;
+        }
+        let own = (self.configuration.priority, self.configuration.address);
+        if priority != PRIORITY_RESIGNED && (priority, sender) > own {
+            self.become_backup(now, interval);
+            return None;
+        }
+        // The other router shuts down or has to step back: it learns at once who is active.
+        self.advertise(now)
+    }
+
+    fn become_initialize(&mut self) {
+        self.state = State::Initialize;
+        self.timer = None;
+    }
+
+    /// Watches an active router that advertises at this interval.
+    fn become_backup(&mut self, now: Time, active_advertisement_interval: Span) {
+        self.state = State::Backup;
+        self.active_advertisement_interval = active_advertisement_interval;
+        self.timer = Some(now + self.active_down_interval());
+    }
+
+    fn become_active(&mut self, now: Time) -> Option<SendAdvertisement> {
+        self.state = State::Active;
+        self.advertise(now)
+    }
+
+    /// Sends an advertisement and sets the timer for the next one.
+    fn advertise(&mut self, now: Time) -> Option<SendAdvertisement> {
+        self.timer = Some(now + self.configuration.advertisement_interval);
+        Some(SendAdvertisement { priority: self.configuration.priority })
+    }
+
+    fn timer_expired(&self, now: Time) -> bool {
+        self.timer.is_some_and(|at| at <= now)
+    }
+
+    fn owns_address(&self) -> bool {
+        self.configuration.priority == PRIORITY_ADDRESS_OWNER
+    }
+
+    /// Skew_Time: the higher the priority, the sooner a backup router takes over.
+    fn skew_time(&self) -> Span {
+        let missing_priority = PRIORITY_COUNT - u64::from(self.configuration.priority);
+        Span(missing_priority * self.active_advertisement_interval.0 / PRIORITY_COUNT)
+    }
+
+    /// Active_Down_Interval: how long no advertisement comes before the active router is taken for down.
+    fn active_down_interval(&self) -> Span {
+        Span(MISSED_ADVERTISEMENTS * self.active_advertisement_interval.0 + self.skew_time().0)
+    }
+}
--- /dev/null
+++ b/src/vrrp/state_machine/tests.rs
@@ -0,0 +1,111 @@
+//! Every event in every state, with its effect on the state, the timer and the wire.
+
+use super::*;
+
+/// Address of the router under test; the last number of a peer's address decides between equal priorities.
+const OWN_ADDRESS: &str = "127.0.0.5:9112";
+const LOWER_ADDRESS: u8 = 1;
+const HIGHER_ADDRESS: u8 = 9;
+
+/// When the event of a case happens and the running timer expires, in milliseconds.
+const NOW: u64 = 10_000;
+
+fn milliseconds(count: u64) -> Time {
+    Time(count * 1_000_000)
+}
+
+fn router(priority: u8, preempt: bool) -> StateMachine {
+    StateMachine::new(Configuration {
+        priority,
+        advertisement_interval: Span::from_millis(1000),
+        preempt,
+        address: OWN_ADDRESS.parse().unwrap(),
+    })
+}
+
+fn advertisement(priority: u8, interval_ms: u64, sender: u8) -> Event {
+    let interval = Span::from_millis(interval_ms);
+    let sender = SocketAddr::from(([127, 0, 0, sender], 9112));
+    Event::AdvertisementReceived { priority, interval, sender }
+}
+
+/// The router and the event of a case.
+struct Given {
+    state: State,
+    priority: u8,
+    preempt: bool,
+    event: Event,
+}
+
+impl Given {
+    /// A router of priority 128, whose skew time is half an interval, that preempts.
+    fn new(state: State, event: Event) -> Given {
+        Given { state, priority: 128, preempt: true, event }
+    }
+
+    fn address_owner(self) -> Given {
+        Given { priority: PRIORITY_ADDRESS_OWNER, ..self }
+    }
+
+    fn without_preemption(self) -> Given {
+        Given { preempt: false, ..self }
+    }
+
+    /// Compares the state after the event, its timer in milliseconds and the priority advertised.
+    fn leads_to(self, state: State, timer: Option<u64>, advertised: Option<u8>) {
+        let mut router = router(self.priority, self.preempt);
+        router.state = self.state;
+        router.timer = (self.state != State::Initialize).then_some(milliseconds(NOW));
+        let sent = router.handle(milliseconds(NOW), self.event);
+        let case = format!("{:?} {} {} {:?}", self.state, self.priority, self.preempt, self.event);
+        assert_eq!(router.state(), state, "{case}");
+        assert_eq!(router.next_timer(), timer.map(milliseconds), "{case}");
+        assert_eq!(sent.map(|advertisement| advertisement.priority), advertised, "{case}");
+    }
+}
+
+#[test]
+fn initialize_heeds_only_the_startup() {
+    use State::{Active, Backup, Initialize};
+    Given::new(Initialize, Event::Startup).leads_to(Backup, Some(13_500), None);
+    Given::new(Initialize, Event::Startup).address_owner().leads_to(Active, Some(11_000), Some(255));
+    Given::new(Initialize, advertisement(200, 1000, HIGHER_ADDRESS)).leads_to(Initialize, None, None);
+    Given::new(Initialize, Event::TimerExpired).leads_to(Initialize, None, None);
+    Given::new(Initialize, Event::Shutdown).leads_to(Initialize, None, None);
+}
+
+#[test]
+fn backup_follows_the_active_router_and_takes_over_when_it_is_down() {
+    use State::{Active, Backup, Initialize};
+    Given::new(Backup, Event::TimerExpired).leads_to(Active, Some(11_000), Some(128));
+    Given::new(Backup, Event::Shutdown).leads_to(Initialize, None, None);
+    Given::new(Backup, advertisement(0, 1000, HIGHER_ADDRESS)).leads_to(Backup, Some(10_500), None);
+    Given::new(Backup, advertisement(128, 1000, HIGHER_ADDRESS)).leads_to(Backup, Some(13_500), None);
+    Given::new(Backup, advertisement(200, 2000, HIGHER_ADDRESS)).leads_to(Backup, Some(17_000), None);
+    let lower_priority = advertisement(100, 2000, HIGHER_ADDRESS);
+    Given::new(Backup, lower_priority).leads_to(Backup, Some(10_000), None);
+    Given::new(Backup, lower_priority).without_preemption().leads_to(Backup, Some(17_000), None);
+}
+
+#[test]
+fn active_advertises_and_steps_back_for_a_higher_priority_or_address() {
+    use State::{Active, Backup, Initialize};
+    Given::new(Active, Event::TimerExpired).leads_to(Active, Some(11_000), Some(128));
+    Given::new(Active, Event::Shutdown).leads_to(Initialize, None, Some(0));
+    Given::new(Active, advertisement(0, 1000, HIGHER_ADDRESS)).leads_to(Active, Some(11_000), Some(128));
+    Given::new(Active, advertisement(200, 2000, LOWER_ADDRESS)).leads_to(Backup, Some(17_000), None);
+    Given::new(Active, advertisement(128, 1000, HIGHER_ADDRESS)).leads_to(Backup, Some(13_500), None);
+    Given::new(Active, advertisement(128, 1000, LOWER_ADDRESS)).leads_to(Active, Some(11_000), Some(128));
+    Given::new(Active, advertisement(100, 1000, HIGHER_ADDRESS)).leads_to(Active, Some(11_000), Some(128));
+    let other_owner = advertisement(255, 1000, HIGHER_ADDRESS);
+    Given::new(Active, other_owner).address_owner().leads_to(Active, Some(10_000), None);
+}
+
+#[test]
+fn a_timer_that_was_set_anew_does_not_expire_early() {
+    let mut router = router(128, true);
+    router.handle(milliseconds(0), Event::Startup);
+    router.handle(milliseconds(3000), advertisement(200, 1000, HIGHER_ADDRESS));
+    assert_eq!(router.handle(milliseconds(3500), Event::TimerExpired), None);
+    assert_eq!(router.state(), State::Backup);
+}
