Backend: connection, write queue, correlation table and pool as types of their own

Why: one type held the connection's lifecycle, the queue, the table of ids and the timers; how far an attempt had been written was worked out in the middle of the close, and the pool's choice of a connection and the opening of one were a single function.

Change: write_queue.rs is the one home of the rule how far a command was written when its connection closed; correlation.rs has the open exchanges and the retired ids, with named limits in place of a tuple; connection.rs keeps lifecycle and timers, its steps named; pool.rs chooses or opens a connection in named steps. Wires, order of calls, limits and timing stay.

One difference, in a case that only a broken worker brings about: an attempt that is answered before its own command was written is now counted down once.

New tests: the progress rule (7) and the correlation table with its retired ids (8).

--- a/src/backend/codec.rs
+++ b/src/backend/codec.rs
@@ -39,16 +39,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum WorkerMessage {
     /// The answer to a request or to an order to load.
-    Response {
-        /// The correlation id under which the command was sent.
-        correlation_id: String,
-        /// The worker's answer.
-        response: WorkerResponse,
-        /// Number of loaded instances, where the answer gives it.
-        instances: Option<u32>,
-        /// The values of the load report by metric name; empty if the answer has no load report.
-        load_report: Vec<(String, f32)>,
-    },
+    Response(ResponseMessage),
     /// The answer to a health check.
     Alive {
         /// The correlation id under which the health check was sent.
@@ -56,6 +47,19 @@
     },
 }
 
+/// The answer to a request or to an order to load.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ResponseMessage {
+    /// The correlation id under which the command was sent.
+    pub correlation_id: String,
+    /// The outcome of the command.
+    pub response: WorkerResponse,
+    /// Number of loaded instances, where the answer gives it.
+    pub instances: Option<u32>,
+    /// The values of the load report by metric name; empty if the answer has no load report.
+    pub load_report: Vec<(String, f32)>,
+}
+
 /// A line that is no valid answer.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 #[error("{kind}")]
--- a/src/backend/job.rs
+++ b/src/backend/job.rs
@@ -1,12 +1,13 @@
 //! Jobs: commands for a worker that wait on a connection until they are written.
 
+use super::correlation::Exchange;
 use crate::model::{FunctionId, Time};
 use crate::scheduler::{AttemptId, HealthCheckId, LoadOrderId, RequestPayload};
 use std::rc::Rc;
 
 /// A command for the worker at the other end of a connection.
 #[derive(Clone, Debug)]
-pub enum Job {
+pub(super) enum Job {
     /// Start an attempt.
     Start {
         /// The attempt.
@@ -43,3 +44,23 @@
         function: FunctionId,
     },
 }
+
+impl Job {
+    /// The exchange that the command opens; none for commands without an answer.
+    pub(super) fn exchange(&self) -> Option<Exchange> {
+        match self {
+            Job::Start { attempt, .. } => Some(Exchange::Attempt(*attempt)),
+            Job::Load { order, .. } => Some(Exchange::LoadOrder(*order)),
+            Job::HealthCheck { check, .. } => Some(Exchange::HealthCheck(*check)),
+            Job::Cancel { .. } | Job::Unload { .. } => None,
+        }
+    }
+
+    /// The correlation id of the attempt that the command starts, if it starts one.
+    pub(super) fn attempt_correlation_id(&self) -> Option<&str> {
+        match self {
+            Job::Start { payload, .. } => Some(&payload.correlation_id),
+            _ => None,
+        }
+    }
+}
--- a/src/backend/jsonrpc_codec.rs
+++ b/src/backend/jsonrpc_codec.rs
@@ -3,7 +3,8 @@
 //! Keys are written in alphabetical order.
 
 use super::codec::{
-    Codec, DecodeError, DecodeErrorKind, WorkerMessage, function_name, json_line, remaining_milliseconds,
+    Codec, DecodeError, DecodeErrorKind, ResponseMessage, WorkerMessage, function_name, json_line,
+    remaining_milliseconds,
 };
 use crate::model::{FunctionId, Time};
 use crate::scheduler::{RequestPayload, WorkerResponse};
@@ -189,10 +190,10 @@
 
 /// A response of a JSON-RPC worker, which never has a load report.
 fn response(correlation_id: &str, response: WorkerResponse, instances: Option<u32>) -> WorkerMessage {
-    WorkerMessage::Response {
+    WorkerMessage::Response(ResponseMessage {
         correlation_id: correlation_id.to_owned(),
         response,
         instances,
         load_report: Vec::new(),
-    }
+    })
 }
--- a/src/backend/node_agent_codec.rs
+++ b/src/backend/node_agent_codec.rs
@@ -3,7 +3,8 @@
 //! The protocol page defines the words. Keys are written in alphabetical order.
 
 use super::codec::{
-    Codec, DecodeError, DecodeErrorKind, WorkerMessage, function_name, json_line, remaining_milliseconds,
+    Codec, DecodeError, DecodeErrorKind, ResponseMessage, WorkerMessage, function_name, json_line,
+    remaining_milliseconds,
 };
 use crate::model::{FunctionId, Time};
 use crate::scheduler::{RequestPayload, WorkerResponse};
@@ -178,12 +179,12 @@
         AnswerVerb::Expired => WorkerResponse::Expired,
         AnswerVerb::Alive => return Ok(WorkerMessage::Alive { correlation_id }),
     };
-    Ok(WorkerMessage::Response {
+    Ok(WorkerMessage::Response(ResponseMessage {
         correlation_id,
         response,
         instances: loaded_instances(&answer.attrs),
         load_report: load_report(&answer.attrs),
-    })
+    }))
 }
 
 /// The body of an answer; an answer without content has an empty one.
--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -1,46 +1,56 @@
-//! Which connections lead to which worker.
-
-use super::{Codec, Job, JsonRpcCodec, Limits, NodeAgentCodec, WorkerAddress, WorkerConnection};
+//! The connections to every worker, and which of them a command takes.
+
+use super::address::WorkerAddress;
+use super::codec::Codec;
+use super::connection::WorkerConnection;
+use super::job::Job;
+use super::jsonrpc_codec::JsonRpcCodec;
+use super::limits::Limits;
+use super::node_agent_codec::NodeAgentCodec;
 use crate::model::{Time, WorkerId};
-use crate::net::{BufferLimits, ConnectionFlow, Reactor};
+use crate::net::{ConnectionFlow, Reactor};
 use crate::scheduler::{AttemptError, AttemptId, Command, FailureCause, Scheduler, WriteProgress};
 use std::cell::Cell;
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 
-/// Connections to one worker at a time, those coming up included.
-const PER_WORKER: usize = 16;
-/// Connections to one worker that calls are spread over by all schedulers together. How many it takes is told
-/// nowhere, and one whose table is full turns away each further connection with the call on it.
-const ALL_TOGETHER: usize = 48;
-/// Calls on one connection from which another is opened, while descriptors last. One answer that cannot be
-/// read, or one reset, takes everything with it that is open on its connection.
-const SHARED: usize = 1;
-
-/// Notes of ended attempts that are kept until there are more, so that not each end has all of them looked through.
-const NOTES: usize = 256;
-
-/// Buffers of a connection to a worker.
-const BUFFER_LIMITS: BufferLimits = BufferLimits { input: super::LINE, output: 4 << 20 };
-
-#[derive(Default)]
+/// Connections to one worker at a time, those being established included.
+const MAX_CONNECTIONS_PER_WORKER: usize = 16;
+/// Connections to one worker that all schedulers together spread requests over. How many a worker accepts is not
+/// known in advance, and one that has no more descriptors refuses each further connection with the request on it.
+const SHARED_CONNECTIONS_PER_WORKER: usize = 48;
+/// Attempts on a connection from which the next one opens another, while descriptors last. An answer that cannot
+/// be decoded, or a reset, ends everything that is open on its connection.
+const ATTEMPTS_BEFORE_NEW_CONNECTION: usize = 1;
+/// Routes kept beyond two for each attempt in flight before those of ended attempts are dropped.
+const SPARE_ROUTES: usize = 256;
+
+/// How a health check fails for which no connection can be had.
+const NO_CONNECTION: AttemptError =
+    AttemptError { progress: WriteProgress::NotSent, cause: FailureCause::NoConnection };
+
+/// A worker process in the endpoint list.
 struct Target {
-    endpoint: Option<WorkerAddress>,
-    started: Option<Time>,
+    address: WorkerAddress,
+    started_at: Option<Time>,
     connections: Vec<u64>,
 }
 
+/// A connection that a command could take.
+struct Candidate {
+    connection: u64,
+    attempts_in_flight: usize,
+}
+
 /// The workers' addresses and connections.
 pub struct Pool {
     targets: BTreeMap<WorkerId, Target>,
-    /// The connection on which each attempt went that is out, and some that have ended.
-    went: HashMap<AttemptId, u64>,
-    agent: Rc<dyn Codec>,
-    checker: Rc<dyn Codec>,
+    /// The connection of every attempt in flight, and of some that have ended.
+    routes: HashMap<AttemptId, u64>,
+    node_agent_codec: Rc<dyn Codec>,
+    jsonrpc_codec: Rc<dyn Codec>,
     /// Shared with all connections.
     limits: Rc<Cell<Limits>>,
-    /// Connections to one worker over which calls are spread.
-    spread: usize,
 }
 
 impl Pool {
@@ -48,149 +58,180 @@
     pub fn new(limits: Limits) -> Pool {
         Pool {
             targets: BTreeMap::new(),
-            went: HashMap::new(),
-            agent: Rc::new(NodeAgentCodec),
-            checker: Rc::new(JsonRpcCodec),
+            routes: HashMap::new(),
+            node_agent_codec: Rc::new(NodeAgentCodec),
+            jsonrpc_codec: Rc::new(JsonRpcCodec),
             limits: Rc::new(Cell::new(limits)),
-            spread: 1,
         }
     }
 
-    /// New limits, also for the connections that stand: the workers go by them from now on.
+    /// Sets new limits, also for the connections that are open.
     pub fn configure(&mut self, limits: Limits, reactor: &mut Reactor, scheduler: &mut Scheduler) {
         self.limits.set(limits);
-        // Deadlines are asked for after a callback.
-        for id in reactor.connection_ids() {
-            reactor.with_connection(id, scheduler, |_, _, _| ConnectionFlow::Continue);
+        // The reactor asks a connection for its deadline after each callback.
+        for connection in reactor.connection_ids() {
+            reactor.with_connection(connection, scheduler, |_, _, _| ConnectionFlow::Continue);
         }
     }
 
-    /// The list says where a worker is. A new process has none of the old one's connections: what is open on
-    /// them ends by itself, and nothing new goes out there.
-    pub fn set_address(&mut self, worker: WorkerId, endpoint: WorkerAddress, started: Option<Time>) {
-        let target = self.targets.entry(worker).or_default();
-        if target.endpoint.as_ref() != Some(&endpoint) || target.started != started {
-            *target = Target { endpoint: Some(endpoint), started, connections: vec![] };
+    /// Sets the address of a worker. If it is new, or another process has started there, nothing more is sent on
+    /// the connections to the old process; what is open on them ends by itself.
+    pub fn set_address(&mut self, worker: WorkerId, address: WorkerAddress, started_at: Option<Time>) {
+        let known = self.targets.get(&worker);
+        if known.is_some_and(|target| target.address == address && target.started_at == started_at) {
+            return;
         }
+        let target = Target { address, started_at, connections: Vec::new() };
+        self.targets.insert(worker, target);
     }
 
-    /// The list says that a worker is gone.
+    /// Forgets a worker that has gone.
     pub fn remove(&mut self, worker: WorkerId) {
         self.targets.remove(&worker);
     }
 
-    /// Forgets all workers but these.
-    pub fn retain(&mut self, listed: impl Fn(WorkerId) -> bool) {
-        self.targets.retain(|worker, _| listed(*worker));
+    /// Forgets all workers that are not listed any more.
+    pub fn retain(&mut self, is_listed: impl Fn(WorkerId) -> bool) {
+        self.targets.retain(|worker, _| is_listed(*worker));
     }
 
-    /// Carries out what the scheduler wants of a worker.
+    /// Carries out a command of the scheduler, if it is one for a worker.
     pub fn command(&mut self, command: Command, reactor: &mut Reactor, scheduler: &mut Scheduler) {
         match command {
-            Command::Send { attempt, worker, payload: work, deadline } => {
-                let connection = self.connection(worker, Some(&work.correlation_id), reactor, scheduler);
-                let Some(connection) = connection else {
-                    return scheduler.attempt_not_sent(reactor.now(), attempt);
-                };
-                self.went.insert(attempt, connection);
-                give(connection, Job::Start { attempt, payload: work, deadline }, reactor, scheduler);
+            Command::Send { attempt, worker, payload, deadline } => {
+                let job = Job::Start { attempt, payload, deadline };
+                match self.submit(worker, job, reactor, scheduler) {
+                    Some(connection) => {
+                        self.routes.insert(attempt, connection);
+                    }
+                    None => scheduler.attempt_not_sent(reactor.now(), attempt),
+                }
             }
             Command::Cancel { attempt, .. } => {
-                if let Some(connection) = self.went.remove(&attempt) {
-                    give(connection, Job::Cancel { attempt }, reactor, scheduler);
+                if let Some(connection) = self.routes.remove(&attempt) {
+                    submit_to(connection, Job::Cancel { attempt }, reactor, scheduler);
                 }
             }
-            Command::Load { order, worker, function, instances: copies } => {
-                match self.connection(worker, None, reactor, scheduler) {
-                    Some(connection) => {
-                        give(connection, Job::Load { order, function, instances: copies }, reactor, scheduler)
-                    }
-                    None => scheduler.load_order_not_sent(reactor.now(), order),
+            Command::Load { order, worker, function, instances } => {
+                let job = Job::Load { order, function, instances };
+                if self.submit(worker, job, reactor, scheduler).is_none() {
+                    scheduler.load_order_not_sent(reactor.now(), order);
                 }
             }
-            Command::HealthCheck { check: probe, worker, deadline } => {
-                match self.connection(worker, None, reactor, scheduler) {
-                    Some(connection) => {
-                        give(connection, Job::HealthCheck { check: probe, deadline }, reactor, scheduler)
-                    }
-                    None => {
-                        let broken = AttemptError {
-                            progress: WriteProgress::NotSent,
-                            cause: FailureCause::NoConnection,
-                        };
-                        scheduler.health_check_ended(reactor.now(), probe, Err(broken));
-                    }
+            Command::HealthCheck { check, worker, deadline } => {
+                let job = Job::HealthCheck { check, deadline };
+                if self.submit(worker, job, reactor, scheduler).is_none() {
+                    scheduler.health_check_ended(reactor.now(), check, Err(NO_CONNECTION));
                 }
             }
             Command::Unload { worker, function } => {
-                if let Some(connection) = self.connection(worker, None, reactor, scheduler) {
-                    give(connection, Job::Unload { function }, reactor, scheduler);
-                }
+                self.submit(worker, Job::Unload { function }, reactor, scheduler);
             }
             Command::Respond { .. } => {}
         }
     }
 
-    /// A connection to the worker on which this name is not open, else a new one. Two open attempts of one
-    /// request must not share a connection: their answers would look alike.
-    fn connection(
+    /// Hands a command for a worker to one of its connections; none if no connection can be had.
+    fn submit(
         &mut self,
         worker: WorkerId,
-        name: Option<&str>,
+        job: Job,
         reactor: &mut Reactor,
         scheduler: &mut Scheduler,
     ) -> Option<u64> {
-        // Clients may hold a third of the descriptors; what is left after them is for all workers alike.
-        let limits = self.limits.get();
-        let own = (limits.max_connections * 2 / 3 / self.targets.len().max(1))
-            .min(ALL_TOGETHER / limits.schedulers.max(1));
-        self.spread = own.clamp(1, PER_WORKER);
+        let connection = self.connection_to(worker, job.attempt_correlation_id(), reactor, scheduler)?;
+        submit_to(connection, job, reactor, scheduler);
+        Some(connection)
+    }
+
+    /// The connection that a command to a worker takes, which may be a new one. An attempt gives its correlation
+    /// id: two open attempts of one request must not share a connection, because their answers would look alike.
+    fn connection_to(
+        &mut self,
+        worker: WorkerId,
+        correlation_id: Option<&str>,
+        reactor: &mut Reactor,
+        scheduler: &mut Scheduler,
+    ) -> Option<u64> {
+        let max_spread = self.max_spread();
+        let descriptors_left = reactor.connection_count() < self.limits.get().max_connections;
         let target = self.targets.get_mut(&worker)?;
-        target.connections.retain(|id| reactor.has_connection(*id));
-        let load = |id: &u64| {
-            let connection = reactor.connection::<WorkerConnection>(*id)?;
-            connection.accepts(name).then(|| (connection.attempts_in_flight(), *id))
-        };
-        let least = target.connections.iter().filter_map(load).min();
-        // Orders and probes share what there is.
-        let free = least.filter(|(load, _)| name.is_none() || *load < SHARED);
-        let spread = target.connections.len() < self.spread;
-        if let Some((_, id)) =
-            free.or(least.filter(|_| !spread || reactor.connection_count() >= limits.max_connections))
-        {
-            return Some(id);
+        target.connections.retain(|connection| reactor.has_connection(*connection));
+        if let Some(candidate) = target.least_loaded_connection(correlation_id, reactor) {
+            // Load orders and health checks share the connections that there are.
+            let may_share =
+                correlation_id.is_none() || candidate.attempts_in_flight < ATTEMPTS_BEFORE_NEW_CONNECTION;
+            let may_open = target.connections.len() < max_spread && descriptors_left;
+            if may_share || !may_open {
+                return Some(candidate.connection);
+            }
         }
-        if target.connections.len() >= PER_WORKER
-            || reactor.connection_count() >= limits.max_connections && !reactor.close_longest_idle(scheduler)
-        {
+        if target.connections.len() >= MAX_CONNECTIONS_PER_WORKER {
             return None;
         }
-        let (stream, codec) = match target.endpoint.as_ref()? {
-            WorkerAddress::NodeAgent(address) => (reactor.connect(*address), &self.agent),
-            WorkerAddress::JsonRpc(path) => (reactor.connect_unix(path), &self.checker),
+        if !descriptors_left && !reactor.close_longest_idle(scheduler) {
+            return None;
+        }
+        self.connect(worker, reactor, scheduler)
+    }
+
+    /// Connections to one worker that requests are spread over. Clients may take a third of the descriptors; the
+    /// rest is shared equally by all workers.
+    fn max_spread(&self) -> usize {
+        let limits = self.limits.get();
+        let share_of_descriptors = limits.max_connections * 2 / 3 / self.targets.len().max(1);
+        let share_of_worker = SHARED_CONNECTIONS_PER_WORKER / limits.schedulers.max(1);
+        share_of_descriptors.min(share_of_worker).clamp(1, MAX_CONNECTIONS_PER_WORKER)
+    }
+
+    /// Begins to establish a new connection to a worker.
+    fn connect(&mut self, worker: WorkerId, reactor: &mut Reactor, scheduler: &mut Scheduler) -> Option<u64> {
+        let target = self.targets.get_mut(&worker)?;
+        let (stream, codec) = match &target.address {
+            WorkerAddress::NodeAgent(address) => (reactor.connect(*address), &self.node_agent_codec),
+            WorkerAddress::JsonRpc(path) => (reactor.connect_unix(path), &self.jsonrpc_codec),
         };
-        let by = reactor.now() + limits.connect_timeout;
-        let connection = Box::new(WorkerConnection::new(codec.clone(), self.limits.clone(), by));
-        let id = reactor.add_connecting(stream.ok()?, connection, BUFFER_LIMITS, scheduler)?;
-        target.connections.push(id);
-        Some(id)
+        let connect_deadline = reactor.now() + self.limits.get().connect_timeout;
+        let connection = WorkerConnection::new(Rc::clone(codec), Rc::clone(&self.limits), connect_deadline);
+        let connection = reactor.add_connecting(
+            stream.ok()?,
+            Box::new(connection),
+            WorkerConnection::BUFFER_LIMITS,
+            scheduler,
+        )?;
+        target.connections.push(connection);
+        Some(connection)
     }
 
-    /// Drops the notes of attempts that have ended, whenever they are most of all. To be called once no command
-    /// waits: one to give an attempt up comes after its end.
+    /// Drops the routes of ended attempts whenever they are the greater part. To be called when no command is
+    /// pending: the cancellation of an attempt comes after its end.
     pub fn forget_ended(&mut self, scheduler: &Scheduler) {
-        if self.went.len() > NOTES + 2 * scheduler.attempts_in_flight() {
-            self.went.retain(|attempt, _| scheduler.is_in_flight(*attempt));
+        if self.routes.len() > SPARE_ROUTES + 2 * scheduler.attempts_in_flight() {
+            self.routes.retain(|attempt, _| scheduler.is_in_flight(*attempt));
         }
     }
 
-    /// How many attempts there are notes of.
+    /// Number of attempts whose connection is remembered.
     pub fn routes_remembered(&self) -> usize {
-        self.went.len()
+        self.routes.len()
+    }
+}
+
+impl Target {
+    /// The connection with the fewest attempts among those that accept a command; of equals the oldest.
+    fn least_loaded_connection(&self, correlation_id: Option<&str>, reactor: &Reactor) -> Option<Candidate> {
+        let candidates = self.connections.iter().filter_map(|id| {
+            let connection = reactor.connection::<WorkerConnection>(*id)?;
+            connection
+                .accepts(correlation_id)
+                .then(|| Candidate { connection: *id, attempts_in_flight: connection.attempts_in_flight() })
+        });
+        candidates.min_by_key(|candidate| (candidate.attempts_in_flight, candidate.connection))
     }
 }
 
-fn give(connection: u64, job: Job, reactor: &mut Reactor, scheduler: &mut Scheduler) {
+/// Hands a command to a connection. A cancellation for one that has closed is dropped: what was open has ended.
+fn submit_to(connection: u64, job: Job, reactor: &mut Reactor, scheduler: &mut Scheduler) {
     reactor.with_connection_of(connection, scheduler, |worker: &mut WorkerConnection, socket, context| {
         worker.submit(job, socket, context)
     });
--- /dev/null
+++ b/src/backend/tests/correlation.rs
@@ -0,0 +1,107 @@
+//! Open and retired correlation ids.
+
+use crate::backend::correlation::{CorrelationTable, Exchange, MAX_RETIRED_IDS, RETIRED_ID_TTL};
+use crate::model::{RequestId, Span, Time};
+use crate::scheduler::{AttemptId, HealthCheckId, LoadOrderId};
+
+const ATTEMPT: AttemptId = AttemptId { request: RequestId(1), number: 0 };
+const NEXT_ATTEMPT: AttemptId = AttemptId { request: RequestId(1), number: 1 };
+const START: Time = Time(1_000);
+
+/// A time at which an id that was retired at the start has just expired.
+fn after_expiry() -> Time {
+    START + RETIRED_ID_TTL + Span(1)
+}
+
+#[test]
+fn an_answer_closes_its_exchange_once() {
+    let mut table = CorrelationTable::default();
+    table.open_attempt(ATTEMPT, "a");
+    table.open_load_order(LoadOrderId(3));
+    table.open_health_check(HealthCheckId(4));
+    assert_eq!((table.open_exchange_count(), table.open_attempt_count()), (3, 1));
+    assert_eq!(table.close("a"), Some(Exchange::Attempt(ATTEMPT)));
+    assert_eq!(table.close("a"), None);
+    assert_eq!(table.close("load-3"), Some(Exchange::LoadOrder(LoadOrderId(3))));
+    assert_eq!(table.close("probe-4"), Some(Exchange::HealthCheck(HealthCheckId(4))));
+    assert_eq!((table.open_exchange_count(), table.open_attempt_count()), (0, 0));
+    assert!(!table.has_open_exchanges() && table.is_unused("a"));
+}
+
+#[test]
+fn an_attempt_of_which_nothing_was_sent_leaves_its_id_unused() {
+    let mut table = CorrelationTable::default();
+    table.open_attempt(ATTEMPT, "a");
+    table.close_unsent_attempt(ATTEMPT);
+    assert!(table.is_unused("a") && !table.has_attempt(ATTEMPT));
+    assert_eq!((table.open_attempt_count(), table.next_expiry()), (0, None));
+}
+
+#[test]
+fn an_attempt_that_was_answered_before_it_was_sent_is_counted_down_once() {
+    let mut table = CorrelationTable::default();
+    table.open_attempt(ATTEMPT, "a");
+    table.open_attempt(NEXT_ATTEMPT, "b");
+    table.close("a");
+    table.close_unsent_attempt(ATTEMPT);
+    assert_eq!((table.open_attempt_count(), table.exchange("b")), (1, Some(Exchange::Attempt(NEXT_ATTEMPT))));
+}
+
+#[test]
+fn a_cancelled_attempt_keeps_its_id_from_use_until_it_expires() {
+    let mut table = CorrelationTable::default();
+    table.open_attempt(ATTEMPT, "a");
+    table.cancel_attempt(ATTEMPT, START);
+    assert_eq!((table.open_attempt_count(), table.exchange("a")), (0, None));
+    assert!(!table.is_unused("a") && !table.has_open_exchanges());
+    assert_eq!(table.next_expiry(), Some(after_expiry()));
+    table.expire_retired(START + RETIRED_ID_TTL);
+    assert!(!table.is_unused("a"), "its time is not over");
+    table.expire_retired(after_expiry());
+    assert!(table.is_unused("a"));
+    assert_eq!(table.next_expiry(), None);
+}
+
+#[test]
+fn a_cancellation_is_written_once() {
+    let mut table = CorrelationTable::default();
+    table.open_attempt(ATTEMPT, "a");
+    table.cancel_attempt(ATTEMPT, START);
+    assert!(table.has_attempt(ATTEMPT));
+    assert_eq!(table.take_cancelled(ATTEMPT), Some("a".to_owned()));
+    assert_eq!(table.take_cancelled(ATTEMPT), None);
+}
+
+#[test]
+fn a_late_answer_belongs_to_no_exchange_and_frees_its_id() {
+    let mut table = CorrelationTable::default();
+    table.open_attempt(ATTEMPT, "a");
+    table.cancel_attempt(ATTEMPT, START);
+    assert_eq!(table.close("a"), None);
+    assert!(table.is_unused("a"));
+}
+
+#[test]
+fn the_expiry_of_a_retirement_spares_an_id_that_is_in_use_again() {
+    let mut table = CorrelationTable::default();
+    table.retire("open again".to_owned(), START);
+    table.retire("retired again".to_owned(), START);
+    assert_eq!((table.close("open again"), table.close("retired again")), (None, None));
+    table.open_attempt(NEXT_ATTEMPT, "open again");
+    table.retire("retired again".to_owned(), START + Span(1));
+    table.expire_retired(after_expiry());
+    assert_eq!(table.exchange("open again"), Some(Exchange::Attempt(NEXT_ATTEMPT)));
+    assert!(!table.is_unused("retired again"));
+    table.expire_retired(after_expiry() + Span(1));
+    assert!(table.is_unused("retired again"));
+}
+
+#[test]
+fn the_oldest_retired_id_gives_way_when_there_are_too_many() {
+    let mut table = CorrelationTable::default();
+    for number in 0..=MAX_RETIRED_IDS {
+        table.retire(number.to_string(), START);
+    }
+    assert!(table.is_unused("0"));
+    assert!(!table.is_unused("1") && !table.is_unused(&MAX_RETIRED_IDS.to_string()));
+}
--- a/src/backend/tests/mod.rs
+++ b/src/backend/tests/mod.rs
@@ -1,12 +1,16 @@
 //! Unit tests of the back end.
 
+mod correlation;
 mod jsonrpc_codec;
 mod node_agent_codec;
+mod write_queue;
 
-use super::{DecodeError, DecodeErrorKind, WorkerMessage};
-use crate::model::FunctionId;
-use crate::scheduler::{RequestPayload, WorkerResponse};
+use super::job::Job;
+use super::{DecodeError, DecodeErrorKind, ResponseMessage, WorkerMessage};
+use crate::model::{FunctionId, Time};
+use crate::scheduler::{AttemptId, LoadOrderId, RequestPayload, WorkerResponse};
 use serde_json::Value;
+use std::rc::Rc;
 
 /// A function and its name on the wires.
 const FUNCTION: FunctionId = FunctionId(0x7f);
@@ -16,12 +20,12 @@
 type Decoded = Result<WorkerMessage, DecodeError>;
 
 fn response(correlation_id: &str, response: WorkerResponse, instances: Option<u32>) -> Decoded {
-    Ok(WorkerMessage::Response {
+    Ok(WorkerMessage::Response(ResponseMessage {
         correlation_id: correlation_id.to_owned(),
         response,
         instances,
         load_report: Vec::new(),
-    })
+    }))
 }
 
 fn alive(correlation_id: &str) -> Decoded {
@@ -61,6 +65,14 @@
     }
 }
 
+fn start(attempt: AttemptId) -> Job {
+    Job::Start { attempt, payload: Rc::new(empty_request()), deadline: Time(1) }
+}
+
+fn load(order: LoadOrderId) -> Job {
+    Job::Load { order, function: FUNCTION, instances: 1 }
+}
+
 #[test]
 fn decode_errors_describe_the_fault() {
     let error = decode_error(Some("a"), DecodeErrorKind::MissingRid).unwrap_err();
--- a/src/backend/tests/node_agent_codec.rs
+++ b/src/backend/tests/node_agent_codec.rs
@@ -4,7 +4,7 @@
     Decoded, FUNCTION, FUNCTION_NAME, alive, decode_error, empty_request, parse, request_with_key, response,
     text,
 };
-use crate::backend::{Codec, DecodeErrorKind, NodeAgentCodec, WorkerMessage};
+use crate::backend::{Codec, DecodeErrorKind, NodeAgentCodec, ResponseMessage, WorkerMessage};
 use crate::model::Time;
 use crate::scheduler::{RequestPayload, WorkerResponse};
 use serde_json::json;
@@ -39,12 +39,12 @@
 #[test]
 fn unusable_values_of_a_load_report_are_left_out() {
     let line = r#"{"verb":"200","rid":"a","attrs":{"rep":"inflight:7;util: 0.5;x1:NaN;x1;x1:-1;x1:"}}"#;
-    let expected = WorkerMessage::Response {
+    let expected = WorkerMessage::Response(ResponseMessage {
         correlation_id: "a".into(),
         response: WorkerResponse::Ok(vec![]),
         instances: None,
         load_report: vec![("inflight".into(), 7.0), ("util".into(), 0.5)],
-    };
+    });
     assert_decoded(vec![(line, Ok(expected))]);
 }
 
--- /dev/null
+++ b/src/backend/write_queue.rs
@@ -0,0 +1,93 @@
+//! The commands that wait on a connection, and how far each command has been written.
+
+use super::correlation::Exchange;
+use super::job::Job;
+use crate::scheduler::{AttemptId, WriteProgress};
+use std::collections::{HashSet, VecDeque};
+
+/// An exchange that was open when its connection closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct UnfinishedExchange {
+    pub(super) exchange: Exchange,
+    pub(super) progress: WriteProgress,
+}
+
+/// The commands that wait on a connection. At most one is being written at a time.
+#[derive(Default)]
+pub(super) struct WriteQueue {
+    waiting: VecDeque<Job>,
+    /// The attempt or order to load whose bytes the system may not have taken whole. Health checks are not
+    /// tracked, because a repeat of them is always safe.
+    writing: Option<Exchange>,
+}
+
+impl WriteQueue {
+    /// Appends a command.
+    pub(super) fn push(&mut self, job: Job) {
+        self.waiting.push_back(job);
+    }
+
+    /// Takes the next command. It may only be written once the one before has been written whole.
+    pub(super) fn pop(&mut self) -> Option<Job> {
+        self.waiting.pop_front()
+    }
+
+    /// Removes the start of an attempt, if it still waits.
+    pub(super) fn remove_start(&mut self, attempt: AttemptId) -> bool {
+        let starts_attempt = |job: &Job| job.exchange() == Some(Exchange::Attempt(attempt));
+        let position = self.waiting.iter().position(starts_attempt);
+        position.and_then(|position| self.waiting.remove(position)).is_some()
+    }
+
+    /// Notes that the command of this exchange is being written from now on.
+    pub(super) fn begin_write(&mut self, exchange: Exchange) {
+        self.writing = Some(exchange);
+    }
+
+    /// Notes that everything has been handed to the system; returns the exchange whose command was being written.
+    pub(super) fn finish_write(&mut self) -> Option<Exchange> {
+        self.writing.take()
+    }
+
+    /// Number of commands that wait.
+    pub(super) fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Whether no command waits or is being written.
+    pub(super) fn is_idle(&self) -> bool {
+        self.waiting.is_empty() && self.writing.is_none()
+    }
+
+    /// How far each exchange had come when the connection closed with `unsent_bytes` left in its buffer:
+    ///
+    /// - [`WriteProgress::NotSent`] if its command still waited;
+    /// - [`WriteProgress::PartiallyWritten`] if its command was being written and bytes of it are left: the line
+    ///   that the worker has received has no end, so that it cannot have been carried out;
+    /// - [`WriteProgress::Written`] otherwise.
+    ///
+    /// The commands that waited come first, in their order.
+    pub(super) fn unfinished(
+        &self,
+        open_exchanges: impl Iterator<Item = Exchange>,
+        unsent_bytes: usize,
+    ) -> Vec<UnfinishedExchange> {
+        let waiting: Vec<Exchange> = self.waiting.iter().filter_map(Job::exchange).collect();
+        let not_sent = waiting
+            .iter()
+            .map(|exchange| UnfinishedExchange { exchange: *exchange, progress: WriteProgress::NotSent });
+        let waiting_set: HashSet<Exchange> = waiting.iter().copied().collect();
+        let sent = open_exchanges.filter(|exchange| !waiting_set.contains(exchange)).map(|exchange| {
+            UnfinishedExchange { exchange, progress: self.progress_of_sent(exchange, unsent_bytes) }
+        });
+        not_sent.chain(sent).collect()
+    }
+
+    fn progress_of_sent(&self, exchange: Exchange, unsent_bytes: usize) -> WriteProgress {
+        if self.writing == Some(exchange) && unsent_bytes > 0 {
+            WriteProgress::PartiallyWritten
+        } else {
+            WriteProgress::Written
+        }
+    }
+}
