Split the policy's tests by concern and give their harness the field's terms

They stand now by concern: placement, prewarming, load rate limit, retries, admission, concurrency limit, health, slow start and robustness. The harness keeps typed records of attempts and loads in place of tuples. The fleet simulation of the slow start budget is cut into a type with short steps. Every case keeps its assertions, figures and bounds.

--- /dev/null
+++ b/tests/policy/admission.rs
@@ -0,0 +1,76 @@
+//! Load shedding: which requests are rejected early, and when.
+
+use crate::support::policy_harness::{
+    PolicyHarness, rejections_and_failures, request, test_settings, workers_sent_to,
+};
+use function_scheduler::{Action, IncomingRequest, OnMiss, RequestId, Settings, Span, Status};
+
+/// The policy once kept requests that had no way out until just before their deadline.
+#[test]
+fn request_without_a_worker_is_rejected_early_with_a_retry_after() {
+    let mut settings = test_settings(OnMiss::Miss);
+    settings.permissions.max_retry_after = Some(Span::from_millis(500));
+    let mut harness = PolicyHarness::new(settings, 0);
+    harness.receive(request(1, 7));
+    assert!(rejections_and_failures(&harness.advance_ms(1000)).is_empty(), "a worker may still come");
+    let rejection = Action::Reject { id: RequestId(1), retry_after: Span::from_millis(250) };
+    let actions = harness.advance_ms(100);
+    assert_eq!(rejections_and_failures(&actions), vec![rejection], "before half its time of 2500 ms");
+}
+
+/// Incidents i0164ec and i650135: queues at workers fed a backlog of answers that all came too late.
+#[test]
+fn overload_is_shed_by_the_scheduler_and_not_queued_at_workers() {
+    let mut harness = PolicyHarness::new(test_settings(OnMiss::Load), 1);
+    harness.receive(request(100, 7));
+    harness.finish_last_attempt(Status::Ok);
+    let mut actions = vec![];
+    for n in 0..60 {
+        actions.extend(harness.receive(request(n, 7)));
+    }
+    let sent = workers_sent_to(&actions).len();
+    assert!(sent < 30, "{sent}");
+    let later = harness.advance_ms(400);
+    let ended_or_sent = rejections_and_failures(&later).len() + workers_sent_to(&later).len();
+    assert_eq!(ended_or_sent, 60 - sent, "the rest is rejected while it is early");
+}
+
+/// Incident i16eeb2: clients whose time limit is far shorter than their class's latency objective.
+#[test]
+fn short_time_limit_of_a_client_bounds_the_wait_for_capacity() {
+    for (remaining_ms, rejected) in [(300, true), (2500, false)] {
+        let mut harness = PolicyHarness::new(test_settings(OnMiss::Load), 1);
+        harness.receive(request(100, 7));
+        harness.finish_last_attempt(Status::Ok);
+        for n in 0..60 {
+            let remaining = Span::from_millis(remaining_ms);
+            harness.receive(IncomingRequest { remaining, ..request(n, 7) });
+        }
+        let ended = rejections_and_failures(&harness.advance_ms(120));
+        assert_eq!(!ended.is_empty(), rejected, "{remaining_ms}");
+    }
+}
+
+/// Overloads of large fleets: no limit of a single worker acts where each worker is seen now and then.
+#[test]
+fn saturation_over_all_workers_sheds_before_anything_is_queued() {
+    let settings = Settings { fleet_size: 200, ..test_settings(OnMiss::Load) };
+    let mut harness = PolicyHarness::new(settings, 40);
+    for n in 0..60 {
+        harness.receive(request(1000 + n, u64::from(n)));
+        harness.finish_last_attempt(Status::Ok);
+    }
+    let mut ended = 0;
+    for n in 0..60 {
+        let actions = harness.receive(request(n, u64::from(n)));
+        ended += rejections_and_failures(&actions).len();
+        for attempt in 0..5 {
+            let last = harness.sent.last();
+            if last.is_some_and(|last| last.request == RequestId(n) && last.attempt == attempt) {
+                harness.finish_attempt(RequestId(n), attempt, Status::Full);
+            }
+        }
+        harness.advance_ms(100);
+    }
+    assert!((20..=55).contains(&ended), "{ended}");
+}
--- /dev/null
+++ b/tests/policy/concurrency_limit.rs
@@ -0,0 +1,89 @@
+//! The adaptive limit on the requests in flight at each worker.
+
+use crate::support::policy_harness::{
+    PolicyHarness, attempt_outcome, request, test_settings, workers_sent_to,
+};
+use function_scheduler::{AttemptOutcome, Event, InstanceState, OnMiss, RequestId, Span, Status};
+
+/// Instances that found no memory shut requests out from the loaded ones, and cut their worker's limit.
+#[test]
+fn worker_without_memory_for_a_new_instance_still_serves_its_loaded_ones() {
+    let mut harness = PolicyHarness::new(test_settings(OnMiss::Load), 4);
+    let home = harness.receive_and_place(request(0, 7))[0];
+    harness.finish_last_attempt(Status::Ok);
+    let mut rejected_by_home = 0;
+    for n in 1..200 {
+        if harness.receive_and_place(request(n, 1000 + u64::from(n))) != [home] {
+            harness.finish_last_attempt(Status::Ok);
+            continue;
+        }
+        rejected_by_home += 1;
+        let next = workers_sent_to(&harness.finish_attempt(RequestId(n), 0, Status::Full));
+        assert!(!next.is_empty() && next[0] != home, "{next:?}");
+        harness.finish_attempt(RequestId(n), 1, Status::Ok);
+        harness.advance_ms(20);
+        assert_eq!(harness.receive_and_place(request(1000 + n, 7)), [home]);
+        harness.finish_last_attempt(Status::Ok);
+        harness.advance_ms(200);
+    }
+    assert!(rejected_by_home > 20, "{rejected_by_home}");
+    let sent = (0..40).flat_map(|n| harness.receive_and_place(request(5000 + n, 7)));
+    assert!(sent.filter(|worker| *worker == home).count() >= 6, "its limit is unchanged");
+}
+
+/// An instance had been evicted unseen, and its worker without memory for another was cut to one request, though it
+/// was quick.
+#[test]
+fn quick_worker_that_rejects_a_request_keeps_its_limit_and_loses_the_instance() {
+    let mut harness = PolicyHarness::new(test_settings(OnMiss::Load), 2);
+    let home = harness.receive_and_place(request(0, 7))[0];
+    harness.finish_last_attempt(Status::Ok);
+    for n in 1..12 {
+        if harness.receive_and_place(request(n, 7)) == [home] {
+            let next = workers_sent_to(&harness.finish_attempt(RequestId(n), 0, Status::Full));
+            assert!(!next.contains(&home), "not there again at once");
+        }
+        harness.finish_last_attempt(Status::Ok);
+        harness.advance_ms(200);
+    }
+    let sent: Vec<_> =
+        (100..140).flat_map(|n| harness.receive_and_place(request(n, 100 + u64::from(n)))).collect();
+    assert!(sent.iter().filter(|worker| **worker == home).count() >= 6, "{sent:?}");
+}
+
+/// After a spell of slow answers the mean latency stayed high and went on cutting, though every answer was quick again.
+#[test]
+fn quick_answers_after_slow_ones_do_not_cut_the_limit_further() {
+    let mut harness = PolicyHarness::new(test_settings(OnMiss::Load), 1);
+    for n in 0..12 {
+        harness.receive(request(n, 7));
+        harness.advance_ms(200);
+        let latency = Span::from_millis(if (1..6).contains(&n) { 700 } else { 100 });
+        harness.handle(Event::AttemptFinished(AttemptOutcome {
+            latency,
+            instance_state: InstanceState::Loaded,
+            ..attempt_outcome(RequestId(n), 0, Status::Ok)
+        }));
+    }
+    let sent = (100..120).flat_map(|n| harness.receive_and_place(request(n, 7))).count();
+    assert!((4..=6).contains(&sent), "cut for the slow answers alone: {sent}");
+}
+
+/// Sends 30 requests spread over this many functions; how many go out at once.
+fn sent_of_30_requests(harness: &mut PolicyHarness, functions: u32) -> usize {
+    let requests = (100..130).map(|n| request(n, u64::from(n % functions)));
+    requests.map(|request| harness.receive_and_place(request).len()).sum()
+}
+
+/// rennes-campus, day 7 of few schedulers: requests of functions wanted once, waiting for their loads on idle cores,
+/// filled the workers' limits, and what else came was rejected after a fifth of its latency objective.
+#[test]
+fn requests_that_wait_for_loads_leave_capacity_for_others() {
+    let mut harness = PolicyHarness::new(test_settings(OnMiss::Load), 1);
+    let sent = sent_of_30_requests(&mut harness, 100);
+    assert_eq!(sent, 15, "nothing is loaded: each counts half of the limit of 8");
+    let mut harness = PolicyHarness::new(test_settings(OnMiss::Load), 1);
+    harness.receive(request(1, 0));
+    harness.finish_last_attempt(Status::Ok);
+    assert_eq!(sent_of_30_requests(&mut harness, 1), 8, "an instance is loaded");
+}
--- /dev/null
+++ b/tests/policy/health.rs
@@ -0,0 +1,127 @@
+//! Outlier detection: workers that fail or say nothing are avoided, and their requests are placed elsewhere.
+
+use crate::support::policy_harness::{
+    IDEMPOTENT, NON_IDEMPOTENT, PolicyHarness, attempt_outcome, cancel_count, health_check_count,
+    ready_endpoint, request, request_of_class, test_settings, workers_sent_to,
+};
+use function_scheduler::{
+    Action, AttemptOutcome, Endpoint, EndpointUpdateKind, Event, OnMiss, RequestId, Span, Status, WorkerId,
+    ZoneId,
+};
+use std::collections::BTreeSet;
+
+/// Incident i650135: single reset connections erased what was known as loaded and set off reloads everywhere.
+#[test]
+fn reset_connection_keeps_the_loaded_instances_but_a_refused_one_does_not() {
+    for (status, stays) in [(Status::Reset, true), (Status::ConnectFailed, false)] {
+        let mut harness = PolicyHarness::new(test_settings(OnMiss::Load), 3);
+        let home = harness.receive_and_place(request(1, 7));
+        harness.finish_last_attempt(Status::Ok);
+        harness.receive(request(2, 7));
+        let retry = workers_sent_to(&harness.finish_last_attempt(status));
+        assert_eq!(retry == home, stays, "{status:?}");
+    }
+}
+
+/// A process that answers everything with an error at once looked the least busy and drew ever more requests.
+#[test]
+fn worker_that_fails_every_request_at_once_is_ejected() {
+    let mut harness = PolicyHarness::new(test_settings(OnMiss::Load), 4);
+    let faulty = harness.receive_and_place(request(0, 7))[0];
+    harness.finish_last_attempt(Status::Ok);
+    let mut attempts_at_faulty = 0;
+    for n in 1..100 {
+        let mut sent_to = harness.receive_and_place(request(n, 7));
+        for attempt in 0..3 {
+            let Some(worker) = sent_to.first().copied() else { break };
+            attempts_at_faulty += usize::from(worker == faulty);
+            let status = if worker == faulty { Status::Error } else { Status::Ok };
+            sent_to = workers_sent_to(&harness.finish_attempt(RequestId(n), attempt, status));
+            assert!(!sent_to.contains(&faulty) || worker != faulty, "not at once where it has just failed");
+        }
+        harness.advance_ms(10);
+    }
+    assert!(attempts_at_faulty < 15, "{attempts_at_faulty} of 99");
+}
+
+/// A machine that is cut off resets no connection: its requests were lost until their deadlines.
+#[test]
+fn silent_worker_is_health_checked_and_its_requests_are_placed_elsewhere() {
+    for (class, moves) in [(IDEMPOTENT, true), (NON_IDEMPOTENT, false)] {
+        let mut harness = PolicyHarness::new(test_settings(OnMiss::Load), 4);
+        let home = harness.receive_and_place(request_of_class(1, 7, class))[0];
+        assert_eq!(health_check_count(&harness.advance_ms(700)), 0);
+        assert_eq!(health_check_count(&harness.advance_ms(400)), 1, "one at a time");
+        let actions = harness.handle(Event::HealthCheckFinished(home, Status::Timeout));
+        assert_eq!(cancel_count(&actions), 0);
+        assert_eq!(health_check_count(&harness.advance_ms(300)), 1);
+        let actions = harness.handle(Event::HealthCheckFinished(home, Status::ConnectFailed));
+        let cancel = Action::Cancel { id: RequestId(1), attempt: 0 };
+        assert_eq!(actions.contains(&cancel), moves, "{class:?}");
+        if moves {
+            let next = workers_sent_to(&harness.finish_attempt(RequestId(1), 0, Status::Cancelled));
+            assert!(next.len() == 1 && next[0] != home, "{next:?}");
+        }
+        let other = harness.receive_and_place(request(2, 7))[0];
+        assert_ne!(other, home, "nothing new goes there for now");
+    }
+    let mut harness = PolicyHarness::new(test_settings(OnMiss::Load), 4);
+    let home = harness.receive_and_place(request(1, 7))[0];
+    harness.advance_ms(1100);
+    harness.handle(Event::HealthCheckFinished(home, Status::Ok));
+    assert_eq!(health_check_count(&harness.advance_ms(700)), 0, "it is alive and only slow");
+}
+
+/// A worker of the zone that the test cuts off.
+fn is_cut_off(worker: &WorkerId) -> bool {
+    worker.0 % 2 == 1
+}
+
+/// Receives a request of a function of its own and answers it unless its worker is cut off; the worker.
+fn place_and_serve(harness: &mut PolicyHarness, id: u32) -> WorkerId {
+    let worker = harness.receive_and_place(request(id, u64::from(id)))[0];
+    if !is_cut_off(&worker) {
+        harness.finish_last_attempt(Status::Ok);
+    }
+    worker
+}
+
+/// rennes-campus, case3338: a hall was cut off. No health check is allowed there and nothing was reset, so each
+/// request that went there was lost until its deadline, and the next ones followed it.
+#[test]
+fn zone_that_is_silent_to_several_requests_is_ejected_and_its_requests_are_placed_elsewhere() {
+    let mut settings = test_settings(OnMiss::Load);
+    settings.permissions.may_probe = false;
+    let mut harness = PolicyHarness::new(settings, 0);
+    let in_one_of_two_zones = |n: u64| Endpoint { zone: ZoneId((n % 2) as u8), ..ready_endpoint(n) };
+    harness.update_endpoints(EndpointUpdateKind::Full, (1..=8).map(in_one_of_two_zones).collect());
+    let mut ids = 1..;
+    let mut place_next = |harness: &mut PolicyHarness| place_and_serve(harness, ids.next().unwrap());
+    let mut silent = BTreeSet::new();
+    while silent.len() < 3 {
+        silent.extend(Some(place_next(&mut harness)).filter(is_cut_off));
+    }
+    let cancels = cancel_count(&harness.advance_ms(390));
+    assert_eq!(cancels, 0, "half the latency objective of 800 ms has not passed");
+    while is_cut_off(&place_next(&mut harness)) {}
+    assert!(cancel_count(&harness.advance_ms(210)) >= 3);
+    assert!((0..30).all(|_| !is_cut_off(&place_next(&mut harness))));
+}
+
+/// The same day: what ended unanswered taught the policy nothing of the worker, not even where it had been silent.
+#[test]
+fn worker_that_was_silent_for_a_requests_whole_time_is_avoided() {
+    let mut settings = test_settings(OnMiss::Load);
+    settings.permissions.may_probe = false;
+    let mut harness = PolicyHarness::new(settings, 4);
+    let home = harness.receive_and_place(request(1, 7));
+    let cancel = Action::Cancel { id: RequestId(1), attempt: 0 };
+    assert!(harness.advance_ms(2500).contains(&cancel));
+    harness.handle(Event::AttemptFinished(AttemptOutcome {
+        latency: Span::from_millis(2498),
+        request_finished: true,
+        ..attempt_outcome(RequestId(1), 0, Status::Cancelled)
+    }));
+    let next = harness.receive_and_place(request(2, 7));
+    assert!(next.len() == 1 && next != home, "{next:?} is not {home:?}");
+}
--- /dev/null
+++ b/tests/policy/placement.rs
@@ -0,0 +1,96 @@
+//! To which worker a request goes.
+
+use crate::support::policy_harness::{
+    PolicyHarness, attempt_outcome, ready_endpoint, rejections_and_failures, request, requested_loads,
+    test_settings, workers_sent_to,
+};
+use function_scheduler::{
+    AttemptOutcome, Endpoint, EndpointState, EndpointUpdateKind, Event, LoadMetric, OnMiss, RequestId,
+    Settings, Status,
+};
+
+#[test]
+fn request_goes_to_its_home_without_a_load_order_where_workers_load_on_demand() {
+    let mut harness = PolicyHarness::new(test_settings(OnMiss::Load), 4);
+    let actions = harness.receive(request(1, 7));
+    let home = workers_sent_to(&actions);
+    assert_eq!((home.len(), requested_loads(&actions).len()), (1, 0));
+    harness.finish_last_attempt(Status::Ok);
+    assert_eq!(harness.receive_and_place(request(2, 7)), home, "it sticks to the warm worker");
+}
+
+#[test]
+fn schedulers_of_a_fleet_agree_on_the_home_of_a_function() {
+    let settings = test_settings(OnMiss::Load);
+    let of_a_fleet = Settings { index: 1, fleet_size: 2, ..settings.clone() };
+    let mut one = PolicyHarness::new(settings, 9);
+    let mut other = PolicyHarness::new(of_a_fleet, 9);
+    for n in 0..20 {
+        let request = || request(n, u64::from(n));
+        assert_eq!(one.receive_and_place(request()), other.receive_and_place(request()));
+    }
+}
+
+#[test]
+fn draining_and_gone_workers_get_neither_requests_nor_loads() {
+    let mut harness = PolicyHarness::new(test_settings(OnMiss::Miss), 2);
+    let draining = Endpoint { state: EndpointState::Draining, ..ready_endpoint(1) };
+    let gone = Endpoint { state: EndpointState::Gone, ..ready_endpoint(2) };
+    harness.update_endpoints(EndpointUpdateKind::Delta, vec![draining, gone]);
+    let mut actions = harness.receive(request(1, 7));
+    actions.extend(harness.advance_ms(2600));
+    assert!(workers_sent_to(&actions).is_empty() && requested_loads(&actions).is_empty());
+    assert_eq!(rejections_and_failures(&actions).len(), 1);
+}
+
+/// Overload days: requests that found their home without capacity began loads on worker after worker.
+#[test]
+fn full_home_does_not_spread_loads_along_the_rendezvous_order() {
+    let mut harness = PolicyHarness::new(test_settings(OnMiss::Load), 8);
+    for n in 0..20 {
+        harness.receive(request(n, 7));
+        harness.advance_ms(10);
+        harness.receive(request(100 + n, 7));
+    }
+    let used = harness.workers_used();
+    assert!(used.len() <= 2, "{used:?}");
+}
+
+/// Requests waited for the one worker with their function loaded, until they were given up, while others were idle.
+#[test]
+fn request_does_not_wait_for_a_full_worker_while_others_have_capacity() {
+    let mut harness = PolicyHarness::new(test_settings(OnMiss::Load), 4);
+    let home = harness.receive_and_place(request(0, 7))[0];
+    harness.finish_last_attempt(Status::Ok);
+    let mut elsewhere = 0;
+    for n in 1..30 {
+        let sent = harness.receive_and_place(request(n, 7));
+        elsewhere += sent.iter().filter(|worker| **worker != home).count();
+    }
+    assert_eq!(elsewhere, 0, "warm while it has capacity");
+    let actions = harness.advance_ms(300);
+    assert!(workers_sent_to(&actions).iter().any(|worker| *worker != home), "{actions:?}");
+}
+
+/// rennes-campus, case4356: a hundred schedulers of which each has one request at a home see it as idle, and what
+/// was rarely asked of each of them piled up there, while its load reports told of ninety requests.
+#[test]
+fn home_that_reports_many_requests_is_avoided_until_the_report_is_old() {
+    let settings = Settings {
+        load_metrics: vec![LoadMetric::Utilization, LoadMetric::InFlight],
+        fleet_size: 100,
+        ..test_settings(OnMiss::Load)
+    };
+    let mut harness = PolicyHarness::new(settings, 6);
+    let finish_with_report = |harness: &mut PolicyHarness, request: RequestId, load_report: Vec<f32>| {
+        let outcome = AttemptOutcome { load_report, ..attempt_outcome(request, 0, Status::Ok) };
+        harness.handle(Event::AttemptFinished(outcome));
+    };
+    let home = harness.receive_and_place(request(1, 7));
+    finish_with_report(&mut harness, RequestId(1), vec![1.0, 90.0]);
+    let next = harness.receive_and_place(request(2, 7));
+    assert!(next.len() == 1 && next != home, "{next:?} is not {home:?}");
+    finish_with_report(&mut harness, RequestId(2), vec![0.1, 1.0]);
+    harness.advance_ms(30_000);
+    assert_eq!(harness.receive_and_place(request(3, 7)), home);
+}
--- /dev/null
+++ b/tests/policy/robustness.rs
@@ -0,0 +1,48 @@
+//! Unknown, repeated and absurd events, and determinism.
+
+use crate::support::policy_harness::{
+    IDEMPOTENT, PolicyHarness, rejections_and_failures, request, request_of_class, test_settings,
+};
+use function_scheduler::{
+    Action, ClassId, Event, FunctionId, IncomingRequest, OnMiss, RequestId, Span, Status, WorkerId,
+};
+
+#[test]
+fn unknown_and_absurd_events_are_ignored() {
+    let mut harness = PolicyHarness::new(test_settings(OnMiss::Miss), 2);
+    harness.finish_attempt(RequestId(9), 3, Status::Ok);
+    harness.finish_load(WorkerId(77), FunctionId(8), Status::Error);
+    harness.handle(Event::ClientDisconnected(RequestId(9)));
+    for (n, absurd) in [0.0, f64::NAN, f64::INFINITY, -3.0].into_iter().enumerate() {
+        let ordinary = request(100 + n as u32, 3);
+        let remaining = Span(n as u64);
+        harness.receive(IncomingRequest { memory_mb: absurd, concurrency: absurd, remaining, ..ordinary });
+    }
+    let actions = harness.receive(request_of_class(200, 3, ClassId(99)));
+    assert_eq!(rejections_and_failures(&actions), vec![Action::Fail { id: RequestId(200) }]);
+    harness.receive(request_of_class(1, 7, IDEMPOTENT));
+    harness.finish_last_attempt(Status::Ok);
+    let repeated = harness.finish_last_attempt(Status::Ok);
+    let only_timers = repeated.iter().all(|action| matches!(action, Action::SetTimer { .. }));
+    assert!(only_timers, "a repeated outcome changes nothing");
+}
+
+/// All actions of 300 requests of seven functions, of which every fifth misses.
+fn actions_of_a_run() -> Vec<Action> {
+    let mut harness = PolicyHarness::new(test_settings(OnMiss::Miss), 5);
+    let mut actions = vec![];
+    for n in 0..300 {
+        actions.extend(harness.receive(request(n, u64::from(n % 7))));
+        if !harness.sent.is_empty() {
+            let status = if n % 5 == 0 { Status::Miss } else { Status::Ok };
+            actions.extend(harness.finish_last_attempt(status));
+        }
+        actions.extend(harness.advance_ms(20));
+    }
+    actions
+}
+
+#[test]
+fn same_events_give_the_same_actions() {
+    assert_eq!(actions_of_a_run(), actions_of_a_run());
+}
