--- a/tests/policy/main.rs
+++ b/tests/policy/main.rs
@@ -10,4 +10,5 @@
 mod robustness;
 mod slow_start;
 #[path = "../support/mod.rs"]
+#[allow(dead_code, reason = "each test crate uses a part of the support code")]
 mod support;
--- /dev/null
+++ b/tests/scheduler_state.rs
@@ -0,0 +1,136 @@
+//! What the scheduler and its connection pool remember of past attempts and load orders: enough to decide right, and
+//! no more as time goes on. Both are driven as library types, without the program.
+
+#[allow(dead_code, reason = "each test crate uses a part of the support code")]
+mod support;
+
+use function_scheduler::backend::{Limits, Pool, WorkerAddress};
+use function_scheduler::config::parse_site;
+use function_scheduler::net::{Reactor, SystemClock};
+use function_scheduler::scheduler::{
+    AttemptId, ClientRequest, Command, LoadOrderId, LoadResult, RequestOrigin, RequestParameters, Scheduler,
+    WorkerResponse,
+};
+use function_scheduler::{Endpoint, EndpointUpdateKind, FunctionId, Span, Status, Time, WorkerId};
+use serde_json::{Value, json};
+use support::IDEMPOTENT_CLASS;
+use support::configuration::default_settings;
+use support::raw_worker::RawWorker;
+
+const WORKER: WorkerId = WorkerId(1);
+const CLIENT_CONNECTION: u64 = 1;
+
+/// A scheduler with these settings whose only worker is ready.
+fn scheduler_with_one_worker(settings: &Value, now: Time) -> Scheduler {
+    let site = parse_site(settings.to_string().as_bytes()).unwrap();
+    let mut scheduler = Scheduler::new(site, 7);
+    let endpoint = Endpoint { worker: WORKER, ..Endpoint::default() };
+    scheduler.update_endpoints(now, EndpointUpdateKind::Full, vec![endpoint]);
+    scheduler
+}
+
+/// The n-th request of a test as a front end submits it.
+fn client_request(n: u64, function: FunctionId, now: Time) -> ClientRequest {
+    let deadline = now + Span::from_millis(60_000);
+    ClientRequest {
+        origin: RequestOrigin { connection: CLIENT_CONNECTION, stream: n },
+        correlation_id: format!("{n:016x}"),
+        parameters: RequestParameters {
+            memory_mb: 1.0,
+            concurrency: 64.0,
+            ..RequestParameters::new(IDEMPOTENT_CLASS, function, deadline, vec![])
+        },
+    }
+}
+
+/// Hands all commands to the pool; the attempt among them.
+fn carry_out_commands(scheduler: &mut Scheduler, pool: &mut Pool, reactor: &mut Reactor) -> AttemptId {
+    let mut sent = None;
+    while let Some(command) = scheduler.next_command() {
+        if let Command::Send { attempt, .. } = command {
+            sent = Some(attempt);
+        }
+        pool.command(command, reactor, scheduler);
+    }
+    sent.expect("the request is sent")
+}
+
+/// Attempts end by the thousand while a request that the worker never answers keeps its connection in use: what is
+/// remembered of them, and looked through, follows those that are in flight.
+#[test]
+fn ended_attempts_are_forgotten_while_their_connection_is_in_use() {
+    let worker = RawWorker::new();
+    let mut reactor = Reactor::new(SystemClock::new()).unwrap();
+    let mut scheduler = scheduler_with_one_worker(&default_settings(), reactor.now());
+    let mut pool = Pool::new(Limits {
+        attempts_per_connection: 1 << 20,
+        idle_timeout: Span::from_millis(60_000),
+        connect_timeout: Span::from_millis(60_000),
+        max_connections: 200,
+        schedulers: 100,
+    });
+    pool.set_address(WORKER, WorkerAddress::NodeAgent(worker.address()), None);
+    for n in 0..10_000 {
+        let now = reactor.now();
+        scheduler.submit(now, client_request(n, FunctionId(9), now));
+        let attempt = carry_out_commands(&mut scheduler, &mut pool, &mut reactor);
+        // The first stays in flight for good.
+        if n > 0 {
+            scheduler.attempt_ended(now, attempt, Ok(WorkerResponse::Ok(vec![])));
+            while scheduler.next_command().is_some() {}
+        }
+        pool.forget_ended(&scheduler);
+        let remembered = pool.routes_remembered();
+        assert!(remembered < 500, "{remembered} of {n} are remembered");
+    }
+    assert_eq!(scheduler.attempts_in_flight(), 1);
+}
+
+/// Submits a request for a function of its own, answers its attempts with a miss, and takes the load order that
+/// follows.
+fn next_load_order(scheduler: &mut Scheduler, n: u64, now: Time) -> LoadOrderId {
+    scheduler.fire_timers(now);
+    scheduler.submit(now, client_request(n, FunctionId(n), now));
+    while let Some(command) = scheduler.next_command() {
+        match command {
+            Command::Send { attempt, .. } => scheduler.attempt_ended(now, attempt, Ok(WorkerResponse::Miss)),
+            Command::Load { order, .. } => return order,
+            _ => {}
+        }
+    }
+    panic!("no load order for request {n}");
+}
+
+/// Whether the load order of the n-th request is admitted; the order ends and the request is cancelled either way.
+fn admits_load_order_of(scheduler: &mut Scheduler, n: u64, now: Time) -> bool {
+    let order = next_load_order(scheduler, n, now);
+    let admitted = scheduler.admits_load_order(now, order);
+    scheduler.load_order_ended(now, order, Ok(LoadResult { status: Status::Full, instances: 0 }));
+    scheduler.cancel(now, RequestOrigin { connection: CLIENT_CONNECTION, stream: n });
+    admitted
+}
+
+/// Load orders go out without a rate limit, and a new configuration brings one: those of its window count, and those
+/// of long ago are not kept for that day.
+#[test]
+fn load_orders_before_a_rate_limit_count_and_are_not_kept_for_ever() {
+    const REQUESTS_BEFORE: u64 = 2_000;
+    let mut settings = default_settings();
+    settings["familyInfo"]["notLoaded"] = json!("miss");
+    settings["familyInfo"]["loadSpanNs"] = json!(0);
+    let start = Time(1_000_000_000_000);
+    let time_of = |n: u64| start + Span::from_millis(n * 100);
+    let mut scheduler = scheduler_with_one_worker(&settings, start);
+    for n in 0..REQUESTS_BEFORE {
+        assert!(admits_load_order_of(&mut scheduler, n, time_of(n)), "no rate limit yet");
+        let remembered = scheduler.load_orders_remembered();
+        assert!(remembered < 700, "{remembered} after {n}");
+    }
+    settings["familyInfo"]["loadSpanNs"] = json!(5_000_000_000u64);
+    settings["familyInfo"]["loadsAnyway"] = json!(40);
+    let site = parse_site(settings.to_string().as_bytes()).unwrap();
+    let now = time_of(REQUESTS_BEFORE);
+    scheduler.reconfigure(now, site);
+    let admitted = admits_load_order_of(&mut scheduler, REQUESTS_BEFORE, now);
+    assert!(!admitted, "some fifty went out within the window of the rate limit");
+}
--- /dev/null
+++ b/tests/server/client_disconnect.rs
@@ -0,0 +1,162 @@
+//! Clients that cancel a request, close or half-close their connection, or spoil it: nothing more is sent for them
+//! and no answer is owed.
+
+use crate::support::configuration::{
+    Configuration, default_settings, large_fleet_settings, slow_connect_settings,
+};
+use crate::support::discovery::{StandInDiscovery, WorkerState, change_event};
+use crate::support::frames::{FrameClient, failed, request, served};
+use crate::support::raw_worker::UnacceptingWorker;
+use crate::support::scheduler_process::SchedulerProcess;
+use crate::support::worker::{CommandKind, StandInWorker};
+use crate::support::{IDEMPOTENT_CLASS, REQUEST_ID, request_id};
+
+/// A cancelled request takes no place at its worker that others want.
+#[test]
+fn cancelled_request_is_cancelled_at_its_worker() {
+    let worker = StandInWorker::node_agent();
+    let scheduler = SchedulerProcess::start(&[worker.address()]);
+    let mut client = FrameClient::connect(&scheduler);
+    client.send_request(1, &request(IDEMPOTENT_CLASS, REQUEST_ID, 60_000, b""));
+    assert_eq!(worker.next_command().kind(), CommandKind::Run);
+    client.send_cancel(1);
+    let command = worker.next_command();
+    assert_eq!((command.kind(), command.request_id().as_str()), (CommandKind::Cancel, REQUEST_ID));
+}
+
+#[test]
+fn cancelled_request_and_closed_connection_get_no_answer() {
+    let worker = StandInWorker::node_agent();
+    let scheduler = SchedulerProcess::start(&[worker.address()]);
+    let mut client = FrameClient::connect(&scheduler);
+    client.send_request(1, &request(IDEMPOTENT_CLASS, REQUEST_ID, 2900, b""));
+    let mut command = worker.next_command();
+    client.send_cancel(1);
+    client.assert_ready();
+    command.succeed("");
+    client.assert_ready();
+    let mut closing = FrameClient::connect(&scheduler);
+    closing.send_request(1, &request(IDEMPOTENT_CLASS, "00000000000000aa", 2900, b""));
+    worker.next_command();
+    drop(closing);
+    scheduler.wait_for_counter("withdrawn", 2);
+    assert_eq!((scheduler.counter("taken"), scheduler.counter("served")), (2, 0));
+}
+
+/// Four clients with a request each, of which the first cancels, the second shuts its half of the connection and the
+/// third closes it; the fourth, whose request has the id 3.
+fn disconnect_three_of_four_clients(scheduler: &SchedulerProcess, allow_ms: u64) -> FrameClient {
+    let mut clients: Vec<_> = (0..4).map(|_| FrameClient::connect(scheduler)).collect();
+    for (n, client) in (0..).zip(&mut clients) {
+        client.send_request(1, &request(IDEMPOTENT_CLASS, &request_id(n), allow_ms, b""));
+        client.assert_ready();
+    }
+    clients[0].send_cancel(1);
+    clients[0].assert_ready();
+    clients[1].shutdown_write();
+    drop(clients.remove(2));
+    scheduler.wait_for_counter("withdrawn", 3);
+    clients.remove(2)
+}
+
+/// The clients leave while their requests wait for a connection that is coming up: it comes up, and only the request
+/// that somebody waits for goes out.
+#[test]
+fn requests_of_gone_clients_are_not_written_when_their_connection_comes_up() {
+    let worker = UnacceptingWorker::new();
+    let scheduler = SchedulerProcess::start_with_settings(&[worker.address()], slow_connect_settings());
+    let mut remaining = disconnect_three_of_four_clients(&scheduler, 20_000);
+    let mut connection = worker.accept_waiting();
+    connection.serve(&request_id(3), "eA==");
+    assert_eq!(remaining.next_frame(), Some(served(1, b"x")));
+    assert_eq!((scheduler.counter("sent"), scheduler.counter("served")), (1, 1));
+}
+
+/// The same while the requests wait in the policy, before any worker is in the endpoint list.
+#[test]
+fn requests_of_gone_clients_are_not_placed_when_a_worker_comes() {
+    let worker = StandInWorker::node_agent();
+    let discovery = StandInDiscovery::new();
+    let scheduler =
+        Configuration::new(&[]).settings(default_settings()).discovery(discovery.address()).start();
+    let mut watch = discovery.accept();
+    let mut remaining = disconnect_three_of_four_clients(&scheduler, 60_000);
+    watch.send(&change_event(2, 1, worker.address(), WorkerState::Ready));
+    let mut command = worker.next_request();
+    assert_eq!(command.request_id(), request_id(3));
+    command.succeed("eA==");
+    assert_eq!(remaining.next_frame(), Some(served(1, b"x")));
+    assert_eq!(scheduler.counter("sent"), 1);
+}
+
+/// The first attempt breaks and the client leaves, both before the scheduler looks: there is no second attempt.
+#[test]
+fn request_is_not_retried_for_a_client_that_left_in_the_same_turn() {
+    for closes in [false, true] {
+        let worker = StandInWorker::node_agent();
+        let scheduler = SchedulerProcess::start_with_settings(&[worker.address()], large_fleet_settings());
+        let mut client = FrameClient::connect(&scheduler);
+        let mut other = FrameClient::connect(&scheduler);
+        client.send_request(1, &request(IDEMPOTENT_CLASS, &request_id(1), 20_000, b""));
+        let command = worker.next_request();
+        scheduler.signal("STOP");
+        command.close_connection();
+        if closes {
+            drop(client);
+        } else {
+            client.send_cancel(1);
+        }
+        scheduler.signal("CONT");
+        scheduler.wait_for_counter("withdrawn", 1);
+        other.send_request(1, &request(IDEMPOTENT_CLASS, &request_id(2), 20_000, b""));
+        let mut next = worker.next_request();
+        assert_eq!(next.request_id(), request_id(2), "closes: {closes}");
+        next.succeed("eA==");
+        assert_eq!(other.next_frame(), Some(served(1, b"x")));
+        assert_eq!(scheduler.counter("sent"), 2);
+    }
+}
+
+/// A client sends what cannot be read while a request of its is open: it is told and its connection ends, so the
+/// request is cancelled at once and no answer follows the error.
+#[test]
+fn request_is_cancelled_when_its_connection_ends_in_an_error() {
+    let worker = StandInWorker::node_agent();
+    let scheduler = SchedulerProcess::start(&[worker.address()]);
+    let mut client = FrameClient::connect(&scheduler);
+    let mut other = FrameClient::connect(&scheduler);
+    client.send_request(1, &request(IDEMPOTENT_CLASS, &request_id(1), 20_000, b""));
+    let mut command = worker.next_request();
+    client.send_bytes(&[0; 4]);
+    assert_eq!(client.next_frame(), Some(failed(0)));
+    // The client has not closed: the scheduler knows by itself that it cannot be answered.
+    other.send_request(1, &request(IDEMPOTENT_CLASS, &request_id(2), 20_000, b""));
+    let cancel = worker.next_command();
+    assert_eq!((cancel.kind(), cancel.request_id()), (CommandKind::Cancel, request_id(1)));
+    command.succeed("eA==");
+    assert_eq!(client.next_frame(), None);
+    worker.next_request().succeed("eA==");
+    assert_eq!(other.next_frame(), Some(served(1, b"x")));
+    assert_eq!(scheduler.counter("served"), 1);
+}
+
+/// The time of a request is over and its client cancels, both before the scheduler looks: no answer is owed or given.
+#[test]
+fn cancel_in_the_turn_of_the_deadline_gets_no_answer() {
+    let worker = StandInWorker::node_agent();
+    let timer_worker = StandInWorker::node_agent();
+    let scheduler = SchedulerProcess::start(&[worker.address()]);
+    let timer_scheduler = SchedulerProcess::start(&[timer_worker.address()]);
+    let mut client = FrameClient::connect(&scheduler);
+    let mut timer = FrameClient::connect(&timer_scheduler);
+    client.send_request(1, &request(IDEMPOTENT_CLASS, &request_id(1), 500, b""));
+    worker.next_request();
+    scheduler.signal("STOP");
+    // Another scheduler's rejection shows that the time is over.
+    timer.send_request(1, &request(IDEMPOTENT_CLASS, &request_id(1), 600, b""));
+    timer.expect_rejection(1);
+    client.send_cancel(1);
+    scheduler.signal("CONT");
+    client.assert_ready();
+    assert_eq!((scheduler.counter("withdrawn"), scheduler.counter("refused")), (1, 0));
+}
--- /dev/null
+++ b/tests/server/connection_limits.rs
@@ -0,0 +1,69 @@
+//! Descriptors run out, and connections to workers are shared or not.
+
+use crate::support::configuration::{Configuration, default_settings};
+use crate::support::discovery::StandInDiscovery;
+use crate::support::frames::{FrameClient, request, served};
+use crate::support::scheduler_process::SchedulerProcess;
+use crate::support::worker::{StandInWorker, echo};
+use crate::support::{IDEMPOTENT_CLASS, REQUEST_ID, request_id};
+use serde_json::json;
+use std::collections::BTreeSet;
+use std::net::TcpStream;
+
+#[test]
+fn more_clients_than_descriptors_do_not_stop_service() {
+    let worker = StandInWorker::node_agent();
+    let scheduler = SchedulerProcess::start(&[worker.address()]);
+    worker.serve(echo);
+    let _idle: Vec<_> = (0..300).map(|_| TcpStream::connect(scheduler.address).unwrap()).collect();
+    let mut client = FrameClient::connect(&scheduler);
+    client.send_request(1, &request(IDEMPOTENT_CLASS, REQUEST_ID, 2900, b"x"));
+    assert_eq!(client.next_frame(), Some(served(1, b"x")));
+    let descriptors = format!("/proc/{}/fd", scheduler.process_id());
+    let descriptors = std::fs::read_dir(descriptors).unwrap().count();
+    assert!(descriptors <= 256, "{descriptors} descriptors");
+}
+
+/// The system has no descriptor left for a client that waits to be accepted, and no further client comes: it is
+/// accepted once there is one, and the watch of the discovery service, which went down meanwhile, comes back too.
+#[test]
+fn client_that_found_no_descriptor_is_accepted_once_there_is_one() {
+    let worker = StandInWorker::node_agent();
+    let discovery = StandInDiscovery::new();
+    let scheduler = Configuration::new(&[worker.address()]).discovery(discovery.address()).start();
+    let watch = discovery.accept();
+    scheduler.limit_descriptors(1);
+    let mut late = FrameClient::connect(&scheduler);
+    late.send_readiness_check();
+    scheduler.wait_for_log("accept failed");
+    drop(watch);
+    scheduler.wait_for_log("bus connection failed");
+    scheduler.limit_descriptors(256);
+    late.expect_ready_answer();
+    let watch = discovery.accept();
+    assert_eq!(watch.offset, 1);
+}
+
+/// rennes-campus, case4356: a hundred schedulers that each opened a connection for each request at a time filled the
+/// workers' connection tables, and what came on one connection more was rejected with it.
+#[test]
+fn requests_of_a_large_fleet_share_their_connections_to_a_worker() {
+    for (fleet_size, connections) in [(3, 6), (100, 1)] {
+        let worker = StandInWorker::node_agent();
+        let mut settings = default_settings();
+        settings["fleetSize"] = json!(fleet_size);
+        let scheduler = SchedulerProcess::start_with_settings(&[worker.address()], settings);
+        let mut client = FrameClient::connect(&scheduler);
+        let mut commands = Vec::new();
+        for n in 1..=6 {
+            client.send_request(n, &request(IDEMPOTENT_CLASS, &request_id(n), 20_000, b""));
+            commands.push(worker.next_command());
+        }
+        let used: BTreeSet<usize> = commands.iter().map(|command| command.connection).collect();
+        assert_eq!(used.len(), connections, "{fleet_size} schedulers");
+        commands.iter_mut().for_each(|command| command.succeed(""));
+        for _ in 0..6 {
+            assert_eq!(client.next_frame().unwrap().payload, vec![79, 0]);
+        }
+    }
+}
--- /dev/null
+++ b/tests/server/correlation_ids.rs
@@ -0,0 +1,90 @@
+//! An answer belongs to the attempt that it answers: repeated, late and foreign answers end nothing else.
+
+use crate::support::configuration::large_fleet_settings;
+use crate::support::frames::{FrameClient, failed, request, served};
+use crate::support::scheduler_process::SchedulerProcess;
+use crate::support::worker::{CommandKind, StandInWorker, WorkerStatus};
+use crate::support::{IDEMPOTENT_CLASS, REQUEST_ID, request_id};
+use serde_json::json;
+
+/// The id of an open request with another body, on whatever connection: workers could not tell the two apart.
+#[test]
+fn request_with_the_id_of_an_open_one_fails() {
+    let worker = StandInWorker::node_agent();
+    let scheduler = SchedulerProcess::start(&[worker.address()]);
+    let mut client = FrameClient::connect(&scheduler);
+    let mut other = FrameClient::connect(&scheduler);
+    client.send_request(1, &request(IDEMPOTENT_CLASS, REQUEST_ID, 2900, b"a"));
+    let mut command = worker.next_command();
+    other.send_request(1, &request(IDEMPOTENT_CLASS, REQUEST_ID, 2900, b"b"));
+    assert_eq!(other.next_frame(), Some(failed(1)));
+    command.succeed("YQ==");
+    assert_eq!(client.next_frame(), Some(served(1, b"a")));
+    assert!(worker.is_idle());
+    other.send_request(2, &request(IDEMPOTENT_CLASS, REQUEST_ID, 2900, b"b"));
+    worker.next_command().succeed("Yg==");
+    assert_eq!(other.next_frame(), Some(served(2, b"b")), "free again");
+}
+
+/// The late answer of a request that was given up must not be taken for the answer of a newer one.
+#[test]
+fn late_answer_of_an_expired_request_is_ignored() {
+    let worker = StandInWorker::node_agent();
+    let scheduler = SchedulerProcess::start(&[worker.address()]);
+    let mut client = FrameClient::connect(&scheduler);
+    client.send_request(1, &request(IDEMPOTENT_CLASS, REQUEST_ID, 1000, b"a"));
+    let mut old = worker.next_command();
+    // Rejected at its deadline, for it may be repeated.
+    client.expect_rejection(1);
+    assert_eq!(worker.next_command().kind(), CommandKind::Cancel);
+    client.send_request(2, &request(IDEMPOTENT_CLASS, REQUEST_ID, 2900, b"b"));
+    let mut new = worker.next_command();
+    assert_ne!(old.connection, new.connection);
+    old.succeed("b2xk");
+    new.succeed("bmV3");
+    assert_eq!(client.next_frame(), Some(served(2, b"new")));
+    client.assert_ready();
+}
+
+#[test]
+fn unexpected_answers_of_a_worker_harm_no_request() {
+    let worker = StandInWorker::node_agent();
+    let scheduler = SchedulerProcess::start(&[worker.address()]);
+    let mut client = FrameClient::connect(&scheduler);
+    let unexpected = [json!({"verb": "200", "rid": "nobody"}), json!({"verb": "alive", "rid": REQUEST_ID})];
+    for (n, line) in (0..).zip(&unexpected) {
+        let stream = n + 1;
+        client.send_request(stream, &request(IDEMPOTENT_CLASS, &request_id(n), 2900, b""));
+        let mut command = worker.next_command();
+        command.send_line(line);
+        command.succeed("eA==");
+        assert_eq!(client.next_frame(), Some(served(stream, b"x")));
+        command.succeed("eQ==");
+    }
+    client.assert_ready();
+}
+
+/// A worker rejects a request, twice over, and the second answer comes when the request is out there again: it is
+/// none of the new attempt's.
+#[test]
+fn repeated_answer_does_not_end_the_next_attempt() {
+    for status in [WorkerStatus::Full, WorkerStatus::Error, WorkerStatus::Miss] {
+        let worker = StandInWorker::node_agent();
+        let scheduler = SchedulerProcess::start_with_settings(&[worker.address()], large_fleet_settings());
+        let mut client = FrameClient::connect(&scheduler);
+        client.send_request(1, &request(IDEMPOTENT_CLASS, REQUEST_ID, 5_000, b""));
+        let mut first = worker.next_request();
+        first.fail(status);
+        let mut retry = worker.next_request();
+        assert_eq!(retry.request_id(), REQUEST_ID, "{status:?}");
+        first.fail(status);
+        // A request on the same connection shows that the second answer has been read.
+        client.send_request(2, &request(IDEMPOTENT_CLASS, &request_id(2), 5_000, b""));
+        let mut other = worker.next_request();
+        assert_eq!(other.request_id(), request_id(2), "{status:?}: the attempt that is out goes on");
+        other.succeed("eQ==");
+        assert_eq!(client.next_frame(), Some(served(2, b"y")));
+        retry.succeed("eA==");
+        assert_eq!(client.next_frame(), Some(served(1, b"x")));
+    }
+}
--- /dev/null
+++ b/tests/server/discovery_watch.rs
@@ -0,0 +1,179 @@
+//! The watch of the endpoint list: resuming, silence, moves to another address, and what its events do to requests.
+
+use crate::support::configuration::{
+    Configuration, default_settings, large_fleet_settings, slow_connect_settings,
+};
+use crate::support::discovery::{
+    StandInDiscovery, WorkerState, change_event, full_list_event, keep_alive_frame,
+};
+use crate::support::frames::{FrameClient, request, request_to_function, served};
+use crate::support::raw_worker::UnacceptingWorker;
+use crate::support::scheduler_process::{ReloadResult, SchedulerProcess};
+use crate::support::worker::{CommandKind, StandInWorker, echo};
+use crate::support::{IDEMPOTENT_CLASS, refusing_address, request_id};
+use serde_json::{Value, json};
+use std::net::{Ipv4Addr, SocketAddr};
+
+/// Starts a scheduler that watches this discovery service.
+fn start_watching(settings: Value, worker: SocketAddr, discovery: SocketAddr) -> SchedulerProcess {
+    Configuration::new(&[worker]).settings(settings).discovery(discovery).start()
+}
+
+/// Reloads the configuration with another address of the discovery service.
+fn move_discovery(scheduler: &SchedulerProcess, address: SocketAddr) {
+    let mut config = scheduler.config.clone();
+    config["bus"] = json!(address.to_string());
+    assert_eq!(scheduler.reload(&config.to_string()), ReloadResult::Applied);
+}
+
+#[test]
+fn draining_worker_gets_nothing_new_and_the_watch_resumes_after_the_last_event() {
+    let first = StandInWorker::node_agent();
+    let second = StandInWorker::node_agent();
+    let discovery = StandInDiscovery::new();
+    let scheduler = start_watching(default_settings(), first.address(), discovery.address());
+    let mut watch = discovery.accept();
+    assert_eq!(watch.offset, 1);
+    let second_ready = change_event(2, 2, second.address(), WorkerState::Ready);
+    let first_draining = change_event(3, 1, first.address(), WorkerState::Draining);
+    let events = [second_ready, first_draining].concat();
+    let (half, rest) = events.split_at(30);
+    watch.send(half);
+    watch.send(rest);
+    scheduler.wait_for_counter("list_events", 3);
+    drop(watch);
+    let mut watch = discovery.accept();
+    assert_eq!(watch.offset, 3, "from the last event");
+    let old_event = change_event(3, 1, first.address(), WorkerState::Ready);
+    let bad_frame = vec![0, 0, 0, 1];
+    watch.send(&[old_event, bad_frame].concat());
+    let watch = discovery.accept();
+    assert_eq!(watch.offset, 3, "an old event says nothing new, and a bad frame ends the connection");
+    let commands = second.serve(echo);
+    let mut client = FrameClient::connect(&scheduler);
+    for n in 1..20 {
+        client.send_request(n, &request(IDEMPOTENT_CLASS, &request_id(n), 2900, b"x"));
+        assert_eq!(client.next_frame(), Some(served(n, b"x")));
+    }
+    assert!(first.is_idle(), "nothing new to the draining worker");
+    assert_eq!(commands.count(CommandKind::Run), 19);
+}
+
+/// A discovery service that is cut off keeps its connection up and silent; empty frames show that it is alive.
+#[test]
+fn silent_watch_is_replaced() {
+    let worker = StandInWorker::node_agent();
+    let discovery = StandInDiscovery::new();
+    let scheduler = start_watching(default_settings(), worker.address(), discovery.address());
+    let mut watch = discovery.accept();
+    watch.send(&keep_alive_frame());
+    let replacement = discovery.accept();
+    assert_eq!(replacement.offset, 1);
+    scheduler.wait_for_log("bus silent");
+}
+
+/// A machine has gone and another has its address, but nothing told of the end of the first. What is sent to the
+/// old id would reach the new machine, as work that nobody counts against its warm-up.
+#[test]
+fn new_worker_at_an_old_address_replaces_the_old_one() {
+    let worker = StandInWorker::node_agent();
+    let discovery = StandInDiscovery::new();
+    let scheduler = start_watching(large_fleet_settings(), worker.address(), discovery.address());
+    let mut watch = discovery.accept();
+    let mut client = FrameClient::connect(&scheduler);
+    let mut serve_request = |n: u32| {
+        client.send_request(n, &request_to_function(n, &request_id(n), 3_000));
+        let mut command = worker.next_request();
+        command.succeed("eA==");
+        assert_eq!(client.next_frame(), Some(served(n, b"x")));
+        command.connection
+    };
+    let old_connection = (1..20).map(&mut serve_request).last().unwrap();
+    watch.send(&change_event(2, 9, worker.address(), WorkerState::Ready));
+    scheduler.wait_for_counter("list_events", 2);
+    for n in 20..60 {
+        assert!(serve_request(n) > old_connection, "request {n} went to the old id");
+    }
+    // The end of the old one, told late, is none of the new one's.
+    let draining = change_event(3, 1, worker.address(), WorkerState::Draining);
+    let gone = change_event(4, 1, worker.address(), WorkerState::Gone);
+    watch.send(&[draining, gone].concat());
+    scheduler.wait_for_counter("list_events", 4);
+    serve_request(60);
+}
+
+/// An event breaks off in the middle, comes whole and twice on the next connection, and its full list leaves out the
+/// worker for whose connection a request waits: the request goes to the other worker.
+#[test]
+fn request_does_not_follow_a_worker_that_a_full_list_omits() {
+    let omitted = UnacceptingWorker::new();
+    let listed = StandInWorker::node_agent();
+    let discovery = StandInDiscovery::new();
+    let scheduler = start_watching(slow_connect_settings(), omitted.address(), discovery.address());
+    let mut watch = discovery.accept();
+    assert_eq!(watch.offset, 1);
+    let mut client = FrameClient::connect(&scheduler);
+    client.send_request(1, &request(IDEMPOTENT_CLASS, &request_id(1), 20_000, b""));
+    client.assert_ready();
+    let full_list = full_list_event(2, 2, listed.address());
+    watch.send(&full_list[..30]);
+    drop(watch);
+    let mut watch = discovery.accept();
+    assert_eq!(watch.offset, 1, "half an event is none");
+    watch.send(&[&full_list[..], &full_list].concat());
+    scheduler.wait_for_counter("list_events", 2);
+    let mut connection = omitted.accept_waiting();
+    let mut command = listed.next_request();
+    assert_eq!(command.request_id(), request_id(1));
+    command.succeed("eA==");
+    assert_eq!(client.next_frame(), Some(served(1, b"x")));
+    assert_eq!((scheduler.counter("sent"), scheduler.counter("list_events")), (1, 2));
+    connection.assert_nothing_received();
+}
+
+/// SIGHUP moves the discovery service while the old one's connection is coming up, or while the scheduler waits to
+/// try again.
+#[test]
+fn moved_discovery_is_watched_at_once_whatever_the_old_connection_does() {
+    let unaccepting = UnacceptingWorker::new();
+    for old_address in [unaccepting.address(), refusing_address(Ipv4Addr::new(127, 0, 0, 79))] {
+        let worker = StandInWorker::node_agent();
+        let second = StandInWorker::node_agent();
+        let moved = StandInDiscovery::new();
+        let scheduler = start_watching(default_settings(), worker.address(), old_address);
+        move_discovery(&scheduler, moved.address());
+        let mut watch = moved.accept();
+        assert_eq!(watch.offset, 1);
+        let second_ready = change_event(2, 2, second.address(), WorkerState::Ready);
+        let first_draining = change_event(3, 1, worker.address(), WorkerState::Draining);
+        watch.send(&[second_ready, first_draining].concat());
+        scheduler.wait_for_counter("list_events", 3);
+        let mut client = FrameClient::connect(&scheduler);
+        client.send_request(1, &request(IDEMPOTENT_CLASS, &request_id(1), 3_000, b""));
+        second.next_request().succeed("eA==");
+        assert_eq!(client.next_frame(), Some(served(1, b"x")));
+    }
+}
+
+/// What the old discovery service says after the move is ignored, also if it is there before the scheduler looks.
+#[test]
+fn events_of_the_old_discovery_after_the_move_are_ignored() {
+    let worker = StandInWorker::node_agent();
+    let second = StandInWorker::node_agent();
+    let discovery = StandInDiscovery::new();
+    let moved = StandInDiscovery::new();
+    let scheduler = start_watching(default_settings(), worker.address(), discovery.address());
+    let mut old_watch = discovery.accept();
+    move_discovery(&scheduler, moved.address());
+    let mut watch = moved.accept();
+    assert_eq!(watch.offset, 1);
+    // It says that the worker has gone; the new one says otherwise under the same number.
+    old_watch.try_send(&change_event(2, 1, worker.address(), WorkerState::Gone));
+    watch.send(&change_event(2, 2, second.address(), WorkerState::Draining));
+    scheduler.wait_for_counter("list_events", 2);
+    let mut client = FrameClient::connect(&scheduler);
+    client.send_request(1, &request(IDEMPOTENT_CLASS, &request_id(1), 3_000, b""));
+    worker.next_request().succeed("eA==");
+    assert_eq!(client.next_frame(), Some(served(1, b"x")));
+    assert_eq!(scheduler.counter("list_events"), 2);
+}
--- /dev/null
+++ b/tests/server/frame_frontend.rs
@@ -0,0 +1,97 @@
+//! Requests and answers of the frame protocol.
+
+use crate::support::frames::{FrameClient, failed, frame, frame_type, payload, request, served};
+use crate::support::scheduler_process::SchedulerProcess;
+use crate::support::worker::{StandInWorker, echo};
+use crate::support::{IDEMPOTENCY_KEY, IDEMPOTENT_CLASS, KEYED_CLASS, REQUEST_ID, request_id};
+use serde_json::json;
+
+/// The head, the fields and the stream of a request with a body of 256 bytes, as the protocol page gives them.
+const REQUEST_WITHOUT_BODY: &[&[u8]] = &[
+    b"\x00\x00\x01\xaa", // length: 426 bytes follow
+    b"\x00",             // type: request
+    b"\x00\x00\x00\x01", // stream
+    b"\x06",             // number of fields
+    b"\x07service\x00\x0epractice-check",
+    b"\x03ref\x00\x109b1f03aa5c7e2d41",
+    b"\x05allow\x00\x042000",
+    b"\x06lookup\x00\x107f3a9c21e0b4d655",
+    b"\x06replay\x00\x205c0f6e1a2b3d4c59a8b7c6d5e4f30211",
+    b"\x04spec\x00\x21memory_mb:512;lanes:2;load_ms:640",
+];
+
+#[test]
+fn request_is_served_with_the_workers_body_however_its_bytes_arrive() {
+    let worker = StandInWorker::node_agent();
+    let scheduler = SchedulerProcess::start(&[worker.address()]);
+    let commands = worker.serve(echo);
+    let mut client = FrameClient::connect(&scheduler);
+    let body: Vec<u8> = (0..=255).collect();
+    let bytes = [&REQUEST_WITHOUT_BODY.concat()[..], &body].concat();
+    let encoded = frame(frame_type::REQUEST, 1, &request(IDEMPOTENT_CLASS, REQUEST_ID, 2000, &body));
+    assert_eq!(encoded, bytes, "the encoder of the other tests keeps to the protocol page");
+    for byte in bytes {
+        client.send_bytes(&[byte]);
+    }
+    assert_eq!(client.next_frame(), Some(served(1, &body)));
+    let joined: Vec<u8> = (2..10u8)
+        .flat_map(|n| {
+            let payload = request(IDEMPOTENT_CLASS, &request_id(n.into()), 2000, &[n]);
+            frame(frame_type::REQUEST, n.into(), &payload)
+        })
+        .collect();
+    client.send_bytes(&joined);
+    let mut answers: Vec<_> = (2..10).map(|_| client.next_frame().unwrap()).collect();
+    answers.sort();
+    assert_eq!(answers, (2..10).map(|n| served(n, &[n as u8])).collect::<Vec<_>>());
+    let first = commands.first_message();
+    assert_eq!((&first["rid"], &first["attrs"]["lane"]), (&json!(REQUEST_ID), &json!("practice-check")));
+    assert_eq!(first["attrs"]["dedupe"], IDEMPOTENCY_KEY);
+}
+
+#[test]
+fn unusable_request_fails_and_its_connection_goes_on() {
+    let worker = StandInWorker::node_agent();
+    let scheduler = SchedulerProcess::start(&[worker.address()]);
+    worker.serve(echo);
+    let mut client = FrameClient::connect(&scheduler);
+    let bad_function = [("service", IDEMPOTENT_CLASS), ("ref", REQUEST_ID), ("allow", "9"), ("lookup", "zz")];
+    let cases = [
+        request("no-such-class", REQUEST_ID, 2000, b""),
+        request(IDEMPOTENT_CLASS, "not hex", 2000, b""),
+        payload(&bad_function, b""),
+        request(IDEMPOTENT_CLASS, REQUEST_ID, 2000, &[0; 16 * 1024 + 1]),
+    ];
+    for (stream, payload) in (1..).zip(&cases) {
+        client.send_request(stream, payload);
+        assert_eq!(client.next_frame(), Some(failed(stream)), "case {stream}");
+    }
+    client.send_request(9, &request(IDEMPOTENT_CLASS, REQUEST_ID, 2000, b"x"));
+    assert_eq!(client.next_frame(), Some(served(9, b"x")));
+}
+
+/// A request comes in pieces, late in the life of an idle connection: the connection is not idle any more.
+#[test]
+fn connection_is_not_closed_as_idle_amid_a_request() {
+    let worker = StandInWorker::node_agent();
+    let scheduler = SchedulerProcess::start(&[worker.address()]);
+    worker.serve(|command| echo(command).filter(|_| command.message["attrs"]["lane"] != KEYED_CLASS));
+    let mut client = FrameClient::connect(&scheduler);
+    let mut timer = FrameClient::connect(&scheduler);
+    client.send_request(1, &request(IDEMPOTENT_CLASS, &request_id(1), 3_000, b"x"));
+    assert_eq!(client.next_frame(), Some(served(1, b"x")));
+    // Rejections of requests that nobody serves tell the time: 4.2 s, and 1.2 s more.
+    let mut wait_ms = |stream: u32, milliseconds| {
+        let unserved = request(KEYED_CLASS, &request_id(100 + stream), milliseconds, b"");
+        timer.send_request(stream, &unserved);
+        timer.expect_rejection(stream);
+    };
+    wait_ms(1, 4_200);
+    let payload = request(IDEMPOTENT_CLASS, &request_id(2), 3_000, b"y");
+    let bytes = frame(frame_type::REQUEST, 2, &payload);
+    let (begin, rest) = bytes.split_at(30);
+    client.send_bytes(begin);
+    wait_ms(2, 1_200);
+    client.send_bytes(rest);
+    assert_eq!(client.next_frame(), Some(served(2, b"y")));
+}
--- /dev/null
+++ b/tests/server/jsonrpc_workers.rs
@@ -0,0 +1,109 @@
+//! Workers that speak JSON-RPC on Unix sockets.
+
+use crate::support::configuration::{Configuration, default_settings, health_check_settings};
+use crate::support::frames::{self, FrameClient, served};
+use crate::support::jsonrpc_client::{JsonRpcClient, operator_file, request};
+use crate::support::scheduler_process::SchedulerProcess;
+use crate::support::temp_folder::TempFolder;
+use crate::support::worker::{CommandKind, StandInWorker, WorkerStatus};
+use crate::support::{IDEMPOTENCY_KEY, IDEMPOTENT_CLASS, KEYED_CLASS, REQUEST_ID, WAIT_LIMIT, request_id};
+use serde_json::{Value, json};
+use std::path::PathBuf;
+use std::time::Instant;
+
+/// Starts a scheduler whose only workers speak JSON-RPC on these sockets.
+fn start(settings: Value, worker_paths: &[PathBuf]) -> SchedulerProcess {
+    let worker =
+        |(n, path): (usize, &PathBuf)| format!("[[checkers]]\nid = \"s-0000c00{n}\"\nsocket = {path:?}\n");
+    let workers: String = worker_paths.iter().enumerate().map(worker).collect();
+    Configuration::new(&[])
+        .settings(settings)
+        .operator_file(|folder| operator_file(folder) + &workers)
+        .start()
+}
+
+/// The rules on ids and on unreadable answers hold here as for node agents.
+#[test]
+fn duplicate_id_and_unreadable_answer_harm_no_other_request() {
+    let folder = TempFolder::new();
+    let path = folder.file("worker.sock");
+    let worker = StandInWorker::jsonrpc(&path);
+    let scheduler = start(default_settings(), &[path]);
+    let mut client = JsonRpcClient::connect(&scheduler);
+    let mut other = JsonRpcClient::connect(&scheduler);
+    client.send(&request(&json!(1), IDEMPOTENT_CLASS, REQUEST_ID, 60_000, "YQ=="));
+    let mut command = worker.next_command();
+    other.send(&request(&json!(1), IDEMPOTENT_CLASS, REQUEST_ID, 60_000, "Yg=="));
+    assert_eq!(other.next_message()["error"]["code"], -32002);
+    command.send_bytes(b"[\n");
+    let mut retry = worker.next_command();
+    assert_eq!(retry.request_id(), REQUEST_ID);
+    retry.succeed("eA==");
+    assert_eq!(client.next_message()["result"]["body"], "eA==");
+}
+
+#[test]
+fn jsonrpc_worker_serves_both_front_ends_under_the_same_rules() {
+    let folder = TempFolder::new();
+    let path = folder.file("worker.sock");
+    let worker = StandInWorker::jsonrpc(&path);
+    let scheduler = start(default_settings(), &[path]);
+    let mut client = JsonRpcClient::connect(&scheduler);
+    client.send(&request(&json!(1), KEYED_CLASS, REQUEST_ID, 2900, "aGk="));
+    let mut command = worker.next_command();
+    assert_eq!((command.kind(), command.request_id().as_str()), (CommandKind::Run, REQUEST_ID));
+    assert_eq!(command.message["params"]["key"], IDEMPOTENCY_KEY);
+    command.fail(WorkerStatus::Error);
+    worker.next_command().succeed("YQ==");
+    assert_eq!(client.next_message()["result"]["body"], "YQ==");
+    let mut frame_client = FrameClient::connect(&scheduler);
+    frame_client.send_request(1, &frames::request(IDEMPOTENT_CLASS, "00000000000000aa", 2900, b""));
+    worker.next_command().succeed("Yg==");
+    assert_eq!(frame_client.next_frame(), Some(served(1, b"b")));
+    frame_client.send_request(2, &frames::request(IDEMPOTENT_CLASS, "00000000000000bb", 1000, b""));
+    worker.next_command();
+    frame_client.expect_rejection(2);
+    assert_eq!(worker.next_command().kind(), CommandKind::Cancel);
+}
+
+#[test]
+fn jsonrpc_workers_are_health_checked_when_silent_and_ordered_to_load() {
+    let folder = TempFolder::new();
+    let paths = [folder.file("one.sock"), folder.file("two.sock")];
+    let workers = [StandInWorker::jsonrpc(&paths[0]), StandInWorker::jsonrpc(&paths[1])];
+    let scheduler = start(health_check_settings(), &paths);
+    let mut client = JsonRpcClient::connect(&scheduler);
+    for n in 0..12 {
+        client.send(&request(&json!(n), IDEMPOTENT_CLASS, &request_id(n), 60_000, ""));
+    }
+    // The home holds its requests and receives a health check; the other one receives a load order.
+    let mut unanswered = Vec::new();
+    let mut health_checks = 0;
+    let mut loads = 0;
+    let start = Instant::now();
+    while health_checks == 0 || loads == 0 || unanswered.len() < 12 {
+        let requests = unanswered.len();
+        let in_time = start.elapsed() < WAIT_LIMIT;
+        assert!(in_time, "{health_checks} health checks, {loads} loads, {requests} requests");
+        for mut command in workers.iter().filter_map(StandInWorker::poll_command) {
+            match command.kind() {
+                CommandKind::Run => unanswered.push(command),
+                CommandKind::HealthCheck => {
+                    health_checks += 1;
+                    let id = command.request_id();
+                    command
+                        .send_line(&json!({"jsonrpc": "2.0", "id": id, "result": {"load": {"util": 0.5}}}));
+                }
+                CommandKind::Load => {
+                    loads += 1;
+                    command.succeed("");
+                }
+                other => panic!("{other:?}"),
+            }
+        }
+    }
+    unanswered.iter_mut().for_each(|command| command.succeed("eA=="));
+    for _ in 0..12 {
+        assert_eq!(client.next_message()["result"]["body"], "eA==");
+    }
+}
--- /dev/null
+++ b/tests/server/malformed_frames.rs
@@ -0,0 +1,98 @@
+//! Input of the frame protocol that cannot be read, that never ends, or that comes in floods.
+
+use crate::support::configuration::Configuration;
+use crate::support::frames::{FrameClient, failed, frame, frame_type, request, served};
+use crate::support::scheduler_process::SchedulerProcess;
+use crate::support::worker::{StandInWorker, echo};
+use crate::support::{IDEMPOTENT_CLASS, REQUEST_ID};
+use serde_json::json;
+use std::io::Write;
+
+/// A frame type that clients do not send.
+const UNKNOWN_TYPE: u8 = 3;
+
+/// An ordinary request with the body `x` on stream 1.
+fn good_request() -> Vec<u8> {
+    frame(frame_type::REQUEST, 1, &request(IDEMPOTENT_CLASS, REQUEST_ID, 2000, b"x"))
+}
+
+#[test]
+fn malformed_input_ends_its_connection_and_no_other() {
+    let worker = StandInWorker::node_agent();
+    let scheduler = SchedulerProcess::start(&[worker.address()]);
+    worker.serve(echo);
+    let mut other = FrameClient::connect(&scheduler);
+    let good = good_request();
+    let to_stream_0 = request(IDEMPOTENT_CLASS, REQUEST_ID, 2000, b"");
+    let cases: Vec<(&str, Vec<u8>)> = vec![
+        ("length 0", vec![0; 4]),
+        ("length above the limit", vec![0, 4, 0, 1]),
+        ("unknown type", frame(UNKNOWN_TYPE, 1, &[])),
+        ("stream 0", frame(frame_type::REQUEST, 0, &to_stream_0)),
+        ("fields cut short", frame(frame_type::REQUEST, 1, &[5, 1])),
+        ("fields that are no text", frame(frame_type::REQUEST, 1, &[1, 1, 0xff, 0, 0])),
+        ("a stream used before", [good.clone(), good.clone()].concat()),
+    ];
+    for (case, bytes) in cases {
+        let mut client = FrameClient::connect(&scheduler);
+        client.send_bytes(&bytes);
+        assert_eq!(client.frames_until_close().last(), Some(&failed(0)), "{case}");
+    }
+    other.send_bytes(&good);
+    assert_eq!(other.next_frame(), Some(served(1, b"x")));
+    assert_eq!(scheduler.counter("panics"), 0);
+}
+
+/// Who opens a connection and sends nothing, or half a frame, or goes on without an end, is told so or closed,
+/// and holds neither descriptors nor buffers.
+#[test]
+fn unfinished_and_endless_input_is_ended() {
+    let worker = StandInWorker::node_agent();
+    let scheduler = SchedulerProcess::start(&[worker.address()]);
+    worker.serve(echo);
+    let good = good_request();
+    let mut silent = FrameClient::connect(&scheduler);
+    assert_eq!(silent.next_frame(), None, "closed");
+    let mut half = FrameClient::connect(&scheduler);
+    half.send_bytes(&good[..20]);
+    assert_eq!(half.next_frame(), Some(failed(0)));
+    assert_eq!(half.next_frame(), None);
+    // Sixty megabytes at full speed, while others are served.
+    let mut huge = FrameClient::connect(&scheduler).stream;
+    let writer = std::thread::spawn(move || {
+        let chunk = vec![0; 1 << 20];
+        let length = 60_000_000u32.to_be_bytes();
+        huge.write_all(&length).and_then(|()| (0..60).try_for_each(|_| huge.write_all(&chunk)))
+    });
+    let mut client = FrameClient::connect(&scheduler);
+    client.send_bytes(&good);
+    assert_eq!(client.next_frame(), Some(served(1, b"x")));
+    assert!(writer.join().unwrap().is_err(), "ended before it was all read");
+}
+
+/// The most memory that a process has had resident, in megabytes.
+fn peak_resident_mb(process_id: u32) -> usize {
+    let status = std::fs::read_to_string(format!("/proc/{process_id}/status")).unwrap();
+    let line = status.lines().find(|line| line.starts_with("VmHWM")).unwrap();
+    line.split_whitespace().nth(1).unwrap().parse::<usize>().unwrap() / 1024
+}
+
+/// Long frames by the hundred, none of which ends: they must not be buffered.
+#[test]
+fn flood_of_long_frames_stays_within_the_memory_limit() {
+    let worker = StandInWorker::node_agent();
+    let limits = json!({"sockets": 256, "memory_mb": 32});
+    let scheduler = Configuration::new(&[worker.address()]).limits(limits).start();
+    worker.serve(echo);
+    let mut unfinished = frame(frame_type::REQUEST, 1, &[7; 250_000]);
+    unfinished.truncate(200_000);
+    let mut clients: Vec<_> = (0..150).map(|_| FrameClient::connect(&scheduler)).collect();
+    for client in &mut clients {
+        client.send_bytes(&unfinished);
+        assert_eq!(client.next_frame(), Some(failed(1)), "failed once its length is known");
+    }
+    let mut client = FrameClient::connect(&scheduler);
+    client.assert_ready();
+    let resident_mb = peak_resident_mb(scheduler.process_id());
+    assert!(resident_mb < 32, "{resident_mb} MB");
+}
--- /dev/null
+++ b/tests/server/reload.rs
@@ -0,0 +1,160 @@
+//! SIGHUP: a new configuration is checked, then used, and ends nothing.
+
+use crate::support::configuration::{Configuration, large_fleet_settings};
+use crate::support::discovery::{StandInDiscovery, WorkerState, change_event};
+use crate::support::frames::{FrameClient, failed, rejected, request, served};
+use crate::support::jsonrpc_client::{self, JsonRpcClient, SOCKET_NAME};
+use crate::support::raw_worker::RawWorker;
+use crate::support::scheduler_process::{ReloadResult, SchedulerProcess};
+use crate::support::temp_folder::TempFolder;
+use crate::support::worker::{CommandKind, StandInWorker, WorkerStatus};
+use crate::support::{IDEMPOTENT_CLASS, KEYED_CLASS, REQUEST_ID, request_id};
+use serde_json::json;
+use std::path::Path;
+
+/// The file is checked and then used, requests under way go on, and the new discovery service is asked from the last
+/// event on.
+#[test]
+fn new_configuration_is_applied_whole_or_not_at_all() {
+    let worker = StandInWorker::node_agent();
+    let second = StandInWorker::node_agent();
+    let discovery = StandInDiscovery::new();
+    let moved = StandInDiscovery::new();
+    let scheduler = Configuration::new(&[worker.address()]).discovery(discovery.address()).start();
+    let mut watch = discovery.accept();
+    watch.send(&change_event(2, 7, second.address(), WorkerState::Draining));
+    scheduler.wait_for_counter("list_events", 2);
+    let mut client = FrameClient::connect(&scheduler);
+    client.send_request(1, &request(IDEMPOTENT_CLASS, REQUEST_ID, 60_000, b""));
+    let mut command = worker.next_command();
+    let mut config = scheduler.config.clone();
+    config["bus"] = json!(moved.address().to_string());
+    config["settings"]["classes"][1]["name"] = json!("exam-submit");
+    let text = config.to_string();
+    for bad in ["", "{", &text[..text.len() - 1], &text.replace("objectiveNs", "objective")] {
+        assert_eq!(scheduler.reload(bad), ReloadResult::Refused);
+    }
+    client.send_request(2, &request("exam-submit", "00000000000000aa", 2900, b""));
+    assert_eq!(client.next_frame(), Some(failed(2)), "the old configuration stands");
+    assert_eq!(scheduler.reload(&text), ReloadResult::Applied);
+    let mut watch = moved.accept();
+    assert_eq!(watch.offset, 2, "from the last event");
+    watch.send(&change_event(3, 1, worker.address(), WorkerState::Draining));
+    watch.send(&change_event(4, 7, second.address(), WorkerState::Ready));
+    scheduler.wait_for_counter("list_events", 4);
+    command.succeed("eQ==");
+    assert_eq!(client.next_frame(), Some(served(1, b"y")), "under way when the file changed");
+    client.send_request(3, &request("exam-submit", "00000000000000bb", 2900, b""));
+    second.next_command().succeed("eA==");
+    assert_eq!(client.next_frame(), Some(served(3, b"x")));
+    client.send_request(4, &request(KEYED_CLASS, "00000000000000cc", 2900, b""));
+    assert_eq!(client.next_frame(), Some(failed(4)), "the class has gone");
+}
+
+/// A reload shortens the time after which workers close idle connections: those that are open already are closed
+/// before the worker's new time is up, or a request could cross its close.
+#[test]
+fn open_connections_keep_to_the_idle_time_of_a_new_configuration() {
+    let worker = RawWorker::new();
+    let mut settings = large_fleet_settings();
+    settings["bounds"]["idleCloseNs"] = json!(600_000_000_000u64);
+    let scheduler = SchedulerProcess::start_with_settings(&[worker.address()], settings);
+    let mut client = FrameClient::connect(&scheduler);
+    client.send_request(1, &request(IDEMPOTENT_CLASS, REQUEST_ID, 3_000, b""));
+    let mut connection = worker.accept();
+    connection.serve(REQUEST_ID, "eA==");
+    assert_eq!(client.next_frame(), Some(served(1, b"x")));
+    let mut config = scheduler.config.clone();
+    config["settings"]["bounds"]["idleCloseNs"] = json!(1_000_000_000u64);
+    scheduler.reload(&config.to_string());
+    connection.wait_for_close();
+}
+
+/// Requests at a time on one connection, by the old figure and by the new one, on a connection that is open.
+#[test]
+fn open_connection_carries_no_more_requests_than_a_new_configuration_allows() {
+    let worker = StandInWorker::node_agent();
+    let scheduler = SchedulerProcess::start_with_settings(&[worker.address()], large_fleet_settings());
+    let mut client = FrameClient::connect(&scheduler);
+    client.send_request(1, &request(IDEMPOTENT_CLASS, &request_id(1), 20_000, b""));
+    let first = worker.next_request();
+    let mut config = scheduler.config.clone();
+    config["settings"]["bounds"]["multiplex"] = json!(1);
+    scheduler.reload(&config.to_string());
+    client.send_request(2, &request(IDEMPOTENT_CLASS, &request_id(2), 20_000, b""));
+    let second = worker.next_request();
+    assert_ne!(first.connection, second.connection);
+}
+
+/// Retries, cancels and retry delays of open requests go by the new figures, and a class of the configuration before
+/// is unknown to new requests.
+#[test]
+fn open_requests_go_by_the_limits_of_a_new_configuration() {
+    let worker = StandInWorker::node_agent();
+    let scheduler = SchedulerProcess::start_with_settings(&[worker.address()], large_fleet_settings());
+    let mut client = FrameClient::connect(&scheduler);
+    client.send_request(1, &request(IDEMPOTENT_CLASS, &request_id(1), 20_000, b""));
+    let mut first = worker.next_request();
+    client.send_request(2, &request(IDEMPOTENT_CLASS, &request_id(2), 20_000, b""));
+    let second = worker.next_request();
+    let mut config = scheduler.config.clone();
+    let bounds = &mut config["settings"]["bounds"];
+    bounds["mostTries"] = json!(1);
+    bounds["mayCancel"] = json!(false);
+    bounds["retryAfter"] = json!(false);
+    config["settings"]["classes"][0]["name"] = json!("other-check");
+    config["settings"]["classes"].as_array_mut().unwrap().reverse();
+    scheduler.reload(&config.to_string());
+    first.fail(WorkerStatus::Full);
+    assert_eq!(client.next_frame(), Some(rejected(1)), "no further attempt, no time to stay away");
+    client.send_cancel(2);
+    client.send_request(3, &request(IDEMPOTENT_CLASS, &request_id(3), 3_000, b""));
+    assert_eq!(client.next_frame(), Some(failed(3)), "the class has gone");
+    client.send_request(4, &request("other-check", &request_id(4), 3_000, b""));
+    let mut next = worker.next_command();
+    assert_eq!((next.kind(), next.request_id()), (CommandKind::Run, request_id(4)), "no cancel before it");
+    next.succeed("eA==");
+    assert_eq!(client.next_frame(), Some(served(4, b"x")));
+    assert_eq!(second.request_id(), request_id(2));
+    client.assert_ready();
+}
+
+/// An operator's file with a socket in the process's folder and one JSON-RPC worker.
+fn operator_file(folder: &TempFolder, socket: &str, worker_number: usize, worker_path: &Path) -> String {
+    let socket = folder.file(socket);
+    format!(
+        "[jsonrpc]\nsocket = {socket:?}\nmode = \"600\"\n\
+         [[checkers]]\nid = \"s-0000c00{worker_number}\"\nsocket = {worker_path:?}\n"
+    )
+}
+
+/// SIGHUP reads the operator's file too: the socket moves, JSON-RPC workers change, requests under way go on.
+#[test]
+fn new_operators_file_moves_the_socket_and_replaces_workers() {
+    let folder = TempFolder::new();
+    let paths = [folder.file("one.sock"), folder.file("two.sock")];
+    let workers = [StandInWorker::jsonrpc(&paths[0]), StandInWorker::jsonrpc(&paths[1])];
+    let scheduler = Configuration::new(&[])
+        .operator_file(|folder| operator_file(folder, SOCKET_NAME, 0, &paths[0]))
+        .start();
+    let config = scheduler.config.to_string();
+    let mut client = JsonRpcClient::connect(&scheduler);
+    client.send(&jsonrpc_client::request(&json!(1), IDEMPOTENT_CLASS, REQUEST_ID, 60_000, ""));
+    let mut command = workers[0].next_command();
+    scheduler.write_operator_file("[jsonrpc]\nsocket = 7\n");
+    assert_eq!(scheduler.reload(&config), ReloadResult::Refused);
+    let no_socket = scheduler.folder.file("precious");
+    std::fs::write(&no_socket, "").unwrap();
+    scheduler.write_operator_file(&format!("[jsonrpc]\nsocket = {no_socket:?}\n"));
+    assert_eq!(scheduler.reload(&config), ReloadResult::Refused, "there is something that is no socket");
+    JsonRpcClient::connect(&scheduler);
+    scheduler.write_operator_file(&operator_file(&scheduler.folder, "moved.sock", 1, &paths[1]));
+    assert_eq!(scheduler.reload(&config), ReloadResult::Applied);
+    assert!(!scheduler.folder.file(SOCKET_NAME).exists());
+    let mut second = JsonRpcClient::connect_to(&scheduler.folder.file("moved.sock"));
+    second.send(&jsonrpc_client::request(&json!(1), IDEMPOTENT_CLASS, "00000000000000aa", 2900, ""));
+    workers[1].next_command().succeed("eA==");
+    assert_eq!(second.next_message()["result"]["body"], "eA==");
+    command.succeed("eQ==");
+    assert_eq!(client.next_message()["result"]["body"], "eQ==", "under way when the file changed");
+}
--- /dev/null
+++ b/tests/server/shutdown.rs
@@ -0,0 +1,218 @@
+//! SIGTERM: clients are notified, what has been taken and what still comes is answered, and the program ends.
+
+use crate::support::configuration::{Configuration, slow_connect_settings};
+use crate::support::discovery::StandInDiscovery;
+use crate::support::frames::{
+    FrameClient, ReceivedFrame, code, decode_frames, frame, frame_type, no_new_requests, request, served,
+};
+use crate::support::jsonrpc_client::{self, JsonRpcClient, SOCKET_NAME, operator_file};
+use crate::support::raw_worker::UnacceptingWorker;
+use crate::support::scheduler_process::{ReloadResult, SchedulerProcess};
+use crate::support::worker::{ReceivedCommand, StandInWorker, echo};
+use crate::support::{IDEMPOTENT_CLASS, REQUEST_ID, refusing_address, request_id};
+use serde_json::json;
+use std::io::{ErrorKind, Read};
+use std::net::Ipv4Addr;
+
+#[test]
+fn requests_that_come_after_sigterm_are_answered() {
+    let worker = StandInWorker::node_agent();
+    let mut scheduler = SchedulerProcess::start(&[worker.address()]);
+    let mut client = FrameClient::connect(&scheduler);
+    client.assert_ready();
+    client.send_request(1, &request(IDEMPOTENT_CLASS, REQUEST_ID, 2900, b""));
+    let mut command = worker.next_command();
+    scheduler.signal("TERM");
+    assert_eq!(client.next_frame(), Some(no_new_requests()));
+    client.assert_not_ready();
+    let mut late = FrameClient::connect(&scheduler);
+    late.send_request(1, &request(IDEMPOTENT_CLASS, "00000000000000aa", 2900, b""));
+    worker.next_command().succeed("eA==");
+    assert_eq!(late.next_frame(), Some(served(1, b"x")));
+    command.succeed("eQ==");
+    assert_eq!(client.next_frame(), Some(served(1, b"y")));
+    assert!(scheduler.wait_for_exit().success());
+    assert!(scheduler.wait_for_log("ended").contains(" served=2 "));
+}
+
+/// A planned restart: not ready any more, but what is under way and what still comes is answered.
+#[test]
+fn jsonrpc_requests_are_answered_after_sigterm_too() {
+    let worker = StandInWorker::node_agent();
+    let mut scheduler = Configuration::new(&[worker.address()]).operator_file(operator_file).start();
+    let mut client = JsonRpcClient::connect(&scheduler);
+    client.send(&jsonrpc_client::request(&json!(1), IDEMPOTENT_CLASS, REQUEST_ID, 60_000, ""));
+    let mut command = worker.next_command();
+    scheduler.signal("TERM");
+    scheduler.wait_for_log("ending");
+    client.send_line(r#"{"jsonrpc":"2.0","id":2,"method":"ready"}"#);
+    assert_eq!(client.next_message()["result"]["ready"], false);
+    let mut late = JsonRpcClient::connect(&scheduler);
+    late.send(&jsonrpc_client::request(&json!(1), IDEMPOTENT_CLASS, "00000000000000aa", 2900, ""));
+    worker.next_command().succeed("eA==");
+    assert_eq!(late.next_message()["result"]["body"], "eA==");
+    command.succeed("eQ==");
+    assert_eq!(client.next_message()["result"]["body"], "eQ==");
+    assert!(scheduler.wait_for_exit().success());
+    assert!(!scheduler.folder.file(SOCKET_NAME).exists());
+}
+
+/// A scheduler that shuts down while one client has not read its answers.
+struct ShutdownWithBacklog {
+    scheduler: SchedulerProcess,
+    /// Has sent requests on stream 1 and on all from 3 to the last one, and has read nothing.
+    reader: FrameClient,
+    /// The last stream of the reader.
+    last_stream: u32,
+    /// The request on the reader's stream 1, which is still to be answered; all others are.
+    pending: ReceivedCommand,
+    _other: FrameClient,
+}
+
+impl ShutdownWithBacklog {
+    /// Builds the backlog and sends SIGTERM; returns when the time after SIGTERM itself is over.
+    fn begin() -> ShutdownWithBacklog {
+        let worker = StandInWorker::node_agent();
+        let scheduler = SchedulerProcess::start(&[worker.address()]);
+        let mut reader = FrameClient::connect(&scheduler);
+        let mut other = FrameClient::connect(&scheduler);
+        reader.send_request(1, &request(IDEMPOTENT_CLASS, &request_id(1), 20_000, b"last"));
+        let pending = worker.next_command();
+        let unserved_id = request_id(2);
+        worker.serve(move |command| echo(command).filter(|_| command.message["rid"] != unserved_id));
+        let last_stream = fill_output_buffer(&scheduler, &mut reader, &mut other);
+        scheduler.signal("TERM");
+        assert_eq!(other.next_frame(), Some(no_new_requests()));
+        // Its rejection shows that the time after SIGTERM itself is over.
+        other.send_request(2, &request(IDEMPOTENT_CLASS, &request_id(2), 2_400, b""));
+        other.expect_rejection(2);
+        ShutdownWithBacklog { scheduler, reader, last_stream, pending, _other: other }
+    }
+
+    /// Asserts that the reader's frames serve each of its requests once, the pending one among them.
+    fn assert_all_served(&self, mut frames: Vec<ReceivedFrame>) {
+        frames.retain(|frame| frame.frame_type == frame_type::ANSWER);
+        let count = frames.len() as u32;
+        let expected = self.last_stream - 1;
+        assert!(frames.contains(&served(1, b"last")), "{count} of {expected} answers");
+        assert_eq!(count, expected, "one answer for each request");
+        assert!(frames.iter().all(|frame| frame.code() == code::SERVED));
+    }
+}
+
+/// Sends requests with large bodies on a connection that is not read, from stream 3 on, until the scheduler reads no
+/// more of them either; the last stream.
+fn fill_output_buffer(
+    scheduler: &SchedulerProcess,
+    reader: &mut FrameClient,
+    other: &mut FrameClient,
+) -> u32 {
+    let body = vec![7; 16 << 10];
+    let request_frame = |stream: u32| {
+        let payload = request(IDEMPOTENT_CLASS, &request_id(stream), 20_000, &body);
+        frame(frame_type::REQUEST, stream, &payload)
+    };
+    let mut last_stream = 2;
+    loop {
+        let requests: Vec<u8> = (last_stream + 1..=last_stream + 8).flat_map(request_frame).collect();
+        reader.send_bytes(&requests);
+        last_stream += 8;
+        (0..5).for_each(|_| other.assert_ready());
+        if scheduler.counter("taken") < u64::from(last_stream - 1) {
+            return last_stream;
+        }
+        scheduler.wait_for_counter("served", u64::from(last_stream - 2));
+        assert!(last_stream < 4000, "the scheduler goes on reading");
+    }
+}
+
+/// SIGTERM, and the last answer is put in line for a client that has not read yet what came before it: it has
+/// the time that such a client is given, counted from then and not from the signal.
+#[test]
+fn last_answer_after_sigterm_is_written_however_late_it_comes() {
+    let mut shutdown = ShutdownWithBacklog::begin();
+    shutdown.pending.succeed("bGFzdA==");
+    let frames = shutdown.reader.frames_until_close();
+    shutdown.assert_all_served(frames);
+    assert!(shutdown.scheduler.wait_for_exit().success());
+}
+
+/// The same client has read, all of a sudden, what kept its requests from being read: they are taken and
+/// answered, and not dropped with the connection because nothing was owed a moment ago.
+#[test]
+fn requests_that_waited_behind_unread_answers_are_answered_before_the_end() {
+    let mut shutdown = ShutdownWithBacklog::begin();
+    // In one turn the scheduler can write all that waits and receive the last answer.
+    shutdown.scheduler.signal("STOP");
+    shutdown.pending.succeed("bGFzdA==");
+    let stream = &mut shutdown.reader.stream;
+    let mut bytes = vec![];
+    stream.set_nonblocking(true).unwrap();
+    let end = stream.read_to_end(&mut bytes).unwrap_err();
+    assert_eq!(end.kind(), ErrorKind::WouldBlock);
+    stream.set_nonblocking(false).unwrap();
+    shutdown.scheduler.signal("CONT");
+    stream.read_to_end(&mut bytes).expect("an orderly end");
+    shutdown.assert_all_served(decode_frames(&bytes));
+    assert!(shutdown.scheduler.wait_for_exit().success());
+}
+
+/// SIGTERM with a request queued for a connection that comes up, the discovery service down, reloads good and bad,
+/// SIGTERM again, and a new client with a new request: all that was taken is served, and the end comes then.
+#[test]
+fn queued_and_late_requests_are_served_through_reloads_after_sigterm() {
+    let worker = UnacceptingWorker::new();
+    let mut scheduler = Configuration::new(&[worker.address()])
+        .settings(slow_connect_settings())
+        .discovery(refusing_address(Ipv4Addr::new(127, 0, 0, 78)))
+        .start();
+    let mut client = FrameClient::connect(&scheduler);
+    client.send_request(1, &request(IDEMPOTENT_CLASS, &request_id(1), 20_000, b""));
+    client.assert_ready();
+    scheduler.signal("TERM");
+    assert_eq!(client.next_frame(), Some(no_new_requests()));
+    let config = scheduler.config.to_string();
+    assert_eq!(scheduler.reload("{"), ReloadResult::Refused);
+    assert_eq!(scheduler.reload(&config), ReloadResult::Applied);
+    scheduler.signal("TERM");
+    assert_eq!(scheduler.reload(&config), ReloadResult::Applied);
+    client.assert_not_ready();
+    let mut late = FrameClient::connect(&scheduler);
+    late.send_request(1, &request(IDEMPOTENT_CLASS, &request_id(2), 20_000, b""));
+    scheduler.wait_for_counter("taken", 2);
+    let mut connection = worker.accept_waiting();
+    connection.serve(&request_id(1), "eA==");
+    connection.serve(&request_id(2), "eA==");
+    assert_eq!(client.next_frame(), Some(served(1, b"x")));
+    assert_eq!(late.next_answer(), Some(served(1, b"x")));
+    assert!(scheduler.wait_for_exit().success());
+    assert!(scheduler.wait_for_log("ended").contains(" served=2 "));
+}
+
+/// SIGHUP and SIGTERM before the scheduler looks, in either order, and a discovery service that moves with it.
+#[test]
+fn reload_and_shutdown_in_one_turn_both_happen() {
+    for signals in [["HUP", "TERM"], ["TERM", "HUP"]] {
+        let worker = StandInWorker::node_agent();
+        let discovery = StandInDiscovery::new();
+        let moved = StandInDiscovery::new();
+        let mut scheduler = Configuration::new(&[worker.address()]).discovery(discovery.address()).start();
+        let mut old_watch = discovery.accept();
+        let mut client = FrameClient::connect(&scheduler);
+        client.send_request(1, &request(IDEMPOTENT_CLASS, &request_id(1), 20_000, b""));
+        let mut command = worker.next_request();
+        let mut config = scheduler.config.clone();
+        config["bus"] = json!(moved.address().to_string());
+        scheduler.write_config(&config.to_string());
+        scheduler.signal("STOP");
+        signals.iter().for_each(|signal| scheduler.signal(signal));
+        scheduler.signal("CONT");
+        let watch = moved.accept();
+        assert_eq!(watch.offset, 1);
+        old_watch.wait_for_close();
+        assert_eq!(client.next_frame(), Some(no_new_requests()));
+        command.succeed("eA==");
+        assert_eq!(client.next_frame(), Some(served(1, b"x")));
+        assert!(scheduler.wait_for_exit().success(), "{signals:?}");
+    }
+}
--- /dev/null
+++ b/tests/server/worker_failures.rs
@@ -0,0 +1,170 @@
+//! Connections to workers that are refused, reset, closed while idle, spoilt or silent, and what becomes of the
+//! requests on them.
+
+use crate::support::configuration::{default_settings, health_check_settings, large_fleet_settings};
+use crate::support::frames::{FrameClient, request, request_to_function, served};
+use crate::support::raw_worker::{RawWorker, UnacceptingWorker, success_line};
+use crate::support::scheduler_process::SchedulerProcess;
+use crate::support::worker::{CommandKind, ReceivedCommand, StandInWorker, echo};
+use crate::support::{IDEMPOTENT_CLASS, KEYED_CLASS, REQUEST_ID, WAIT_LIMIT, refusing_address, request_id};
+use std::net::Ipv4Addr;
+use std::time::Instant;
+
+#[test]
+fn refused_connection_proves_that_nothing_ran() {
+    let refusing = refusing_address(Ipv4Addr::new(127, 0, 0, 77));
+    let worker = StandInWorker::node_agent();
+    let scheduler = SchedulerProcess::start(&[refusing, worker.address()]);
+    worker.serve(echo);
+    let mut client = FrameClient::connect(&scheduler);
+    for n in 1..20 {
+        client.send_request(n, &request(KEYED_CLASS, &request_id(n), 2900, b"x"));
+        assert_eq!(client.next_frame(), Some(served(n, b"x")), "forwarded to the other worker");
+    }
+}
+
+/// Waits until one of two workers has received a command; the command and the other worker.
+fn first_command(workers: &[StandInWorker; 2]) -> (ReceivedCommand, &StandInWorker) {
+    let [first, second] = workers;
+    let start = Instant::now();
+    loop {
+        assert!(start.elapsed() < WAIT_LIMIT, "no worker receives the request");
+        if let Some(command) = first.poll_command() {
+            return (command, second);
+        }
+        if let Some(command) = second.poll_command() {
+            return (command, first);
+        }
+    }
+}
+
+/// A machine that is cut off says nothing: its requests must not wait there for their deadlines.
+#[test]
+fn requests_at_a_silent_worker_are_retried_and_its_late_answer_is_ignored() {
+    let workers = [StandInWorker::node_agent(), StandInWorker::node_agent()];
+    let addresses = [workers[0].address(), workers[1].address()];
+    let scheduler = SchedulerProcess::start_with_settings(&addresses, health_check_settings());
+    let mut client = FrameClient::connect(&scheduler);
+    client.send_request(1, &request(KEYED_CLASS, REQUEST_ID, 60_000, b""));
+    // Which of the two is the function's home, the rendezvous order says.
+    let (mut silent, other) = first_command(&workers);
+    let mut retry = other.next_command();
+    assert_eq!((retry.kind(), retry.request_id().as_str()), (CommandKind::Run, REQUEST_ID));
+    silent.succeed("b2xk");
+    retry.succeed("bmV3");
+    assert_eq!(client.next_frame(), Some(served(1, b"new")));
+    client.assert_ready();
+    assert!(scheduler.counter("probes_unanswered") >= 2);
+}
+
+/// What cannot be read, or does not end, leaves nothing of use on its connection: it is closed, and what was
+/// open there does not wait for its deadline. The requests at one worker do not share a connection needlessly.
+#[test]
+fn unreadable_line_ends_its_connection_and_the_request_is_retried() {
+    let unreadable: [&[u8]; 5] =
+        [b"\xff\xfe\n", b"[]\n", b"{\"verb\":\"200\",\"rid\":\"", b"{}\n", &[b'a'; 90_000]];
+    for bytes in unreadable {
+        let worker = StandInWorker::node_agent();
+        let scheduler = SchedulerProcess::start(&[worker.address()]);
+        let mut client = FrameClient::connect(&scheduler);
+        client.send_request(1, &request(IDEMPOTENT_CLASS, REQUEST_ID, 60_000, b""));
+        client.send_request(2, &request(IDEMPOTENT_CLASS, "00000000000000aa", 60_000, b""));
+        let mut one = worker.next_command();
+        let mut two = worker.next_command();
+        assert_ne!(one.connection, two.connection);
+        one.send_bytes(bytes);
+        let mut retry = worker.next_command();
+        assert_eq!(retry.request_id(), one.request_id());
+        retry.succeed("eA==");
+        assert_eq!(client.next_frame().unwrap().payload, vec![79, 0, b'x']);
+        two.succeed("eQ==");
+        let answer = client.next_frame().unwrap();
+        assert_eq!(answer.payload, vec![79, 0, b'y'], "another connection is none the worse");
+    }
+}
+
+/// An answer, and a reset right behind it: what came whole counts.
+#[test]
+fn answer_that_comes_with_a_reset_is_forwarded() {
+    let worker = RawWorker::new();
+    let scheduler = SchedulerProcess::start_with_settings(&[worker.address()], large_fleet_settings());
+    let mut client = FrameClient::connect(&scheduler);
+    client.send_request(1, &request(IDEMPOTENT_CLASS, &request_id(1), 3_000, b""));
+    let mut connection = worker.accept();
+    assert_eq!(connection.read_line()["rid"], request_id(1));
+    client.send_request(2, &request(IDEMPOTENT_CLASS, &request_id(2), 3_000, b""));
+    connection.wait_for_unread_input();
+    scheduler.signal("STOP");
+    connection.succeed(&request_id(1), "eA==");
+    // Closed with the second request unread: the system resets the connection.
+    drop(connection);
+    scheduler.signal("CONT");
+    assert_eq!(client.next_frame(), Some(served(1, b"x")));
+    // Only the other request is sent again.
+    let mut connection = worker.accept();
+    connection.serve(&request_id(2), "eQ==");
+    assert_eq!(client.next_frame(), Some(served(2, b"y")));
+}
+
+/// A worker resets an idle connection while a request for it comes in: the request is served, on another.
+#[test]
+fn request_that_meets_a_reset_of_an_idle_connection_is_served() {
+    let worker = StandInWorker::node_agent();
+    let scheduler = SchedulerProcess::start_with_settings(&[worker.address()], large_fleet_settings());
+    let mut client = FrameClient::connect(&scheduler);
+    let mut other = FrameClient::connect(&scheduler);
+    client.send_request(1, &request(IDEMPOTENT_CLASS, &request_id(1), 3_000, b""));
+    let mut command = worker.next_request();
+    command.succeed("eA==");
+    assert_eq!(client.next_frame(), Some(served(1, b"x")));
+    scheduler.signal("STOP");
+    client.send_request(2, &request(IDEMPOTENT_CLASS, &request_id(2), 3_000, b""));
+    command.close_connection();
+    other.send_request(1, &request(IDEMPOTENT_CLASS, &request_id(3), 3_000, b""));
+    scheduler.signal("CONT");
+    let mut retries = [worker.next_request(), worker.next_request()];
+    retries.iter_mut().for_each(|command| command.succeed("eQ=="));
+    assert_eq!(client.next_frame(), Some(served(2, b"y")));
+    assert_eq!(other.next_frame(), Some(served(1, b"y")));
+    assert_eq!(scheduler.counter("taken"), scheduler.counter("served"));
+}
+
+/// An answer that cannot be read, with another request open on its connection: both go out again on a new one, and
+/// what the old one still says is ignored.
+#[test]
+fn unreadable_answer_moves_all_requests_of_its_connection_to_another() {
+    let worker = StandInWorker::node_agent();
+    let scheduler = SchedulerProcess::start_with_settings(&[worker.address()], large_fleet_settings());
+    let mut client = FrameClient::connect(&scheduler);
+    client.send_request(1, &request(IDEMPOTENT_CLASS, &request_id(1), 20_000, b""));
+    let mut first = worker.next_request();
+    client.send_request(2, &request(IDEMPOTENT_CLASS, &request_id(2), 20_000, b""));
+    let second = worker.next_request();
+    assert_eq!(first.connection, second.connection);
+    first.send_bytes(&[&b"\xff{spoilt\n"[..], &success_line(&request_id(2), "bm8=")].concat());
+    let mut retries = [worker.next_request(), worker.next_request()];
+    assert!(retries.iter().all(|command| command.connection != first.connection));
+    retries.sort_by_key(ReceivedCommand::request_id);
+    retries[0].succeed("eA==");
+    retries[1].succeed("eQ==");
+    let mut answers = [client.next_frame().unwrap(), client.next_frame().unwrap()];
+    answers.sort();
+    assert_eq!(answers, [served(1, b"x"), served(2, b"y")]);
+    client.assert_ready();
+}
+
+/// A connection that never comes up holds a request only as long as the settings allow.
+#[test]
+fn request_leaves_a_connection_that_never_comes_up() {
+    let unaccepting = UnacceptingWorker::new();
+    let worker = StandInWorker::node_agent();
+    let addresses = [unaccepting.address(), worker.address()];
+    let scheduler = SchedulerProcess::start_with_settings(&addresses, default_settings());
+    worker.serve(echo);
+    let mut client = FrameClient::connect(&scheduler);
+    for n in 1..20 {
+        client.send_request(n, &request_to_function(n, &request_id(n), 3_000));
+        assert_eq!(client.next_frame(), Some(served(n, b"x")));
+    }
+    assert!(scheduler.counter("connect_failed") > 0, "some went to the worker that does not accept");
+}
--- /dev/null
+++ b/tests/support/discovery.rs
@@ -0,0 +1,96 @@
+//! A stand-in discovery service, whose watch connections the test feeds by hand.
+
+use std::io::{Read, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+
+/// The state of a worker as a code of the wire.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum WorkerState {
+    Ready = 0,
+    Draining = 1,
+    Gone = 2,
+}
+
+/// What an event holds, as a code of the wire.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum EventKind {
+    FullList = 1,
+    Changes = 2,
+}
+
+/// The service.
+pub(crate) struct StandInDiscovery {
+    listener: TcpListener,
+}
+
+impl StandInDiscovery {
+    pub(crate) fn new() -> StandInDiscovery {
+        StandInDiscovery { listener: TcpListener::bind("127.0.0.1:0").unwrap() }
+    }
+
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.listener.local_addr().unwrap()
+    }
+
+    /// Waits for the next watch connection.
+    pub(crate) fn accept(&self) -> WatchConnection {
+        let (mut stream, _) = self.listener.accept().unwrap();
+        let mut offset = [0; 8];
+        stream.read_exact(&mut offset).unwrap();
+        WatchConnection { stream, offset: u64::from_be_bytes(offset) }
+    }
+}
+
+/// The service's end of a watch connection.
+pub(crate) struct WatchConnection {
+    stream: TcpStream,
+    /// The number of the last event that the scheduler has.
+    pub(crate) offset: u64,
+}
+
+impl WatchConnection {
+    pub(crate) fn send(&mut self, bytes: &[u8]) {
+        self.stream.write_all(bytes).unwrap();
+    }
+
+    /// Sends on a connection that the scheduler may have closed.
+    pub(crate) fn try_send(&mut self, bytes: &[u8]) {
+        let _ = self.stream.write_all(bytes);
+    }
+
+    /// Waits for the scheduler to leave the connection, by a close or a reset.
+    pub(crate) fn wait_for_close(&mut self) {
+        assert_eq!(self.stream.read(&mut [0; 64]).unwrap_or(0), 0, "the watch is left");
+    }
+}
+
+/// The frame of an event that changes one worker.
+pub(crate) fn change_event(number: u64, worker_id: u32, address: SocketAddr, state: WorkerState) -> Vec<u8> {
+    event_frame(EventKind::Changes, number, &worker_record(worker_id, address, state))
+}
+
+/// The frame of an event whose whole list is one ready worker.
+pub(crate) fn full_list_event(number: u64, worker_id: u32, address: SocketAddr) -> Vec<u8> {
+    event_frame(EventKind::FullList, number, &worker_record(worker_id, address, WorkerState::Ready))
+}
+
+/// The frame that shows each second that the service is alive.
+pub(crate) fn keep_alive_frame() -> Vec<u8> {
+    [&[0, 0, 0, 9][..], &[0; 9]].concat()
+}
+
+fn event_frame(kind: EventKind, number: u64, record: &[u8]) -> Vec<u8> {
+    let length = 9 + record.len() as u32;
+    [&length.to_be_bytes()[..], &number.to_be_bytes(), &[kind as u8], record].concat()
+}
+
+/// A record of 27 bytes; zone, kind, cell and start are 0 and the weight is 4.
+fn worker_record(worker_id: u32, address: SocketAddr, state: WorkerState) -> Vec<u8> {
+    let mut record = worker_id.to_be_bytes().to_vec();
+    record.extend(Ipv4Addr::LOCALHOST.octets());
+    record.extend(address.port().to_be_bytes());
+    record.extend([state as u8, 0, 0, 0, 0]);
+    record.extend(4000u32.to_be_bytes());
+    record.extend(0u64.to_be_bytes());
+    record
+}
--- /dev/null
+++ b/tests/support/frames.rs
@@ -0,0 +1,205 @@
+//! A stand-in client of the frame protocol.
+//!
+//! Requests are written by the crate's own encoder. Answers are read here, and their types and codes are written
+//! out as the protocol page gives them, so that a fault in the crate's codec shows.
+
+use super::scheduler_process::SchedulerProcess;
+use super::{FUNCTION, IDEMPOTENCY_KEY, IDEMPOTENT_CLASS, WAIT_LIMIT};
+use function_scheduler::frontend::frames::{fields, put_frame};
+use std::io::{Read, Write};
+use std::net::{Shutdown, TcpStream};
+
+/// Types of frames.
+pub(crate) mod frame_type {
+    pub(crate) const REQUEST: u8 = 0;
+    pub(crate) const ANSWER: u8 = 1;
+    pub(crate) const CANCEL: u8 = 2;
+    pub(crate) const READINESS_CHECK: u8 = 6;
+    pub(crate) const READINESS: u8 = 7;
+    pub(crate) const NO_NEW_REQUESTS: u8 = 9;
+}
+
+/// Codes of answers.
+pub(crate) mod code {
+    pub(crate) const SERVED: u8 = 79;
+    pub(crate) const REJECTED: u8 = 66;
+    pub(crate) const FAILED: u8 = 69;
+}
+
+/// The stream of a client's readiness checks; its requests use others.
+const READINESS_STREAM: u32 = 99;
+
+/// A frame that a client has received.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct ReceivedFrame {
+    pub(crate) frame_type: u8,
+    pub(crate) stream: u32,
+    pub(crate) payload: Vec<u8>,
+}
+
+impl ReceivedFrame {
+    /// The code of an answer.
+    pub(crate) fn code(&self) -> u8 {
+        assert_eq!(self.frame_type, frame_type::ANSWER);
+        self.payload[0]
+    }
+}
+
+/// The answer 'served' with this body.
+pub(crate) fn served(stream: u32, body: &[u8]) -> ReceivedFrame {
+    let payload = [&[code::SERVED, 0], body].concat();
+    ReceivedFrame { frame_type: frame_type::ANSWER, stream, payload }
+}
+
+/// The answer 'rejected' that names no time to stay away.
+pub(crate) fn rejected(stream: u32) -> ReceivedFrame {
+    ReceivedFrame { frame_type: frame_type::ANSWER, stream, payload: vec![code::REJECTED, 0] }
+}
+
+/// The answer 'failed'; on stream 0 it tells of an error of the connection.
+pub(crate) fn failed(stream: u32) -> ReceivedFrame {
+    ReceivedFrame { frame_type: frame_type::ANSWER, stream, payload: vec![code::FAILED, 0] }
+}
+
+/// The notice that the connection takes no new requests.
+pub(crate) fn no_new_requests() -> ReceivedFrame {
+    ReceivedFrame { frame_type: frame_type::NO_NEW_REQUESTS, stream: 0, payload: vec![] }
+}
+
+/// Encodes a frame.
+pub(crate) fn frame(frame_type: u8, stream: u32, payload: &[u8]) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    put_frame(frame_type, stream, &[payload], &mut bytes);
+    bytes
+}
+
+/// Encodes the payload of a request with any fields.
+pub(crate) fn payload(list: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
+    [&fields(list)[..], body].concat()
+}
+
+/// Encodes the payload of an ordinary request.
+pub(crate) fn request(class: &str, request_id: &str, allow_ms: u64, body: &[u8]) -> Vec<u8> {
+    let allow_ms = allow_ms.to_string();
+    let list = [
+        ("service", class),
+        ("ref", request_id),
+        ("allow", &allow_ms),
+        ("lookup", FUNCTION),
+        ("replay", IDEMPOTENCY_KEY),
+        ("spec", "memory_mb:512;lanes:2;load_ms:640"),
+    ];
+    payload(&list, body)
+}
+
+/// Encodes the payload of a request with the body `x` to the n-th of a test's functions, which spread over the
+/// workers.
+pub(crate) fn request_to_function(function: u32, request_id: &str, allow_ms: u64) -> Vec<u8> {
+    let function = format!("{function:016x}");
+    let allow_ms = allow_ms.to_string();
+    let list =
+        [("service", IDEMPOTENT_CLASS), ("ref", request_id), ("allow", &allow_ms), ("lookup", &function)];
+    payload(&list, b"x")
+}
+
+/// Cuts a stream of bytes into frames; the last one must be whole.
+pub(crate) fn decode_frames(mut bytes: &[u8]) -> Vec<ReceivedFrame> {
+    let mut frames = vec![];
+    while !bytes.is_empty() {
+        frames.push(read_frame(&mut bytes).expect("the last frame is whole"));
+    }
+    frames
+}
+
+/// Reads one frame; none at the end of the input.
+fn read_frame(input: &mut impl Read) -> Option<ReceivedFrame> {
+    let mut length = [0; 4];
+    input.read_exact(&mut length).ok()?;
+    let mut frame = vec![0; u32::from_be_bytes(length) as usize];
+    input.read_exact(&mut frame).ok()?;
+    let payload = frame.split_off(5);
+    let stream = u32::from_be_bytes(frame[1..5].try_into().unwrap());
+    Some(ReceivedFrame { frame_type: frame[0], stream, payload })
+}
+
+/// A client of the frame protocol.
+pub(crate) struct FrameClient {
+    pub(crate) stream: TcpStream,
+}
+
+impl FrameClient {
+    pub(crate) fn connect(scheduler: &SchedulerProcess) -> FrameClient {
+        let stream = TcpStream::connect(scheduler.address).unwrap();
+        stream.set_read_timeout(Some(WAIT_LIMIT)).unwrap();
+        FrameClient { stream }
+    }
+
+    pub(crate) fn send_bytes(&mut self, bytes: &[u8]) {
+        self.stream.write_all(bytes).unwrap();
+    }
+
+    /// Sends a request whose payload is encoded.
+    pub(crate) fn send_request(&mut self, stream: u32, payload: &[u8]) {
+        self.send_bytes(&frame(frame_type::REQUEST, stream, payload));
+    }
+
+    pub(crate) fn send_cancel(&mut self, stream: u32) {
+        self.send_bytes(&frame(frame_type::CANCEL, stream, &[]));
+    }
+
+    pub(crate) fn send_readiness_check(&mut self) {
+        self.send_bytes(&frame(frame_type::READINESS_CHECK, READINESS_STREAM, &[0]));
+    }
+
+    /// Waits for the next frame; none once the connection has ended.
+    pub(crate) fn next_frame(&mut self) -> Option<ReceivedFrame> {
+        read_frame(&mut self.stream)
+    }
+
+    /// Waits for the next answer, past frames of other types.
+    pub(crate) fn next_answer(&mut self) -> Option<ReceivedFrame> {
+        std::iter::from_fn(|| self.next_frame()).find(|frame| frame.frame_type == frame_type::ANSWER)
+    }
+
+    /// Reads frames until the connection ends.
+    pub(crate) fn frames_until_close(&mut self) -> Vec<ReceivedFrame> {
+        std::iter::from_fn(|| self.next_frame()).collect()
+    }
+
+    /// Waits for the rejection of a request.
+    pub(crate) fn expect_rejection(&mut self, stream: u32) {
+        let answer = self.next_frame().expect("an answer comes");
+        assert_eq!((answer.stream, answer.code()), (stream, code::REJECTED));
+    }
+
+    /// Waits for the answer 'ready' to a readiness check that has been sent; nothing else may come before it.
+    pub(crate) fn expect_ready_answer(&mut self) {
+        self.expect_readiness(code::SERVED);
+    }
+
+    /// Asks whether the scheduler is ready, and asserts that it is and that nothing else has come before that.
+    pub(crate) fn assert_ready(&mut self) {
+        self.send_readiness_check();
+        self.expect_readiness(code::SERVED);
+    }
+
+    /// The same for a scheduler that is not ready.
+    pub(crate) fn assert_not_ready(&mut self) {
+        self.send_readiness_check();
+        self.expect_readiness(code::REJECTED);
+    }
+
+    fn expect_readiness(&mut self, code: u8) {
+        let answer = self.next_frame().expect("the readiness is answered");
+        let expected = ReceivedFrame {
+            frame_type: frame_type::READINESS,
+            stream: READINESS_STREAM,
+            payload: vec![code, 0],
+        };
+        assert_eq!(answer, expected, "no other frame has come");
+    }
+
+    pub(crate) fn shutdown_write(&mut self) {
+        self.stream.shutdown(Shutdown::Write).unwrap();
+    }
+}
--- /dev/null
+++ b/tests/support/jsonrpc_client.rs
@@ -0,0 +1,91 @@
+//! A stand-in client of the JSON-RPC front end.
+
+use super::scheduler_process::SchedulerProcess;
+use super::temp_folder::TempFolder;
+use super::{FUNCTION, IDEMPOTENCY_KEY, WAIT_LIMIT};
+use serde_json::{Value, json};
+use std::io::{BufRead, BufReader, Write};
+use std::net::Shutdown;
+use std::os::unix::net::UnixStream;
+use std::path::Path;
+
+/// The name of the front end's socket in the folder of a scheduler that has [`operator_file`].
+pub(crate) const SOCKET_NAME: &str = "calls.sock";
+
+/// An operator's file that opens the JSON-RPC front end.
+pub(crate) fn operator_file(folder: &TempFolder) -> String {
+    format!("[jsonrpc]\nsocket = {:?}\nmax_line = 40000\n", folder.file(SOCKET_NAME))
+}
+
+/// The message of an ordinary request.
+pub(crate) fn request(id: &Value, class: &str, request_id: &str, allow_ms: u64, body: &str) -> Value {
+    json!({
+        "jsonrpc": "2.0",
+        "id": id,
+        "method": "call",
+        "params": {
+            "class": class,
+            "function": FUNCTION,
+            "ref": request_id,
+            "allow_ms": allow_ms,
+            "key": IDEMPOTENCY_KEY,
+            "memory_mb": 512,
+            "lanes": 2,
+            "load_ms": 640,
+            "body": body,
+        },
+    })
+}
+
+/// A client of the JSON-RPC front end.
+pub(crate) struct JsonRpcClient {
+    reader: BufReader<UnixStream>,
+}
+
+impl JsonRpcClient {
+    /// Connects to the socket that [`operator_file`] names.
+    pub(crate) fn connect(scheduler: &SchedulerProcess) -> JsonRpcClient {
+        JsonRpcClient::connect_to(&scheduler.folder.file(SOCKET_NAME))
+    }
+
+    pub(crate) fn connect_to(path: &Path) -> JsonRpcClient {
+        let stream = UnixStream::connect(path).unwrap();
+        stream.set_read_timeout(Some(WAIT_LIMIT)).unwrap();
+        JsonRpcClient { reader: BufReader::new(stream) }
+    }
+
+    pub(crate) fn send_bytes(&mut self, bytes: &[u8]) {
+        self.reader.get_mut().write_all(bytes).unwrap();
+    }
+
+    /// Sends a line, which need not be JSON.
+    pub(crate) fn send_line(&mut self, line: &str) {
+        self.send_bytes(format!("{line}\n").as_bytes());
+    }
+
+    pub(crate) fn send(&mut self, message: &Value) {
+        self.send_line(&message.to_string());
+    }
+
+    /// Waits for the next message.
+    pub(crate) fn next_message(&mut self) -> Value {
+        let mut line = String::new();
+        self.reader.read_line(&mut line).unwrap();
+        serde_json::from_str(&line).unwrap_or_else(|_| panic!("a line of JSON, not '{line}'"))
+    }
+
+    /// Waits for the scheduler to close the connection; nothing else may come.
+    pub(crate) fn expect_close(&mut self) {
+        let mut line = String::new();
+        assert_eq!(self.reader.read_line(&mut line).unwrap(), 0, "closed");
+    }
+
+    pub(crate) fn shutdown_write(&mut self) {
+        self.reader.get_ref().shutdown(Shutdown::Write).unwrap();
+    }
+
+    /// Another handle of the connection, to write from another thread.
+    pub(crate) fn try_clone_stream(&self) -> UnixStream {
+        self.reader.get_ref().try_clone().unwrap()
+    }
+}
