Scheduler: a type for each kind of state, and one place for the last check before a write

One struct of 22 fields held requests, attempts, load orders, health checks, the rate limit, timers, endpoint states and the log limit, and mod.rs their logic.

--- /dev/null
+++ b/src/scheduler/endpoint_states.rs
@@ -0,0 +1,39 @@
+//! The state of each worker on the endpoint list.
+
+use crate::model::{Endpoint, EndpointState, EndpointUpdateKind, WorkerId};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// What the endpoint list last said of each worker. A worker that is not on the list has no entry.
+#[derive(Debug, Default)]
+pub(super) struct EndpointStates {
+    states: BTreeMap<WorkerId, EndpointState>,
+}
+
+impl EndpointStates {
+    /// Applies an update of the endpoint list.
+    pub(super) fn apply(&mut self, kind: EndpointUpdateKind, endpoints: &[Endpoint]) {
+        if matches!(kind, EndpointUpdateKind::Full | EndpointUpdateKind::Cached) {
+            let listed: BTreeSet<WorkerId> = endpoints.iter().map(|endpoint| endpoint.worker).collect();
+            self.states.retain(|worker, _| listed.contains(worker));
+        }
+        for endpoint in endpoints {
+            self.apply_endpoint(endpoint);
+        }
+    }
+
+    fn apply_endpoint(&mut self, endpoint: &Endpoint) {
+        match endpoint.state {
+            EndpointState::Gone => {
+                self.states.remove(&endpoint.worker);
+            }
+            EndpointState::Ready | EndpointState::Draining => {
+                self.states.insert(endpoint.worker, endpoint.state);
+            }
+        }
+    }
+
+    /// Whether a worker is listed as ready for new work.
+    pub(super) fn is_ready(&self, worker: WorkerId) -> bool {
+        self.states.get(&worker) == Some(&EndpointState::Ready)
+    }
+}
--- /dev/null
+++ b/src/scheduler/request_admission.rs
@@ -0,0 +1,69 @@
+//! The checks on a request before the scheduler accepts it.
+
+use super::request_table::RequestTable;
+use super::{ClientRequest, Outcome, Response};
+use crate::model::{ClassId, Site, Span, Time};
+use thiserror::Error;
+
+/// Why a request is answered at once instead of being handed to the policy.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub(super) enum RequestDenied {
+    /// The configuration has no such class.
+    #[error("unknown request class")]
+    UnknownClass,
+    /// Workers could not tell the responses to two open requests of one correlation id apart.
+    #[error("correlation id in use")]
+    DuplicateCorrelationId,
+    /// The client no longer waits.
+    #[error("deadline passed")]
+    DeadlinePassed,
+    /// Too many requests are open, or their bodies take too much memory.
+    #[error("too many open requests")]
+    TooManyOpen,
+    /// The stream already has an open request.
+    #[error("stream in use")]
+    OriginInUse,
+}
+
+impl RequestDenied {
+    /// The final response to the denied request.
+    pub(super) fn response(self, retry_after: Span) -> Response {
+        let outcome = match self {
+            RequestDenied::UnknownClass | RequestDenied::DuplicateCorrelationId => Outcome::Failed,
+            RequestDenied::DeadlinePassed | RequestDenied::TooManyOpen | RequestDenied::OriginInUse => {
+                Outcome::Rejected { retry_after }
+            }
+        };
+        Response { outcome, expired: self == RequestDenied::DeadlinePassed }
+    }
+}
+
+/// The class of a request that may be accepted.
+///
+/// # Errors
+///
+/// Says why the request must not be accepted.
+pub(super) fn check_request(
+    now: Time,
+    request: &ClientRequest,
+    site: &Site,
+    requests: &RequestTable,
+) -> Result<ClassId, RequestDenied> {
+    let parameters = &request.parameters;
+    let Some(class) = site.class_index(&parameters.class) else {
+        return Err(RequestDenied::UnknownClass);
+    };
+    if requests.has_correlation_id(&request.correlation_id) {
+        return Err(RequestDenied::DuplicateCorrelationId);
+    }
+    if parameters.deadline <= now {
+        return Err(RequestDenied::DeadlinePassed);
+    }
+    if !requests.has_capacity(parameters.body.len(), site.max_open_requests) {
+        return Err(RequestDenied::TooManyOpen);
+    }
+    if requests.id_at(request.origin).is_some() {
+        return Err(RequestDenied::OriginInUse);
+    }
+    Ok(ClassId(class as u16))
+}
--- a/src/scheduler/tests.rs
+++ b/src/scheduler/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the scheduler that need its private state.
 
 use super::*;
+use crate::model::{Action, EndpointState, FunctionId, LoadMetric, WorkerId};
 
 const MS: fn(u64) -> Time = |ms| Time(1_000_000_000_000 + ms * 1_000_000);
 const FUNCTION: FunctionId = FunctionId(9);
--- /dev/null
+++ b/src/scheduler/write_admission.rs
@@ -0,0 +1,103 @@
+//! The last check before the first byte of an attempt or load order goes to a worker.
+//!
+//! The policy decides now, but a command may wait: for its connection to come up, or behind others on it. Meanwhile
+//! its request may end, its worker may begin to drain, the deduplication window of its key may pass, its deadline may
+//! come, or other load orders may use up the rate limit. So the back end asks here immediately before it writes, and
+//! reports a command that is denied as not sent.
+
+use super::request_table::PendingRequest;
+use super::{AttemptId, LoadOrderId, Scheduler};
+use crate::model::{Idempotency, Span, Time, WorkerId};
+use thiserror::Error;
+
+/// The retry of a keyed request must be written this long before its workers forget the key.
+const DEDUPLICATION_MARGIN: Span = Span::from_millis(50);
+
+/// Why an attempt or load order must not be written any more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub(super) enum WriteDenied {
+    /// The attempt or load order has ended: it ran out of time, or the policy cancelled it.
+    #[error("the command has ended")]
+    CommandEnded,
+    /// Its response would come too late.
+    #[error("its deadline has passed")]
+    DeadlinePassed,
+    /// The request has its final response, or its client has left.
+    #[error("its request has ended")]
+    RequestEnded,
+    /// The request is not idempotent and an earlier attempt may have run.
+    #[error("an earlier attempt may have run")]
+    MayHaveRun,
+    /// An earlier attempt may have run and the workers may have forgotten its key.
+    #[error("the deduplication window has passed")]
+    DeduplicationWindowPassed,
+    /// The worker is draining or no longer on the endpoint list.
+    #[error("its worker takes no new work")]
+    WorkerNotReady,
+    /// No client has requested the function recently.
+    #[error("its function was not requested recently")]
+    FunctionNotRequested,
+    /// The rate limit on load orders is used up.
+    #[error("the rate limit on load orders is used up")]
+    RateLimited,
+}
+
+impl Scheduler {
+    /// Whether an attempt may still be written at `now`.
+    pub fn admits_write(&self, now: Time, attempt: AttemptId) -> bool {
+        self.check_attempt(now, attempt).is_ok()
+    }
+
+    /// Whether a load order may still be written at `now`; if so, it counts as written.
+    pub fn admits_load_order(&mut self, now: Time, order: LoadOrderId) -> bool {
+        self.check_load_order(now, order).is_ok()
+    }
+
+    pub(super) fn check_attempt(&self, now: Time, id: AttemptId) -> Result<(), WriteDenied> {
+        let attempt = self.attempts.get(id).ok_or(WriteDenied::CommandEnded)?;
+        if now >= attempt.deadline {
+            return Err(WriteDenied::DeadlinePassed);
+        }
+        let request = self.requests.get(id.request).ok_or(WriteDenied::RequestEnded)?;
+        check_retry(now, request)?;
+        self.check_worker(attempt.worker)
+    }
+
+    pub(super) fn check_load_order(&mut self, now: Time, id: LoadOrderId) -> Result<(), WriteDenied> {
+        let order = self.load_orders.get(id).ok_or(WriteDenied::CommandEnded)?;
+        if order.is_query() {
+            return Ok(());
+        }
+        self.check_worker(order.worker)?;
+        if !self.load_orders.is_for_requested_function(order) {
+            return Err(WriteDenied::FunctionNotRequested);
+        }
+        let limit = self.site.settings.safety_limits.load_rate_limit;
+        if !self.load_rate_limiter.try_acquire(now, limit) {
+            self.counters.load_orders_rate_limited += 1;
+            return Err(WriteDenied::RateLimited);
+        }
+        self.counters.load_orders_written += 1;
+        Ok(())
+    }
+
+    /// A change of the endpoint list holds from the moment it was published, which may be long before it arrived
+    /// here. So no grace period applies: nothing is written once a worker is known to drain.
+    fn check_worker(&self, worker: WorkerId) -> Result<(), WriteDenied> {
+        if self.endpoint_states.is_ready(worker) { Ok(()) } else { Err(WriteDenied::WorkerNotReady) }
+    }
+}
+
+/// Whether a request may be written again if an earlier attempt may have run. The deduplication window counts from
+/// the first such attempt, not from the latest.
+fn check_retry(now: Time, request: &PendingRequest) -> Result<(), WriteDenied> {
+    let Some(first_written_at) = request.first_written_at() else {
+        return Ok(());
+    };
+    match request.idempotency {
+        Idempotency::Idempotent => Ok(()),
+        Idempotency::NonIdempotent => Err(WriteDenied::MayHaveRun),
+        Idempotency::Keyed { window, .. } if now + DEDUPLICATION_MARGIN < first_written_at + window => Ok(()),
+        Idempotency::Keyed { .. } => Err(WriteDenied::DeduplicationWindowPassed),
+    }
+}
