Type the configuration's errors and keep wire names in its deserialized form

Every reader of the configuration gave a String, keys of the documents were the code's names too, and one function of 55 lines turned all sections of the settings into their types.

ConfigError names the document and holds a ConfigProblem, which names the key and what is wrong with it; main has StartError. Each document has a deserialized form with its keys in serde attributes, defaults are named constants with units, and each section of the settings has a conversion of its own. A checker's id is read once, where the file is checked. The lookup of a zone or kind by name stood twice and is a method of Site now. The default of max_line moves from the frontend to the file that has the key.

--- a/src/client.rs
+++ b/src/client.rs
@@ -1,8 +1,8 @@
-//! The scheduler inside an RPC client: requests are placed on workers in the caller's own thread, without the server
-//! program.
+//! The scheduler inside an RPC client: requests are placed on workers in the caller's own thread, without the
+//! server program.
 //!
-//! A [`Client`] owns the scheduler, its connections to workers and its clock. It does nothing between calls: the
-//! embedding program submits requests and calls [`Client::poll`] until their responses have come.
+//! A [`Client`] owns the scheduler, its connections to workers and its clock. It does nothing between calls:
+//! the embedding program submits requests and calls [`Client::poll`] until their responses have come.
 //!
 //! ```
 //! use function_scheduler::backend::WorkerAddress;
@@ -60,8 +60,8 @@
 
 /// Most connections to workers that a client opens.
 const MAX_CONNECTIONS: usize = 256;
-/// An idle connection is closed after this part of the time in which the worker would close it, so that no request
-/// is written to a connection that the worker is closing.
+/// An idle connection is closed after this part of the time in which the worker would close it, so that no
+/// request is written to a connection that the worker is closing.
 const IDLE_TIMEOUT_FRACTION: f64 = 0.8;
 /// All requests of the embedding program count as coming from one connection.
 const CONNECTION: u64 = 0;
@@ -154,8 +154,8 @@
         self.run_commands();
     }
 
-    /// Works until something has happened or `until` has come, and returns the requests that have ended since the
-    /// last call.
+    /// Works until something has happened or `until` has come, and returns the requests that have ended since
+    /// the last call.
     ///
     /// # Errors
     ///
@@ -174,7 +174,8 @@
         self.scheduler.counters()
     }
 
-    /// Keeps the pool's addresses in step with the endpoint list, before the scheduler may send to new workers.
+    /// Keeps the pool's addresses in step with the endpoint list, before the scheduler may send to new
+    /// workers.
     fn update_addresses(&mut self, workers: &[WorkerEndpoint]) {
         let present = || workers.iter().filter(|worker| worker.endpoint.state != EndpointState::Gone);
         let is_present = |id: WorkerId| present().any(|worker| worker.endpoint.worker == id);
--- /dev/null
+++ b/src/config/error.rs
@@ -0,0 +1,118 @@
+//! Errors of reading a configuration: which document, which key, and what is wrong with it.
+
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use thiserror::Error;
+
+/// A document of which the configuration consists.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConfigDocument {
+    /// The platform's configuration file.
+    SchedulerFile,
+    /// The operator's file.
+    OperatorFile,
+    /// The site's settings, which the platform's file contains.
+    Settings,
+}
+
+impl fmt::Display for ConfigDocument {
+    fn fmt(&self, formatter: &mut fmt::Formatter) -> fmt::Result {
+        formatter.write_str(match self {
+            ConfigDocument::SchedulerFile => "configuration",
+            ConfigDocument::OperatorFile => "operator's file",
+            ConfigDocument::Settings => "settings",
+        })
+    }
+}
+
+/// Why a configuration is refused.
+#[derive(Debug, Error)]
+#[error("{document}: {problem}")]
+pub struct ConfigError {
+    /// The document that cannot be used.
+    pub document: ConfigDocument,
+    /// What is wrong with it.
+    pub problem: ConfigProblem,
+}
+
+/// What is wrong with a document. Keys are paths as the document writes them, such as `classes[0].effect`.
+#[derive(Debug, Error)]
+pub enum ConfigProblem {
+    /// The file cannot be read.
+    #[error("cannot read {}: {source}", path.display())]
+    Unreadable {
+        /// The file.
+        path: PathBuf,
+        /// The system's error.
+        source: io::Error,
+    },
+    /// It is not JSON, or lacks a key, or a key's value has another type. The inner error names the key and
+    /// the line.
+    #[error("{0}")]
+    Json(#[from] serde_json::Error),
+    /// It is not TOML, or lacks a key, or has an unknown one, or a key's value has another type. The inner
+    /// error names the key and the line.
+    #[error("{0}")]
+    Toml(#[from] Box<toml::de::Error>),
+    /// A key's value is none of the words that are known there.
+    #[error("{key} is '{value}'")]
+    UnknownValue {
+        /// The key.
+        key: String,
+        /// Its value.
+        value: String,
+    },
+    /// A key is absent that another key's value calls for.
+    #[error("{parent} lacks {key}")]
+    MissingKey {
+        /// The object that should hold the key.
+        parent: String,
+        /// The key.
+        key: &'static str,
+    },
+    /// A number is outside the range of its key.
+    #[error("{key} is not between {min} and {max}")]
+    OutOfRange {
+        /// The key.
+        key: &'static str,
+        /// Least value.
+        min: usize,
+        /// Greatest value.
+        max: usize,
+    },
+    /// A number of the virtual router is outside its range.
+    #[error("vrrp.vrid, priority and interval_cs start from 1")]
+    VirtualRouterOutOfRange {
+        /// The key.
+        key: &'static str,
+    },
+    /// An address on which advertisements are sent or received is not a loopback address.
+    #[error("vrrp.bind and peers are loopback addresses")]
+    NotLoopback {
+        /// The key.
+        key: &'static str,
+        /// The address.
+        address: SocketAddr,
+    },
+    /// A checker's id is not `s-` and 8 hexadecimal digits.
+    #[error("checker id '{id}' is odd or stands twice")]
+    InvalidCheckerId {
+        /// The id.
+        id: String,
+    },
+    /// Two checkers have the same id.
+    #[error("checker id '{id}' is odd or stands twice")]
+    DuplicateCheckerId {
+        /// The id.
+        id: String,
+    },
+}
+
+impl ConfigProblem {
+    /// The error that names `document` as the one with this problem.
+    pub(super) fn within(self, document: ConfigDocument) -> ConfigError {
+        ConfigError { document, problem: self }
+    }
+}
--- /dev/null
+++ b/src/config/settings/mod.rs
@@ -0,0 +1,32 @@
+//! The site's settings: JSON as the platform's file contains it and as the simulator sends it (page WIRE,
+//! "Start-up settings").
+
+mod convert;
+mod document;
+
+use super::error::{ConfigDocument, ConfigError, ConfigProblem};
+use crate::model::{Settings, Site};
+use document::SettingsDocument;
+
+/// Reads the settings that the policy needs.
+///
+/// # Errors
+///
+/// What is missing, has another type, or is a word that is not known.
+pub fn parse_settings(json: &[u8]) -> Result<Settings, ConfigError> {
+    parse_site(json).map(|site| site.settings)
+}
+
+/// Reads the settings with what connections need of them.
+///
+/// # Errors
+///
+/// As [`parse_settings`].
+pub fn parse_site(json: &[u8]) -> Result<Site, ConfigError> {
+    parse(json).map_err(|problem| problem.within(ConfigDocument::Settings))
+}
+
+fn parse(json: &[u8]) -> Result<Site, ConfigProblem> {
+    let document: SettingsDocument = serde_json::from_slice(json)?;
+    document.try_into()
+}
--- a/src/frontend/jsonrpc.rs
+++ b/src/frontend/jsonrpc.rs
@@ -40,8 +40,6 @@
 
 /// Requests in one batch.
 pub const BATCH: usize = 64;
-/// Longest line, in bytes, where the operator has set no other limit.
-pub const DEFAULT_LINE_LIMIT: usize = 64 << 10;
 
 /// One request of a line.
 #[derive(Debug, PartialEq)]
--- a/src/frontend/mod.rs
+++ b/src/frontend/mod.rs
@@ -5,7 +5,7 @@
 pub mod unix_socket;
 
 pub use frames::FrameConnection;
-pub use jsonrpc::{DEFAULT_LINE_LIMIT, JsonRpcConnection};
+pub use jsonrpc::JsonRpcConnection;
 
 use crate::model::Span;
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,28 +1,57 @@
 //! The scheduler as a program: reads its configuration and serves until a signal ends it.
 #![forbid(unsafe_code)]
 
-use function_scheduler::config::ConfigSources;
+use function_scheduler::config::{ConfigError, ConfigSources};
 use function_scheduler::server;
+use std::ffi::OsString;
+use std::io;
+use std::path::PathBuf;
 use std::process::ExitCode;
+use thiserror::Error;
+
+/// The environment variable that names the platform's configuration file.
+const CONFIG_VARIABLE: &str = "GW_CONFIG";
+/// The option that names the operator's file.
+const OPERATOR_OPTION: &str = "--operator";
+
+/// Why the program ends without success.
+#[derive(Debug, Error)]
+enum StartError {
+    #[error("usage: function-scheduler [--operator FILE]")]
+    Usage,
+    #[error("{CONFIG_VARIABLE} names no configuration")]
+    NoConfiguration,
+    #[error(transparent)]
+    Configuration(#[from] ConfigError),
+    #[error("cannot serve: {0}")]
+    Serve(#[from] io::Error),
+}
 
 fn main() -> ExitCode {
     match start() {
         Ok(()) => ExitCode::SUCCESS,
-        Err(text) => {
-            eprintln!("function-scheduler: {text}");
+        Err(error) => {
+            eprintln!("function-scheduler: {error}");
             ExitCode::FAILURE
         }
     }
 }
 
-fn start() -> Result<(), String> {
-    let operator = match std::env::args_os().skip(1).collect::<Vec<_>>().as_slice() {
-        [] => None,
-        [flag, path] if flag == "--operator" => Some(path.into()),
-        _ => return Err("usage: function-scheduler [--operator FILE]".to_owned()),
-    };
-    let config = std::env::var_os("GW_CONFIG").ok_or("GW_CONFIG names no configuration")?.into();
-    let sources = ConfigSources { config, operator };
+fn start() -> Result<(), StartError> {
+    let arguments: Vec<OsString> = std::env::args_os().skip(1).collect();
+    let operator_file = operator_file(&arguments)?;
+    let scheduler_file = std::env::var_os(CONFIG_VARIABLE).ok_or(StartError::NoConfiguration)?.into();
+    let sources = ConfigSources { scheduler_file, operator_file };
     let configuration = sources.load()?;
-    server::run(configuration, sources).map_err(|e| format!("cannot serve: {e}"))
+    server::run(configuration, sources)?;
+    Ok(())
+}
+
+/// The operator's file, if the arguments name one.
+fn operator_file(arguments: &[OsString]) -> Result<Option<PathBuf>, StartError> {
+    match arguments {
+        [] => Ok(None),
+        [option, path] if option == OPERATOR_OPTION => Ok(Some(path.into())),
+        _ => Err(StartError::Usage),
+    }
 }
--- a/src/model/mod.rs
+++ b/src/model/mod.rs
@@ -1,5 +1,5 @@
-//! The vocabulary that the policy shares with the code around it: identifiers, time, settings, the endpoint list, events
-//! and actions. It takes no decisions.
+//! The vocabulary that the policy shares with the code around it: identifiers, time, settings, the endpoint
+//! list, events and actions. It takes no decisions.
 
 mod actions;
 mod endpoints;
--- a/src/model/site.rs
+++ b/src/model/site.rs
@@ -1,87 +1,86 @@
 //! A site's settings with what connections need of them.
 
-use super::{Settings, Span};
+use super::{KindId, RequestClass, Settings, Span, ZoneId};
 
-/// What sockets need of a site's settings, beside what the module is told.
+/// A site: the settings of the policy, and what the scheduler and its connections need beside them.
 #[derive(Clone, Debug)]
 pub struct Site {
-    /// What the module is told.
+    /// The settings of the policy.
     pub settings: Settings,
-    /// Names of the classes, in their order; none for one that a new configuration no longer has.
+    /// Names of the classes, in the order of [`Settings::classes`]; absent for a class that only requests
+    /// under way still belong to.
     pub class_names: Vec<Option<String>>,
-    /// Names of the zones, in their order.
+    /// Names of the zones, in the order of [`ZoneId`]s.
     pub zones: Vec<String>,
-    /// Names of the machine kinds, in their order.
+    /// Names of the machine kinds, in the order of [`KindId`]s.
     pub kinds: Vec<String>,
-    /// Attempts that one connection to a worker carries at a time.
+    /// Attempts that one connection to a worker carries at a time, at least 1.
     pub attempts_per_connection: usize,
-    /// Open requests beyond which new ones are refused.
+    /// Most open requests; further ones are rejected.
     pub max_open_requests: usize,
-    /// A worker closes a connection that has been idle for so long.
+    /// Time after which a worker closes an idle connection.
     pub idle_timeout: Span,
-    /// A connection that is not up within this time has failed.
+    /// Time after which a connection that is not established has failed.
     pub connect_timeout: Span,
-    /// An order to load that has no answer within this time is lost.
+    /// Time after which a load order without an answer has failed.
     pub load_timeout: Span,
-    /// Names of the values of a load report, in the order of [`Settings::gauges`].
+    /// Names of the values of a load report, in the order of [`Settings::load_metrics`].
     pub load_metric_names: Vec<String>,
 }
 
+/// A class with the name under which new requests may ask for it.
+struct NamedClass {
+    name: Option<String>,
+    class: RequestClass,
+}
+
 impl Site {
-    /// The place of a class that new calls may name.
+    /// Place in [`Settings::classes`] of the class that new requests may ask for by this name.
     pub fn class_index(&self, name: &str) -> Option<usize> {
         self.class_names.iter().position(|known| known.as_deref() == Some(name))
     }
 
-    /// What a new configuration makes of this one. Classes keep their places, for calls under way know theirs
-    /// by it: one that the new configuration lacks stays for those calls, without a name for new ones.
-    pub fn replaced_by(&self, mut new: Site) -> Site {
-        let old = self.settings.classes.iter().cloned().zip(&self.class_names);
-        let (mut classes, mut names) = (Vec::new(), Vec::new());
-        for (class, name) in old {
-            let kept = name.as_ref().and_then(|name| new.class_index(name));
-            names.push(kept.and_then(|place| new.class_names[place].take()));
-            classes.push(kept.map_or(class, |place| new.settings.classes[place].clone()));
-        }
-        for (class, name) in new.settings.classes.iter().zip(&mut new.class_names) {
-            if let Some(name) = name.take() {
-                classes.push(class.clone());
-                names.push(Some(name));
+    /// The zone of this name; the first zone where the name is unknown.
+    pub fn zone_id(&self, name: &str) -> ZoneId {
+        ZoneId(position_or_first(&self.zones, name))
+    }
+
+    /// The machine kind of this name; the first kind where the name is unknown.
+    pub fn kind_id(&self, name: &str) -> KindId {
+        KindId(position_or_first(&self.kinds, name))
+    }
+
+    /// The site after a reload with the settings of `new`.
+    ///
+    /// Classes keep their places, because requests under way know their class by its place. A class that
+    /// `new` lacks stays for these requests, without a name; one that only `new` has is appended.
+    pub fn replaced_by(&self, new: Site) -> Site {
+        let mut new_classes = new.named_classes();
+        let mut merged: Vec<NamedClass> = Vec::new();
+        for old in self.named_classes() {
+            let same_name = |new: &NamedClass| new.name.is_some() && new.name == old.name;
+            match new_classes.iter().position(same_name) {
+                Some(place) => merged.push(new_classes.remove(place)),
+                None => merged.push(NamedClass { name: None, class: old.class }),
             }
         }
-        new.settings.classes = classes;
-        new.class_names = names;
-        new
+        merged.extend(new_classes.into_iter().filter(|class| class.name.is_some()));
+        new.with_classes(merged)
     }
-}
 
-#[cfg(test)]
-mod tests {
-    use crate::config::parse_site;
+    fn named_classes(&self) -> Vec<NamedClass> {
+        let classes = self.settings.classes.iter().cloned();
+        let names = self.class_names.iter().cloned();
+        names.zip(classes).map(|(name, class)| NamedClass { name, class }).collect()
+    }
 
-    /// A call under way knows its class by its place: a new configuration must not put another one there.
-    #[test]
-    fn classes_keep_their_places_when_a_configuration_is_replaced() {
-        let site = |names: &[&str]| {
-            let class = |(n, name)| {
-                format!(r#"{{"name":"{name}","deadlineNs":{n},"effect":"retryable","objectiveNs":1}}"#)
-            };
-            let classes: Vec<String> = names.iter().enumerate().map(class).collect();
-            parse_site(
-                format!(
-                    r#"{{"fleetSize":1,"index":0,"classes":[{}],"bounds":{{"mostTries":1}},
-                    "contract":{{"coldFrom":1,"coldNs":1,"fallMultiple":1,"fallNs":1}},
-                    "familyInfo":{{"keepNs":1,"notLoaded":"load","loadSpanNs":0}}}}"#,
-                    classes.join(",")
-                )
-                .as_bytes(),
-            )
-            .unwrap()
-        };
-        let merged = site(&["a", "b"]).replaced_by(site(&["c", "b", ""]));
-        let places: Vec<_> = ["a", "b", "c", ""].map(|name| merged.class_index(name)).to_vec();
-        assert_eq!(places, [None, Some(1), Some(2), Some(3)]);
-        let figures: Vec<_> = merged.settings.classes.iter().map(|class| class.deadline.0).collect();
-        assert_eq!(figures, [0, 1, 0, 2], "the old a, the new b, c and the nameless");
+    fn with_classes(mut self, classes: Vec<NamedClass>) -> Site {
+        self.class_names = classes.iter().map(|class| class.name.clone()).collect();
+        self.settings.classes = classes.into_iter().map(|class| class.class).collect();
+        self
     }
 }
+
+fn position_or_first(names: &[String], name: &str) -> u8 {
+    names.iter().position(|known| known == name).unwrap_or(0) as u8
+}
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -1,7 +1,9 @@
 //! The daemon: the scheduler with its fronts, back ends, bus, clock and signals round it.
 
 use crate::backend::{self, Pool};
-use crate::config::{ConfigSources, Configuration, OperatorConfig, SchedulerConfig, VrrpConfig};
+use crate::config::{
+    CheckerEndpoint, ConfigSources, Configuration, OperatorConfig, SchedulerConfig, VrrpConfig,
+};
 use crate::discovery::{AddressChange, Discovery, EndpointChange, WatchEvent};
 use crate::frontend::unix_socket::{self, SocketFile};
 use crate::frontend::{FrameConnection, JsonRpcConnection};
@@ -40,7 +42,7 @@
         let (socket, own) = reactor.bind_udp(setting.bind)?;
         let machine = vrrp::StateMachine::new(vrrp::Configuration {
             priority: setting.priority,
-            advertisement_interval: Span::from_millis(u64::from(setting.interval_cs) * 10),
+            advertisement_interval: Span::from_millis(u64::from(setting.interval_centiseconds) * 10),
             preempt: setting.preempt,
             address: own,
         });
@@ -49,9 +51,9 @@
 
     fn advertisement(&self, priority: u8) -> Vec<u8> {
         Advertisement {
-            virtual_router_id: self.setting.vrid,
+            virtual_router_id: self.setting.virtual_router_id,
             priority,
-            interval_centiseconds: self.setting.interval_cs,
+            interval_centiseconds: self.setting.interval_centiseconds,
             addresses: vec![self.setting.address],
         }
         .encode()
@@ -250,8 +252,8 @@
         if self.rpc_clients.len() >= front.max_clients {
             return eprintln!("function-scheduler: accept dropped why=\"max_clients\"");
         }
-        let connection = Box::new(JsonRpcConnection::new(now, front.max_line));
-        let limits = JsonRpcConnection::buffer_limits(front.max_line);
+        let connection = Box::new(JsonRpcConnection::new(now, front.max_line_bytes));
+        let limits = JsonRpcConnection::buffer_limits(front.max_line_bytes);
         self.rpc_clients.extend(reactor.add_connected(stream, connection, limits, &mut self.scheduler));
     }
 
@@ -368,7 +370,10 @@
         let state = router.machine.state();
         self.reactor.active = state == vrrp::State::Active;
         if state != before {
-            eprintln!("function-scheduler: vrrp vrid={} state={state:?} was={before:?}", router.setting.vrid);
+            eprintln!(
+                "function-scheduler: vrrp vrid={} state={state:?} was={before:?}",
+                router.setting.virtual_router_id
+            );
         }
     }
 
@@ -381,7 +386,7 @@
                 false => Err("not from a peer".to_owned()),
             };
             match read {
-                Ok(message) if message.virtual_router_id == router.setting.vrid => {
+                Ok(message) if message.virtual_router_id == router.setting.virtual_router_id => {
                     let (priority, interval) = (message.priority, message.interval());
                     self.vrrp(Event::AdvertisementReceived { priority, interval, sender: from });
                 }
@@ -475,8 +480,8 @@
 /// Gives the pool the addresses of the operator's checkers; their entries of the endpoint list.
 fn assign_checker_addresses(operator: &OperatorConfig, site: &Site, pool: &mut Pool) -> Vec<Endpoint> {
     let mut endpoints = Vec::new();
-    for (endpoint, path) in operator.checker_endpoints(site) {
-        pool.set_address(endpoint.worker, backend::WorkerAddress::JsonRpc(path), None);
+    for CheckerEndpoint { endpoint, socket } in operator.checker_endpoints(site) {
+        pool.set_address(endpoint.worker, backend::WorkerAddress::JsonRpc(socket), None);
         endpoints.push(endpoint);
     }
     endpoints
