Name the parts of a load report that the back end hands to the scheduler

Name and value crossed the module's edge as a bare pair; they are a ReportedMetric now. The back end's test builds the new type and compares the same values.

--- a/src/backend/codec.rs
+++ b/src/backend/codec.rs
@@ -1,7 +1,7 @@
 //! What every wire format of a worker provides: lines for commands, and messages read from lines.
 
 use crate::model::{FunctionId, Time};
-use crate::scheduler::{RequestPayload, WorkerResponse};
+use crate::scheduler::{ReportedMetric, RequestPayload, WorkerResponse};
 use serde::Serialize;
 use thiserror::Error;
 
@@ -56,8 +56,8 @@
     pub response: WorkerResponse,
     /// Number of loaded instances, where the answer gives it.
     pub instances: Option<u32>,
-    /// The values of the load report by metric name; empty if the answer has no load report.
-    pub load_report: Vec<(String, f32)>,
+    /// The values of the load report; empty if the answer has no load report.
+    pub load_report: Vec<ReportedMetric>,
 }
 
 /// A line that is no valid answer.
--- a/src/backend/node_agent_codec.rs
+++ b/src/backend/node_agent_codec.rs
@@ -7,7 +7,7 @@
     remaining_milliseconds,
 };
 use crate::model::{FunctionId, Time};
-use crate::scheduler::{RequestPayload, WorkerResponse};
+use crate::scheduler::{ReportedMetric, RequestPayload, WorkerResponse};
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use serde::{Deserialize, Serialize};
@@ -200,10 +200,14 @@
 
 /// The values of a load report such as `inflight:7;util:0.61`. Those that cannot be read are left out, so that a
 /// malformed load report does not spoil the answer that carries it.
-fn load_report(attributes: &Value) -> Vec<(String, f32)> {
+fn load_report(attributes: &Value) -> Vec<ReportedMetric> {
     let report = attributes.get(LOAD_REPORT_KEY).and_then(Value::as_str).unwrap_or_default();
     let pairs = report.split(';').filter_map(|pair| pair.split_once(':'));
-    pairs.filter_map(|(name, value)| Some((name.trim().to_owned(), load_value(value)?))).collect()
+    pairs
+        .filter_map(|(name, value)| {
+            Some(ReportedMetric { name: name.trim().to_owned(), value: load_value(value)? })
+        })
+        .collect()
 }
 
 fn load_value(text: &str) -> Option<f32> {
--- a/src/backend/tests/node_agent_codec.rs
+++ b/src/backend/tests/node_agent_codec.rs
@@ -6,9 +6,13 @@
 };
 use crate::backend::{Codec, DecodeErrorKind, NodeAgentCodec, ResponseMessage, WorkerMessage};
 use crate::model::Time;
-use crate::scheduler::{RequestPayload, WorkerResponse};
+use crate::scheduler::{ReportedMetric, RequestPayload, WorkerResponse};
 use serde_json::json;
 
+fn metric(name: &str, value: f32) -> ReportedMetric {
+    ReportedMetric { name: name.to_owned(), value }
+}
+
 fn assert_decoded(cases: Vec<(&str, Decoded)>) {
     for (line, expected) in cases {
         assert_eq!(NodeAgentCodec.decode(line.as_bytes()), expected, "{line}");
@@ -43,7 +47,7 @@
         correlation_id: "a".into(),
         response: WorkerResponse::Ok(vec![]),
         instances: None,
-        load_report: vec![("inflight".into(), 7.0), ("util".into(), 0.5)],
+        load_report: vec![metric("inflight", 7.0), metric("util", 0.5)],
     });
     assert_decoded(vec![(line, Ok(expected))]);
 }
--- a/src/scheduler/messages.rs
+++ b/src/scheduler/messages.rs
@@ -94,6 +94,15 @@
     }
 }
 
+/// One value of the load report that comes with a worker's response.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ReportedMetric {
+    /// The metric's name, as in the settings.
+    pub name: String,
+    /// Its value, finite and not negative.
+    pub value: f32,
+}
+
 /// A worker's response to a load order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LoadResult {
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -41,7 +41,8 @@
 pub use errors::{AttemptError, FailureCause, WriteProgress};
 pub use ids::{AttemptId, HealthCheckId, LoadOrderId, RequestOrigin};
 pub use messages::{
-    ClientRequest, LoadResult, Outcome, RequestParameters, RequestPayload, Response, WorkerResponse,
+    ClientRequest, LoadResult, Outcome, ReportedMetric, RequestParameters, RequestPayload, Response,
+    WorkerResponse,
 };
 
 use crate::model::{
@@ -272,13 +273,12 @@
         }
     }
 
-    /// Takes the load report, as names with values, that came with an attempt's response; the response is to be
-    /// reported next. A report that lacks a value that the settings name is ignored, since the policy knows the
-    /// values by their places.
-    pub fn record_load_report(&mut self, attempt: AttemptId, report: &[(String, f32)]) {
+    /// Takes the load report that came with an attempt's response; the response itself is to be reported next. A
+    /// load report that lacks a metric of the settings is ignored, since the policy knows the values by position.
+    pub fn record_load_report(&mut self, attempt: AttemptId, report: &[ReportedMetric]) {
         let value_of = |name: &String| {
-            let entry = report.iter().find(|(reported, _)| reported == name);
-            entry.map(|(_, value)| *value)
+            let metric = report.iter().find(|metric| metric.name == *name);
+            metric.map(|metric| metric.value)
         };
         let values: Option<Vec<f32>> = self.site.load_metric_names.iter().map(value_of).collect();
         if let Some(values) = values {
--- a/src/scheduler/tests.rs
+++ b/src/scheduler/tests.rs
@@ -138,7 +138,8 @@
         );
         let (first, home) = sent(&call(&mut scheduler, 1, "safe"));
         scheduler.attempt_written(MS(1), first);
-        let told: Vec<_> = told.into_iter().map(|(name, value)| (name.to_owned(), value)).collect();
+        let told: Vec<_> =
+            told.into_iter().map(|(name, value)| ReportedMetric { name: name.to_owned(), value }).collect();
         scheduler.record_load_report(first, &told);
         scheduler.attempt_ended(MS(2), first, Ok(WorkerResponse::Ok(vec![])));
         let (_, next) = sent(&call(&mut scheduler, 2, "safe"));
