Frames: the codec apart from the connection, typed frame types, codes and errors

One file of 564 lines held the codec, the connection and their tests; errors were strings, types and codes of frames bare numbers, and limits were constants with names that needed the page beside them. Now frame_codec.rs turns bytes into frames, fields and requests and back (enums for types, codes and errors; the errors' texts are the ones logged before), frame_connection.rs has the connection in short steps, and stream_ids.rs the ids that are used up. What both protocols share stands once: limits.rs, request_figures.rs (ids, deadlines, load times) and lifecycle.rs (idle, message and linger timers, cancelling open requests).

--- /dev/null
+++ b/src/frontend/frame_connection.rs
@@ -0,0 +1,337 @@
+//! A client's connection that speaks binary frames over TCP.
+
+use super::frame_codec::{
+    Frame, FrameError, FrameHeader, FrameType, RequestError, decode_fields, decode_frame, decode_request,
+    encode_frame, encode_readiness, encode_response,
+};
+use super::lifecycle::{ConnectionTimers, PartialMessage, cancel_requests};
+use super::limits::{MAX_OPEN_REQUESTS, MAX_UNSENT_BYTES};
+use super::stream_ids::UsedStreamIds;
+use crate::model::{Span, Time};
+use crate::net::{BufferLimits, BufferedStream, ClientConnection, Connection, ConnectionFlow, Context};
+use crate::scheduler::{Outcome, RequestOrigin, Response};
+use std::collections::BTreeSet;
+
+/// Largest length of a frame that can be of use: a body and its fields. A longer one is not kept, as hundreds
+/// of connections may bring one each: its request has failed once its header is known, and the rest is passed
+/// over.
+const MAX_USABLE_FRAME_LENGTH: usize = 32 << 10;
+/// Buffers of a connection: a usable frame with its length field, and output that waits.
+const BUFFER_LIMITS: BufferLimits =
+    BufferLimits { input: MAX_USABLE_FRAME_LENGTH + 4, output: MAX_UNSENT_BYTES };
+/// A connection without open requests is closed after so long without a frame. Clients close theirs after 4
+/// s, so no request crosses it.
+const IDLE_TIMEOUT: Span = Span::from_millis(5_000);
+/// The same for a connection that has never brought a whole frame: some clients open connections by the
+/// hundred and send nothing.
+const FIRST_FRAME_TIMEOUT: Span = Span::from_millis(2_200);
+/// The stream of errors that belong to no request, and of frames that concern the whole connection.
+const CONNECTION_STREAM: u32 = 0;
+
+/// Why a connection can't go on.
+#[derive(Clone, Copy, Debug, thiserror::Error)]
+enum ProtocolError {
+    #[error(transparent)]
+    Frame(#[from] FrameError),
+    #[error("stream is not new")]
+    StreamReused,
+    #[error("unknown type")]
+    UnexpectedType,
+    #[error("a long frame that is no request")]
+    OversizedFrame,
+    #[error("a frame without an end")]
+    FrameTimedOut,
+}
+
+/// How far a callback has come in its input.
+#[derive(Default)]
+struct ReadProgress {
+    /// Bytes that have been used.
+    consumed: usize,
+    /// A frame was consumed, at least its header, so that an incomplete one has only just begun.
+    frame_consumed: bool,
+}
+
+impl ReadProgress {
+    fn advance(&mut self, bytes: usize) {
+        self.consumed += bytes;
+        self.frame_consumed = true;
+    }
+}
+
+/// A client's connection that speaks binary frames.
+pub struct FrameConnection {
+    open_streams: BTreeSet<u32>,
+    used_streams: UsedStreamIds,
+    timers: ConnectionTimers,
+    sent_go_away: bool,
+    received_frame: bool,
+    /// What is still to be passed over of a frame that is too long.
+    bytes_to_skip: usize,
+}
+
+impl FrameConnection {
+    /// A connection that was accepted at `now`.
+    pub fn new(now: Time) -> FrameConnection {
+        FrameConnection {
+            open_streams: BTreeSet::new(),
+            used_streams: UsedStreamIds::default(),
+            timers: ConnectionTimers::new(now),
+            sent_go_away: false,
+            received_frame: false,
+            bytes_to_skip: 0,
+        }
+    }
+
+    /// Limits of such a connection's buffers.
+    pub fn buffer_limits() -> BufferLimits {
+        BUFFER_LIMITS
+    }
+
+    /// Acts on the frames that are complete. Of an error, `progress` tells where it was met.
+    fn read_frames(
+        &mut self,
+        input: &[u8],
+        progress: &mut ReadProgress,
+        socket: &mut BufferedStream,
+        context: &mut Context,
+    ) -> Result<(), ProtocolError> {
+        while self.bytes_to_skip == 0 {
+            let rest = &input[progress.consumed..];
+            if let Some(frame) = decode_frame(rest)? {
+                progress.advance(frame.encoded_length());
+                self.received_frame = true;
+                self.timers.record_activity(context.now);
+                self.handle_frame(&frame, socket, context)?;
+                continue;
+            }
+            let Some(oversized) = oversized_frame(rest) else {
+                return Ok(());
+            };
+            self.fail_oversized(&oversized, socket, context)?;
+            let available = oversized.encoded_length().min(rest.len());
+            self.bytes_to_skip = oversized.encoded_length() - available;
+            progress.advance(available);
+        }
+        Ok(())
+    }
+
+    /// Passes over the input that belongs to a frame that was too long.
+    fn skip_oversized(&mut self, input: &[u8]) -> ReadProgress {
+        let skipped = self.bytes_to_skip.min(input.len());
+        self.bytes_to_skip -= skipped;
+        ReadProgress { consumed: skipped, frame_consumed: skipped > 0 && self.bytes_to_skip == 0 }
+    }
+
+    fn handle_frame(
+        &mut self,
+        frame: &Frame,
+        socket: &mut BufferedStream,
+        context: &mut Context,
+    ) -> Result<(), ProtocolError> {
+        match frame.frame_type {
+            Some(FrameType::Request) => self.handle_request(frame, socket, context)?,
+            Some(FrameType::Cancel) => self.handle_cancel(frame.stream, socket, context),
+            Some(FrameType::ReadinessRequest) => {
+                decode_fields(frame.payload)?;
+                socket.enqueue(&encode_readiness(frame.stream, context.ready));
+            }
+            _ => return Err(ProtocolError::UnexpectedType),
+        }
+        Ok(())
+    }
+
+    fn handle_request(
+        &mut self,
+        frame: &Frame,
+        socket: &mut BufferedStream,
+        context: &mut Context,
+    ) -> Result<(), ProtocolError> {
+        let stream = frame.stream;
+        if !self.begin_stream(stream) {
+            return Err(ProtocolError::StreamReused);
+        }
+        let origin = request_origin(socket, stream);
+        let request = match decode_request(frame.payload, origin, context.now) {
+            Ok(request) => request,
+            Err(RequestError::Malformed(error)) => return Err(error.into()),
+            Err(RequestError::Invalid(_)) => {
+                respond_locally(stream, &Outcome::Failed, socket, context);
+                return Ok(());
+            }
+        };
+        if self.open_streams.len() >= MAX_OPEN_REQUESTS {
+            let retry_after = context.scheduler.default_retry_after();
+            respond_locally(stream, &Outcome::Rejected { retry_after }, socket, context);
+            return Ok(());
+        }
+        self.open_streams.insert(stream);
+        context.scheduler.submit(context.now, request);
+        Ok(())
+    }
+
+    /// Marks the stream of a request as used; false if it can't be a new one.
+    fn begin_stream(&mut self, stream: u32) -> bool {
+        stream != CONNECTION_STREAM && self.used_streams.insert(stream)
+    }
+
+    fn handle_cancel(&mut self, stream: u32, socket: &BufferedStream, context: &mut Context) {
+        if self.open_streams.remove(&stream) {
+            cancel_requests([u64::from(stream)], socket, context);
+        }
+    }
+
+    /// Fails the request of a frame that is too long to be kept.
+    fn fail_oversized(
+        &mut self,
+        header: &FrameHeader,
+        socket: &mut BufferedStream,
+        context: &mut Context,
+    ) -> Result<(), ProtocolError> {
+        if header.frame_type != Some(FrameType::Request) || !self.begin_stream(header.stream) {
+            return Err(ProtocolError::OversizedFrame);
+        }
+        respond_locally(header.stream, &Outcome::Failed, socket, context);
+        Ok(())
+    }
+
+    /// Tells the client that the connection can't go on; it ends once that has been written.
+    fn fail_connection(
+        &mut self,
+        error: ProtocolError,
+        socket: &mut BufferedStream,
+        context: &mut Context,
+    ) -> ConnectionFlow {
+        context.scheduler.counters().malformed += 1;
+        // Nothing more is written after the error: what is open here can have no response.
+        self.cancel_all(socket, context);
+        if context.scheduler.may_log(context.now) {
+            eprintln!(
+                "function-scheduler: malformed front=frames connection={} why=\"{error}\"",
+                socket.id()
+            );
+        }
+        socket.enqueue(&encode_response(CONNECTION_STREAM, &Outcome::Failed));
+        self.timers.begin_close(context.now);
+        ConnectionFlow::Finish
+    }
+
+    fn cancel_all(&mut self, socket: &BufferedStream, context: &mut Context) {
+        let streams = std::mem::take(&mut self.open_streams);
+        cancel_requests(streams.into_iter().map(u64::from), socket, context);
+    }
+
+    /// Sets the deadline of a frame that has begun.
+    fn track_partial_frame(&mut self, frame_consumed: bool, socket: &BufferedStream, now: Time) {
+        let message = if socket.input.is_empty() && self.bytes_to_skip == 0 {
+            PartialMessage::None
+        } else if frame_consumed {
+            PartialMessage::Begun
+        } else {
+            PartialMessage::Continued
+        };
+        self.timers.track_message(message, now);
+        // The deadline of a frame that has begun is the shorter one. A client that has never sent a whole
+        // frame is owed a response within 3 s of connecting, whatever it has begun.
+        if self.received_frame && self.timers.message_began_at(now) {
+            self.timers.record_activity(now);
+        }
+    }
+
+    /// How long the connection may be idle; none while requests are open.
+    fn idle_timeout(&self) -> Option<Span> {
+        if !self.open_streams.is_empty() {
+            return None;
+        }
+        Some(if self.received_frame { IDLE_TIMEOUT } else { FIRST_FRAME_TIMEOUT })
+    }
+}
+
+/// The header of the frame that begins here, if it is known and the frame is too long to be of use.
+fn oversized_frame(bytes: &[u8]) -> Option<FrameHeader> {
+    FrameHeader::decode(bytes).filter(|header| header.length > MAX_USABLE_FRAME_LENGTH)
+}
+
+fn request_origin(socket: &BufferedStream, stream: u32) -> RequestOrigin {
+    RequestOrigin { connection: socket.id(), stream: u64::from(stream) }
+}
+
+/// Responds to a request that the scheduler doesn't get.
+fn respond_locally(stream: u32, outcome: &Outcome, socket: &mut BufferedStream, context: &mut Context) {
+    context.scheduler.count_local_rejection(outcome);
+    socket.enqueue(&encode_response(stream, outcome));
+}
+
+impl Connection for FrameConnection {
+    fn opened(&mut self, _socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow {
+        context.scheduler.counters().accepted += 1;
+        ConnectionFlow::Continue
+    }
+
+    fn received(&mut self, socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow {
+        let input = std::mem::take(&mut socket.input);
+        let mut progress = self.skip_oversized(&input);
+        let result = self.read_frames(&input, &mut progress, socket, context);
+        socket.input = input;
+        socket.consume(progress.consumed);
+        self.track_partial_frame(progress.frame_consumed, socket, context.now);
+        match result {
+            Err(error) => self.fail_connection(error, socket, context),
+            // A client that closes waits for nothing more.
+            Ok(()) if socket.input_ended => ConnectionFlow::Close,
+            Ok(()) => ConnectionFlow::Continue,
+        }
+    }
+
+    fn timer_expired(&mut self, socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow {
+        if self.timers.message_timed_out(context.now) {
+            return self.fail_connection(ProtocolError::FrameTimedOut, socket, context);
+        }
+        if self.timers.connection_timed_out(context.now, self.idle_timeout()) {
+            return ConnectionFlow::Close;
+        }
+        ConnectionFlow::Continue
+    }
+
+    fn deadline(&self) -> Option<Time> {
+        self.timers.next(self.idle_timeout())
+    }
+
+    fn closed(&mut self, socket: &BufferedStream, context: &mut Context) {
+        self.cancel_all(socket, context);
+    }
+
+    fn idle_since(&self) -> Option<Time> {
+        if self.open_streams.is_empty() { self.timers.idle_since() } else { None }
+    }
+
+    fn as_client(&mut self) -> Option<&mut dyn ClientConnection> {
+        Some(self)
+    }
+}
+
+impl ClientConnection for FrameConnection {
+    fn deliver(
+        &mut self,
+        stream: u64,
+        response: &Response,
+        socket: &mut BufferedStream,
+        context: &mut Context,
+    ) -> ConnectionFlow {
+        let stream = stream as u32;
+        // A client that has cancelled its request is owed nothing.
+        if self.open_streams.remove(&stream) {
+            socket.enqueue(&encode_response(stream, &response.outcome));
+            self.timers.record_activity(context.now);
+        }
+        ConnectionFlow::Continue
+    }
+
+    fn request_leave(&mut self, socket: &mut BufferedStream, _context: &mut Context) -> ConnectionFlow {
+        if !self.sent_go_away {
+            self.sent_go_away = true;
+            socket.enqueue(&encode_frame(FrameType::GoAway, CONNECTION_STREAM, &[]));
+        }
+        ConnectionFlow::Continue
+    }
+}
--- a/src/frontend/jsonrpc.rs
+++ b/src/frontend/jsonrpc.rs
@@ -9,7 +9,12 @@
 //! A `call` notification is not taken: nobody could be told how it ended. A client that closes, or closes the
 //! half it writes on, waits for nothing more: its calls are withdrawn.
 
-use super::{BODY, IDLE, LINGER, OPEN, OUTBOX, TRANSIT, WHOLE, read_function};
+use super::limits::{
+    LINGER_TIMEOUT as LINGER, MAX_BODY_BYTES as BODY, MAX_OPEN_REQUESTS as OPEN, MAX_UNSENT_BYTES as OUTBOX,
+    MESSAGE_TIMEOUT as WHOLE, RESPONSE_TRANSIT_TIME as TRANSIT,
+};
+use super::request_figures::parse_hex_id as read_function;
+const IDLE: Span = Span::from_millis(60_000);
 use crate::model::{FunctionId, Span, Time};
 use crate::net::{BufferLimits, BufferedStream, ClientConnection, Connection, ConnectionFlow, Context};
 use crate::scheduler::{ClientRequest, Outcome, RequestOrigin, RequestParameters, Response};
--- /dev/null
+++ b/src/frontend/lifecycle.rs
@@ -0,0 +1,106 @@
+//! When a client's connection ends: timers and the cancellation of open requests, alike for both protocols.
+
+use super::limits::{LINGER_TIMEOUT, MESSAGE_TIMEOUT};
+use crate::model::{Span, Time};
+use crate::net::{BufferedStream, Context};
+use crate::scheduler::RequestOrigin;
+
+/// A message of which the end has not come yet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum PartialMessage {
+    /// There is none.
+    None,
+    /// It began with the input that has just come.
+    Begun,
+    /// It may have begun before.
+    Continued,
+}
+
+/// The timers of a client's connection.
+///
+/// Functions that take an idle timeout take none while requests are open.
+#[derive(Debug)]
+pub(super) struct ConnectionTimers {
+    last_activity: Time,
+    /// When the message that has begun must be complete.
+    message_deadline: Option<Time>,
+    /// When a connection that is closing ends even if the client does not read.
+    close_deadline: Option<Time>,
+}
+
+impl ConnectionTimers {
+    pub(super) fn new(now: Time) -> ConnectionTimers {
+        ConnectionTimers { last_activity: now, message_deadline: None, close_deadline: None }
+    }
+
+    pub(super) fn record_activity(&mut self, now: Time) {
+        self.last_activity = now;
+    }
+
+    /// Sets the deadline of a message that has begun.
+    pub(super) fn track_message(&mut self, message: PartialMessage, now: Time) {
+        let from_now = now + MESSAGE_TIMEOUT;
+        self.message_deadline = match message {
+            PartialMessage::None => None,
+            PartialMessage::Begun => Some(from_now),
+            PartialMessage::Continued => self.message_deadline.or(Some(from_now)),
+        };
+    }
+
+    /// Whether the message that is incomplete began at `now`.
+    pub(super) fn message_began_at(&self, now: Time) -> bool {
+        self.message_deadline == Some(now + MESSAGE_TIMEOUT)
+    }
+
+    /// Starts the time within which the client may read the rest of its responses.
+    pub(super) fn begin_close(&mut self, now: Time) {
+        self.close_deadline = Some(now + LINGER_TIMEOUT);
+    }
+
+    /// Whether a message has not been completed in time.
+    pub(super) fn message_timed_out(&self, now: Time) -> bool {
+        self.pending_message_deadline().is_some_and(|deadline| deadline <= now)
+    }
+
+    /// Whether the connection has been idle or closing for too long.
+    pub(super) fn connection_timed_out(&self, now: Time, idle_timeout: Option<Span>) -> bool {
+        let idle_deadline = idle_timeout.map(|timeout| self.last_activity + timeout);
+        let mut deadlines = self.close_deadline.into_iter().chain(idle_deadline);
+        deadlines.any(|deadline| deadline <= now)
+    }
+
+    /// When the first of the timers expires.
+    pub(super) fn next(&self, idle_timeout: Option<Span>) -> Option<Time> {
+        let idle_deadline = idle_timeout.map(|timeout| self.last_activity + timeout);
+        let deadlines = self.close_deadline.into_iter().chain(idle_deadline);
+        deadlines.chain(self.pending_message_deadline()).min()
+    }
+
+    /// Since when nothing has happened on a connection without open requests; none while it is closing.
+    pub(super) fn idle_since(&self) -> Option<Time> {
+        match self.close_deadline {
+            None => Some(self.last_activity),
+            Some(_) => None,
+        }
+    }
+
+    /// The message's deadline, which no longer counts once the connection is closing.
+    fn pending_message_deadline(&self) -> Option<Time> {
+        match self.close_deadline {
+            None => self.message_deadline,
+            Some(_) => None,
+        }
+    }
+}
+
+/// Cancels requests of a connection whose client no longer waits for them.
+pub(super) fn cancel_requests(
+    streams: impl IntoIterator<Item = u64>,
+    socket: &BufferedStream,
+    context: &mut Context,
+) {
+    for stream in streams {
+        let origin = RequestOrigin { connection: socket.id(), stream };
+        context.scheduler.cancel(context.now, origin);
+    }
+}
--- /dev/null
+++ b/src/frontend/request_figures.rs
@@ -0,0 +1,34 @@
+//! Figures of a request that both protocols write alike.
+
+use super::limits::{MAX_ALLOWED_MILLIS, RESPONSE_TRANSIT_TIME};
+use crate::model::{Span, Time};
+
+/// Digits of an id in hexadecimal.
+const HEX_ID_DIGITS: usize = 16;
+const NANOS_PER_MILLI: u64 = 1_000_000;
+
+/// Reads an id of 16 hex digits.
+pub(super) fn parse_hex_id(text: &str) -> Option<u64> {
+    let is_hex = text.bytes().all(|byte| byte.is_ascii_hexdigit());
+    if text.len() != HEX_ID_DIGITS || !is_hex {
+        return None;
+    }
+    u64::from_str_radix(text, 16).ok()
+}
+
+/// When the response to a request that came at `now` must be sent, by the milliseconds that its client waits.
+pub(super) fn response_deadline(now: Time, allowed_millis: u64) -> Time {
+    let allowed_nanos = allowed_millis.min(MAX_ALLOWED_MILLIS) * NANOS_PER_MILLI;
+    now + Span(allowed_nanos.saturating_sub(RESPONSE_TRANSIT_TIME.0))
+}
+
+/// The usual time to load a function, by its milliseconds; 0 means unknown.
+pub(super) fn load_time(millis: f64) -> Option<Span> {
+    let span = Span((millis * NANOS_PER_MILLI as f64) as u64);
+    (span.0 > 0).then_some(span)
+}
+
+/// A time to wait in whole milliseconds, rounded up.
+pub(super) fn millis_rounded_up(span: Span) -> u64 {
+    span.0.div_ceil(NANOS_PER_MILLI)
+}
--- a/tests/support/frames.rs
+++ b/tests/support/frames.rs
@@ -5,7 +5,7 @@
 
 use super::scheduler_process::SchedulerProcess;
 use super::{FUNCTION, IDEMPOTENCY_KEY, IDEMPOTENT_CLASS, WAIT_LIMIT};
-use function_scheduler::frontend::frames::{fields, put_frame};
+use function_scheduler::frontend::frame_codec::{encode_fields, encode_raw_frame};
 use std::io::{Read, Write};
 use std::net::{Shutdown, TcpStream};
 
@@ -68,14 +68,12 @@
 
 /// Encodes a frame.
 pub(crate) fn frame(frame_type: u8, stream: u32, payload: &[u8]) -> Vec<u8> {
-    let mut bytes = Vec::new();
-    put_frame(frame_type, stream, &[payload], &mut bytes);
-    bytes
+    encode_raw_frame(frame_type, stream, &[payload])
 }
 
 /// Encodes the payload of a request with any fields.
 pub(crate) fn payload(list: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
-    [&fields(list)[..], body].concat()
+    [&encode_fields(list)[..], body].concat()
 }
 
 /// Encodes the payload of an ordinary request.
