JSON-RPC: the codec apart from the connection, typed errors, codes and methods

Now jsonrpc_codec.rs turns lines into requests and responses into lines: error codes are an enum, method names stand in one place, and each error is a variant that knows its code (texts and codes are the ones sent before). jsonrpc_connection.rs has the connection in short steps and shares its timers and limits with the connection for frames. Unit tests stand in tests.rs beside the codec, every case kept.

--- /dev/null
+++ b/src/frontend/jsonrpc_codec/tests.rs
@@ -0,0 +1,115 @@
+use super::*;
+
+/// The error response that a line gets.
+fn error_response(line: &str) -> Value {
+    match decode_line(line.as_bytes()) {
+        Message::Single(Request::Invalid { id, error }) => encode_error(&id, error),
+        other => panic!("{line}: {other:?}"),
+    }
+}
+
+#[test]
+fn invalid_lines_get_their_codes_and_ids() {
+    let call = r#"{"jsonrpc":"2.0","id":1,"method":"call","params":"#;
+    let cases = [
+        ("{".to_owned(), ErrorCode::ParseError, "null"),
+        ("\u{0}".to_owned(), ErrorCode::ParseError, "null"),
+        ("[]".to_owned(), ErrorCode::InvalidRequest, "null"),
+        (format!("[{}1]", "1,".repeat(MAX_BATCH_LENGTH)), ErrorCode::InvalidRequest, "null"),
+        ("7".to_owned(), ErrorCode::InvalidRequest, "null"),
+        (r#"{"id":"a","method":"call"}"#.to_owned(), ErrorCode::InvalidRequest, "\"a\""),
+        (r#"{"jsonrpc":"2.0","id":"a"}"#.to_owned(), ErrorCode::InvalidRequest, "\"a\""),
+        (r#"{"jsonrpc":"2.0","id":[],"method":"call"}"#.to_owned(), ErrorCode::InvalidRequest, "null"),
+        (r#"{"jsonrpc":"2.0","id":5,"method":"call","params":5}"#.to_owned(), ErrorCode::InvalidRequest, "5"),
+        (r#"{"jsonrpc":"2.0","id":1.5,"method":"sing"}"#.to_owned(), ErrorCode::MethodNotFound, "1.5"),
+        (r#"{"jsonrpc":"2.0","id":null,"method":"call"}"#.to_owned(), ErrorCode::InvalidParams, "null"),
+        (
+            r#"{"jsonrpc":"2.0","id":2,"method":"cancel","params":{"id":1}}"#.to_owned(),
+            ErrorCode::InvalidRequest,
+            "2",
+        ),
+        (format!("{call}[1]}}"), ErrorCode::InvalidParams, "1"),
+        (format!(r#"{call}{{"class":"c","function":"7f","allow_ms":1}}}}"#), ErrorCode::InvalidParams, "1"),
+        (format!(r#"{call}{{"class":"c","function":"7f3a9c21e0b4d655"}}}}"#), ErrorCode::InvalidParams, "1"),
+        (
+            format!(r#"{call}{{"class":"c","function":"7f3a9c21e0b4d655","allow_ms":-1}}}}"#),
+            ErrorCode::InvalidParams,
+            "1",
+        ),
+        (
+            format!(r#"{call}{{"class":"c","function":"7f3a9c21e0b4d655","allow_ms":9,"body":"%"}}}}"#),
+            ErrorCode::InvalidParams,
+            "1",
+        ),
+        (
+            format!(r#"{call}{{"class":"c","function":"7f3a9c21e0b4d655","allow_ms":9,"ref":"x"}}}}"#),
+            ErrorCode::InvalidParams,
+            "1",
+        ),
+        (
+            format!(r#"{call}{{"class":"c","function":"7f3a9c21e0b4d655","allow_ms":9,"lanes":1e999}}}}"#),
+            ErrorCode::InvalidParams,
+            "1",
+        ),
+    ];
+    for (text, expected, id) in cases {
+        let response = error_response(&text);
+        assert_eq!(response["error"]["code"].as_i64(), Some(expected as i64), "{text}");
+        assert_eq!(response["id"].to_string(), id, "{text}");
+    }
+}
+
+#[test]
+fn valid_lines_are_decoded() {
+    let text = r#"{"jsonrpc":"2.0","id":"a","method":"call","params":{"class":"c","function":"7f3a9c21e0b4d655","allow_ms":1500,"key":"k","lanes":2,"body":"aGk="}}"#;
+    let Message::Single(Request::Call { id, params }) = decode_line(text.as_bytes()) else {
+        panic!("a call")
+    };
+    assert_eq!((id, params.allowed_millis, params.concurrency), (json!("a"), 1500, 2.0));
+    assert_eq!((params.key.as_deref(), &params.body[..]), (Some("k"), &b"hi"[..]));
+    let cases = [
+        (CANCEL_NOTIFICATION, Request::Cancel { call: json!(7) }),
+        (r#"{"jsonrpc":"2.0","method":"cancel"}"#, Request::Ignored),
+        (r#"{"jsonrpc":"2.0","method":"call","params":{}}"#, Request::Ignored),
+        (r#"{"jsonrpc":"2.0","method":"sing"}"#, Request::Ignored),
+        (r#"{"jsonrpc":"2.0","id":0,"method":"ready"}"#, Request::Ready { id: json!(0) }),
+    ];
+    for (text, expected) in cases {
+        assert_eq!(decode_line(text.as_bytes()), Message::Single(expected), "{text}");
+    }
+    let batch = format!("[{},1]", CANCEL_NOTIFICATION);
+    let Message::Batch(requests) = decode_line(batch.as_bytes()) else { panic!("a batch") };
+    assert_eq!((requests.len(), requests[0].has_response(), requests[1].has_response()), (2, false, true));
+}
+
+const CANCEL_NOTIFICATION: &str = r#"{"jsonrpc":"2.0","method":"cancel","params":{"id":7}}"#;
+
+#[test]
+fn responses_are_encoded() {
+    let rejected = Outcome::Rejected { retry_after: Span::from_millis(250) };
+    let cases = [
+        (Outcome::Served(b"hi".to_vec()), false, json!({"result": {"body": "aGk="}})),
+        (
+            rejected.clone(),
+            false,
+            json!({"error": {"code": -32001, "message": "refused", "data": {"cooldown_ms": 250}}}),
+        ),
+        (
+            rejected,
+            true,
+            json!({"error": {"code": -32003, "message": "deadline passed",
+            "data": {"outcome": "refused", "cooldown_ms": 250}}}),
+        ),
+        (Outcome::Failed, false, json!({"error": {"code": -32002, "message": "failed"}})),
+        (
+            Outcome::Failed,
+            true,
+            json!({"error": {"code": -32003, "message": "deadline passed", "data": {"outcome": "failed"}}}),
+        ),
+    ];
+    for (outcome, expired, mut expected) in cases {
+        expected["jsonrpc"] = json!("2.0");
+        expected["id"] = json!("7");
+        assert_eq!(encode_response(&json!("7"), &Response { outcome, expired }), expected);
+    }
+}
--- /dev/null
+++ b/src/frontend/jsonrpc_connection.rs
@@ -0,0 +1,344 @@
+//! A client's connection that speaks JSON-RPC 2.0 over a Unix socket.
+//!
+//! A client that closes the connection, or the half it writes on, waits for nothing more: its calls are
+//! cancelled.
+
+use super::jsonrpc_codec::{
+    CallParams, Message, Request, RequestError, decode_line, encode_cancelled, encode_error,
+    encode_readiness, encode_response,
+};
+use super::lifecycle::{ConnectionTimers, PartialMessage, cancel_requests};
+use super::limits::{MAX_OPEN_REQUESTS, MAX_UNSENT_BYTES};
+use crate::model::{Span, Time};
+use crate::net::{BufferLimits, BufferedStream, ClientConnection, Connection, ConnectionFlow, Context};
+use crate::scheduler::{ClientRequest, Outcome, RequestOrigin, Response};
+use serde_json::Value;
+use std::collections::BTreeMap;
+
+/// A connection on which no call is open and nothing comes is closed after this.
+const IDLE_TIMEOUT: Span = Span::from_millis(60_000);
+const LINE_FEED: u8 = b'\n';
+
+struct OpenCall {
+    id: Value,
+    /// The batch that the call came in.
+    batch: Option<u64>,
+}
+
+/// A batch of which some responses are still to come.
+struct OpenBatch {
+    missing: usize,
+    responses: Vec<Value>,
+}
+
+/// A client's connection that speaks JSON-RPC.
+pub struct JsonRpcConnection {
+    /// Calls by the number under which the scheduler knows them on this connection.
+    open_calls: BTreeMap<u64, OpenCall>,
+    open_batches: BTreeMap<u64, OpenBatch>,
+    /// The number of the next call or batch.
+    next_number: u64,
+    line_limit: usize,
+    /// The rest of a line that was too long is passed over.
+    skipping_line: bool,
+    timers: ConnectionTimers,
+}
+
+impl JsonRpcConnection {
+    /// A connection that was accepted at `now`, with the operator's limit on lines in bytes.
+    pub fn new(now: Time, line_limit: usize) -> JsonRpcConnection {
+        JsonRpcConnection {
+            open_calls: BTreeMap::new(),
+            open_batches: BTreeMap::new(),
+            next_number: 1,
+            line_limit,
+            skipping_line: false,
+            timers: ConnectionTimers::new(now),
+        }
+    }
+
+    /// Limits of such a connection's buffers.
+    pub fn buffer_limits(line_limit: usize) -> BufferLimits {
+        BufferLimits { input: line_limit + 1, output: MAX_UNSENT_BYTES }
+    }
+
+    /// Acts on the lines that are complete, while the client reads its responses.
+    ///
+    /// What is left over is looked at again once they have been written; see [`Connection::flushed`].
+    fn handle_lines(&mut self, socket: &mut BufferedStream, context: &mut Context) {
+        while socket.unsent() <= MAX_UNSENT_BYTES {
+            let Some(end) = socket.input.iter().position(|byte| *byte == LINE_FEED) else {
+                break;
+            };
+            let line: Vec<u8> = socket.input.drain(..=end).collect();
+            if std::mem::take(&mut self.skipping_line) {
+                continue;
+            }
+            if end > self.line_limit {
+                self.reject_line(RequestError::LineTooLong, socket, context);
+            } else {
+                self.handle_line(&line[..end], socket, context);
+            }
+        }
+        self.skip_long_line(socket, context);
+    }
+
+    /// Drops the start of a line that is too long already.
+    fn skip_long_line(&mut self, socket: &mut BufferedStream, context: &mut Context) {
+        if socket.input.len() <= self.line_limit || socket.input.contains(&LINE_FEED) {
+            return;
+        }
+        socket.input.clear();
+        if !self.skipping_line {
+            self.skipping_line = true;
+            self.reject_line(RequestError::LineTooLong, socket, context);
+        }
+    }
+
+    /// Tells the client that a line can't be read.
+    fn reject_line(&mut self, error: RequestError, socket: &mut BufferedStream, context: &mut Context) {
+        context.scheduler.counters().malformed += 1;
+        enqueue_line(&encode_error(&Value::Null, error), socket);
+    }
+
+    /// Tells the client that its last line has no end; the connection ends once that has been written.
+    fn fail_incomplete_line(&mut self, socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow {
+        self.reject_line(RequestError::IncompleteLine, socket, context);
+        self.timers.begin_close(context.now);
+        ConnectionFlow::Finish
+    }
+
+    fn handle_line(&mut self, line: &[u8], socket: &mut BufferedStream, context: &mut Context) {
+        if line.iter().all(u8::is_ascii_whitespace) {
+            return;
+        }
+        match decode_line(line) {
+            Message::Single(request) => self.handle_request(request, None, socket, context),
+            Message::Batch(requests) => self.handle_batch(requests, socket, context),
+        }
+    }
+
+    fn handle_batch(&mut self, requests: Vec<Request>, socket: &mut BufferedStream, context: &mut Context) {
+        let number = self.take_number();
+        // One more is missing until all requests have been handled, as some are answered while they are.
+        let missing = 1 + requests.iter().filter(|request| request.has_response()).count();
+        let batch = OpenBatch { missing, responses: Vec::new() };
+        self.open_batches.insert(number, batch);
+        for request in requests {
+            self.handle_request(request, Some(number), socket, context);
+        }
+        self.complete_batch_part(number, socket);
+    }
+
+    fn handle_request(
+        &mut self,
+        request: Request,
+        batch: Option<u64>,
+        socket: &mut BufferedStream,
+        context: &mut Context,
+    ) {
+        match request {
+            Request::Ignored => {}
+            Request::Invalid { id, error } => {
+                context.scheduler.counters().malformed += 1;
+                self.respond(batch, encode_error(&id, error), socket);
+            }
+            Request::Ready { id } => {
+                let ready = context.ready && context.active;
+                self.respond(batch, encode_readiness(&id, ready), socket);
+            }
+            Request::Cancel { call } => self.handle_cancel(&call, socket, context),
+            Request::Call { id, params } => self.handle_call(id, *params, batch, socket, context),
+        }
+    }
+
+    fn handle_cancel(&mut self, id: &Value, socket: &mut BufferedStream, context: &mut Context) {
+        let Some(number) = self.open_call_number(id) else {
+            return;
+        };
+        cancel_requests([number], socket, context);
+        if let Some(call) = self.open_calls.remove(&number) {
+            self.respond(call.batch, encode_cancelled(&call.id), socket);
+        }
+    }
+
+    fn handle_call(
+        &mut self,
+        id: Value,
+        params: CallParams,
+        batch: Option<u64>,
+        socket: &mut BufferedStream,
+        context: &mut Context,
+    ) {
+        // Two open calls of one id could not be told apart, neither by the client nor by a cancel.
+        if self.open_call_number(&id).is_some() {
+            return self.respond(batch, encode_error(&id, RequestError::IdInUse), socket);
+        }
+        if self.open_calls.len() >= MAX_OPEN_REQUESTS || !context.active {
+            return self.reject_call(&id, batch, socket, context);
+        }
+        let origin = RequestOrigin { connection: socket.id(), stream: self.take_number() };
+        self.open_calls.insert(origin.stream, OpenCall { id, batch });
+        let correlation_id = params.correlation_id.clone();
+        let request = ClientRequest {
+            origin,
+            correlation_id: correlation_id.unwrap_or_else(|| generated_correlation_id(origin)),
+            parameters: params.into_request_parameters(context.now),
+        };
+        context.scheduler.submit(context.now, request);
+    }
+
+    /// Rejects a call that the scheduler doesn't get.
+    fn reject_call(
+        &mut self,
+        id: &Value,
+        batch: Option<u64>,
+        socket: &mut BufferedStream,
+        context: &mut Context,
+    ) {
+        let retry_after = context.scheduler.default_retry_after();
+        let outcome = Outcome::Rejected { retry_after };
+        context.scheduler.count_local_rejection(&outcome);
+        let response = Response { outcome, expired: false };
+        self.respond(batch, encode_response(id, &response), socket);
+    }
+
+    fn open_call_number(&self, id: &Value) -> Option<u64> {
+        let call = self.open_calls.iter().find(|(_, call)| call.id == *id);
+        call.map(|(number, _)| *number)
+    }
+
+    fn take_number(&mut self) -> u64 {
+        let number = self.next_number;
+        self.next_number += 1;
+        number
+    }
+
+    /// Writes a response, or keeps it until its batch is complete.
+    fn respond(&mut self, batch: Option<u64>, response: Value, socket: &mut BufferedStream) {
+        let Some(number) = batch else {
+            return enqueue_line(&response, socket);
+        };
+        if let Some(batch) = self.open_batches.get_mut(&number) {
+            batch.responses.push(response);
+            self.complete_batch_part(number, socket);
+        }
+    }
+
+    /// One response fewer is missing in a batch; all of them are written once none is.
+    fn complete_batch_part(&mut self, number: u64, socket: &mut BufferedStream) {
+        let Some(batch) = self.open_batches.get_mut(&number) else {
+            return;
+        };
+        batch.missing -= 1;
+        if batch.missing > 0 {
+            return;
+        }
+        if let Some(batch) = self.open_batches.remove(&number)
+            && !batch.responses.is_empty()
+        {
+            enqueue_line(&Value::Array(batch.responses), socket);
+        }
+    }
+
+    /// Sets the deadline of a line that has begun. One that is held back until its client reads is not
+    /// incomplete.
+    fn track_partial_line(&mut self, buffered_before: usize, socket: &BufferedStream, now: Time) {
+        let input = &socket.input;
+        let incomplete = self.skipping_line || !input.is_empty() && !input.contains(&LINE_FEED);
+        let message = if !incomplete {
+            PartialMessage::None
+        } else if input.len() < buffered_before {
+            PartialMessage::Begun
+        } else {
+            PartialMessage::Continued
+        };
+        self.timers.track_message(message, now);
+    }
+
+    /// How long the connection may be idle; none while calls are open.
+    fn idle_timeout(&self) -> Option<Span> {
+        self.open_calls.is_empty().then_some(IDLE_TIMEOUT)
+    }
+}
+
+/// An id for a request whose client has given it none.
+fn generated_correlation_id(origin: RequestOrigin) -> String {
+    format!("{:08x}{:08x}", origin.connection as u32, origin.stream as u32)
+}
+
+fn enqueue_line(response: &Value, socket: &mut BufferedStream) {
+    let mut line = response.to_string().into_bytes();
+    line.push(LINE_FEED);
+    socket.enqueue(&line);
+}
+
+impl Connection for JsonRpcConnection {
+    fn opened(&mut self, _socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow {
+        context.scheduler.counters().accepted += 1;
+        ConnectionFlow::Continue
+    }
+
+    fn received(&mut self, socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow {
+        self.timers.record_activity(context.now);
+        let buffered_before = socket.input.len();
+        self.handle_lines(socket, context);
+        if !socket.input_ended {
+            self.track_partial_line(buffered_before, socket, context.now);
+            return ConnectionFlow::Continue;
+        }
+        if socket.input.iter().all(u8::is_ascii_whitespace) || socket.input.contains(&LINE_FEED) {
+            return ConnectionFlow::Close;
+        }
+        // The client is told, in case it still reads.
+        self.fail_incomplete_line(socket, context)
+    }
+
+    fn flushed(&mut self, socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow {
+        self.handle_lines(socket, context);
+        ConnectionFlow::Continue
+    }
+
+    fn timer_expired(&mut self, socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow {
+        if self.timers.message_timed_out(context.now) {
+            return self.fail_incomplete_line(socket, context);
+        }
+        if self.timers.connection_timed_out(context.now, self.idle_timeout()) {
+            return ConnectionFlow::Close;
+        }
+        ConnectionFlow::Continue
+    }
+
+    fn deadline(&self) -> Option<Time> {
+        self.timers.next(self.idle_timeout())
+    }
+
+    fn closed(&mut self, socket: &BufferedStream, context: &mut Context) {
+        let calls = std::mem::take(&mut self.open_calls);
+        cancel_requests(calls.into_keys(), socket, context);
+    }
+
+    fn idle_since(&self) -> Option<Time> {
+        if self.open_calls.is_empty() { self.timers.idle_since() } else { None }
+    }
+
+    fn as_client(&mut self) -> Option<&mut dyn ClientConnection> {
+        Some(self)
+    }
+}
+
+impl ClientConnection for JsonRpcConnection {
+    fn deliver(
+        &mut self,
+        stream: u64,
+        response: &Response,
+        socket: &mut BufferedStream,
+        context: &mut Context,
+    ) -> ConnectionFlow {
+        if let Some(call) = self.open_calls.remove(&stream) {
+            self.timers.record_activity(context.now);
+            self.respond(call.batch, encode_response(&call.id, response), socket);
+        }
+        ConnectionFlow::Continue
+    }
+}
--- a/src/frontend/mod.rs
+++ b/src/frontend/mod.rs
@@ -6,7 +6,8 @@
 
 pub mod frame_codec;
 mod frame_connection;
-mod jsonrpc;
+pub mod jsonrpc_codec;
+mod jsonrpc_connection;
 mod lifecycle;
 mod limits;
 mod request_figures;
@@ -14,4 +15,4 @@
 pub mod unix_socket;
 
 pub use frame_connection::FrameConnection;
-pub use jsonrpc::JsonRpcConnection;
+pub use jsonrpc_connection::JsonRpcConnection;
