Backend: plainer comments within the line width; shared asserts for the codecs' tests

Why: comments were wider than the code, some used the words of the earlier house style, and both codecs' tests had the same loops.

Change: comments reworded and wrapped at 110 columns; assert_decoded and assert_encoded stand once in tests/mod.rs, with the same comparisons. WorkerConnection::needs_cancel_command, which also cancelled, is cancel_attempt.

--- a/src/backend/codec.rs
+++ b/src/backend/codec.rs
@@ -30,8 +30,8 @@
     ///
     /// # Errors
     ///
-    /// A [`DecodeError`] for a line that is no valid answer. It names the command that the line belongs to, if
-    /// that much could be read.
+    /// A [`DecodeError`] for a line that is no valid answer. It names the command that the line belongs to,
+    /// if that much could be read.
     fn decode(&self, line: &[u8]) -> Result<WorkerMessage, DecodeError>;
 }
 
@@ -138,8 +138,8 @@
     format!("{:016x}", function.0)
 }
 
-/// The time until a deadline as the wires give it, in milliseconds rounded up. It is at least 1, because a worker
-/// could read 0 as no deadline.
+/// The time until a deadline as the wires give it, in milliseconds rounded up. It is at least 1, because a
+/// worker could read 0 as no deadline.
 pub(super) fn remaining_milliseconds(now: Time, deadline: Time) -> u64 {
     let remaining = deadline - now;
     remaining.0.div_ceil(NANOSECONDS_PER_MILLISECOND).max(1)
--- a/src/backend/connection.rs
+++ b/src/backend/connection.rs
@@ -22,8 +22,8 @@
 const MAX_UNSENT_BYTES: usize = 4 << 20;
 /// Open and waiting commands on one connection.
 const MAX_COMMANDS: usize = 4096;
-/// Time within which a line of a worker has to arrive whole. One that stops short would swallow the start of the
-/// next answer.
+/// Time within which a line of a worker has to arrive completely. One that stops short would swallow the
+/// start of the next answer.
 const LINE_TIMEOUT: Span = Span::from_millis(300);
 const LINE_FEED: u8 = b'\n';
 
@@ -46,9 +46,9 @@
     health_check: Option<OutstandingHealthCheck>,
     /// Until when the rest of an incomplete line has to arrive.
     line_deadline: Option<Time>,
-    /// A health check was not answered, and nothing has arrived since. A connection through a network partition
-    /// stays established and silent, and is slow to recover after the partition. New commands take a new
-    /// connection instead: if it is refused, this proves that nothing ran.
+    /// A health check was not answered, and nothing has arrived since. A connection through a network
+    /// partition stays established and silent, and is slow to recover after the partition. New commands take
+    /// a new connection instead: if it is refused, this proves that nothing ran.
     unresponsive: bool,
 }
 
@@ -76,8 +76,8 @@
         }
     }
 
-    /// Whether a command could be taken now: there is capacity, and its correlation id, if it is an attempt's, is
-    /// not in use here.
+    /// Whether a command could be taken now: there is capacity, and its correlation id, if it is an
+    /// attempt's, is not in use here.
     pub(super) fn accepts(&self, correlation_id: Option<&str>) -> bool {
         let commands = self.correlations.open_exchange_count() + self.write_queue.len();
         correlation_id.is_none_or(|id| self.correlations.is_unused(id))
@@ -103,7 +103,7 @@
                 self.correlations.open_attempt(*attempt, &payload.correlation_id);
             }
             Job::Cancel { attempt } => {
-                if !self.needs_cancel_command(*attempt, context.now) {
+                if !self.cancel_attempt(*attempt, context.now) {
                     return ConnectionFlow::Continue;
                 }
             }
@@ -119,9 +119,9 @@
         self.flush_jobs(socket, context)
     }
 
-    /// Cancels an attempt here. Returns whether the worker has to be told as well: it has not if the attempt has
-    /// been answered, or if its own command still waits and so is never written.
-    fn needs_cancel_command(&mut self, attempt: AttemptId, now: Time) -> bool {
+    /// Cancels an attempt, and returns whether the worker needs a command for that. It needs none if the
+    /// attempt has been answered, or if its start still waited and so is never written.
+    fn cancel_attempt(&mut self, attempt: AttemptId, now: Time) -> bool {
         if !self.correlations.has_attempt(attempt) {
             return false;
         }
@@ -133,7 +133,7 @@
         true
     }
 
-    /// Writes the waiting commands one after another, each once the one before has been written whole.
+    /// Writes the waiting commands one after another, each once the one before has been written completely.
     fn flush_jobs(&mut self, socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow {
         while socket.is_connected() && socket.unsent() == 0 {
             if let Some(Exchange::Attempt(attempt)) = self.write_queue.finish_write() {
@@ -211,8 +211,8 @@
             Ok(WorkerMessage::Alive { correlation_id }) => self.handle_alive(&correlation_id, context),
             Err(error) => {
                 self.handle_decode_error(&error, context);
-                // It is no longer certain where lines begin and end, so that whatever is open on this connection
-                // could wait for its answer in vain.
+                // It is no longer certain where lines begin and end, so that whatever is open on this
+                // connection could wait for its answer in vain.
                 return ConnectionFlow::Close;
             }
         }
@@ -231,8 +231,8 @@
     }
 
     fn end_attempt(&mut self, attempt: AttemptId, message: ResponseMessage, context: &mut Context) {
-        // A request that was not served may be tried again under the same id. That attempt has to take another
-        // connection, so that a duplicate of this answer is not taken for its own.
+        // A request that was not served may be tried again under the same id. That attempt has to take
+        // another connection, so that a duplicate of this answer is not taken for its own.
         if !matches!(message.response, WorkerResponse::Ok(_)) {
             self.correlations.retire(message.correlation_id, context.now);
         }
--- a/src/backend/correlation.rs
+++ b/src/backend/correlation.rs
@@ -42,8 +42,8 @@
     retired_at: Time,
 }
 
-/// The open exchanges of a connection by correlation id, and the retired ids, under which an answer may still come
-/// late.
+/// The open exchanges of a connection by correlation id, and the retired ids, under which an answer may still
+/// come late.
 #[derive(Default)]
 pub(super) struct CorrelationTable {
     entries: HashMap<String, Entry>,
@@ -102,7 +102,8 @@
         self.open_exchanges().next().is_some()
     }
 
-    /// Number of open exchanges. It is too low by the retired ids that have been answered late, until they expire.
+    /// Number of open exchanges. It is too low by the retired ids that have been answered late, until they
+    /// expire.
     pub(super) fn open_exchange_count(&self) -> usize {
         self.entries.len().saturating_sub(self.retired.len())
     }
@@ -112,7 +113,8 @@
         self.open_attempts
     }
 
-    /// Closes what is open under an id and frees the id, also if it is retired. Returns the exchange that was open.
+    /// Closes what is open under an id and frees the id, also if it is retired. Returns the exchange that was
+    /// open.
     pub(super) fn close(&mut self, correlation_id: &str) -> Option<Exchange> {
         let Entry::Open(exchange) = self.entries.remove(correlation_id)? else {
             return None;
@@ -136,7 +138,7 @@
         self.attempt_correlation_ids.contains_key(&attempt)
     }
 
-    /// Cancels an open attempt that has been sent, wholly or in part: its id is retired.
+    /// Cancels an open attempt of which something has been sent: its id is retired.
     pub(super) fn cancel_attempt(&mut self, attempt: AttemptId, now: Time) {
         if let Some(correlation_id) = self.attempt_correlation_ids.get(&attempt).cloned() {
             self.open_attempts -= 1;
--- a/src/backend/limits.rs
+++ b/src/backend/limits.rs
@@ -7,8 +7,8 @@
 pub struct Limits {
     /// Attempts that one connection carries at a time.
     pub attempts_per_connection: usize,
-    /// A connection with nothing open is closed after this time. It has to be shorter than the workers' own idle
-    /// timeout, or a command could be written while the worker closes the connection.
+    /// A connection with nothing open is closed after this time. It has to be shorter than the workers' own
+    /// idle timeout, or a command could be written while the worker closes the connection.
     pub idle_timeout: Span,
     /// A connection that is not established within this time has failed.
     pub connect_timeout: Span,
--- a/src/backend/mod.rs
+++ b/src/backend/mod.rs
@@ -1,13 +1,13 @@
 //! The back end: connections to workers.
 //!
-//! A [`Pool`] knows the address of every worker and chooses the connection that a command takes. Each connection
-//! writes one command at a time, and only once the one before has been handed to the system whole. That way it
-//! knows for every attempt how far its command had been written when the connection closed, on which it depends
-//! whether a retry is safe. Right before the first byte of a command it asks the scheduler whether the command
-//! may still be sent.
+//! A [`Pool`] knows the address of every worker and chooses the connection that a command takes. Each
+//! connection writes one command at a time, and only once the one before has been handed to the operating
+//! system completely. That way it knows for every attempt how far its command had been written when the
+//! connection closed, on which it depends whether a retry is safe. Right before the first byte of a command
+//! it asks the scheduler whether the command may still be sent.
 //!
-//! What the lines of commands and answers look like is up to a [`Codec`]: [`NodeAgentCodec`] for node agents on
-//! TCP, [`JsonRpcCodec`] for workers on Unix sockets.
+//! What the lines of commands and answers look like is up to a [`Codec`]: [`NodeAgentCodec`] for node agents
+//! on TCP, [`JsonRpcCodec`] for workers on Unix sockets.
 
 mod address;
 mod codec;
--- a/src/backend/node_agent_codec.rs
+++ b/src/backend/node_agent_codec.rs
@@ -76,8 +76,8 @@
     json_line(&Command { attrs: None, content: None, rid, verb })
 }
 
-/// An answer of a node agent. Fields may be numbers or text, and unknown or unusable attributes are tolerated,
-/// so that most fields are interpreted only after parsing.
+/// An answer of a node agent. Fields may be numbers or text, and unknown or unusable attributes are
+/// tolerated, so that most fields are interpreted only after parsing.
 #[derive(Deserialize)]
 struct Answer {
     verb: Value,
@@ -198,16 +198,16 @@
     text.parse().ok()
 }
 
-/// The values of a load report such as `inflight:7;util:0.61`. Those that cannot be read are left out, so that a
-/// malformed load report does not spoil the answer that carries it.
+/// The values of a load report such as `inflight:7;util:0.61`. Those that cannot be read are left out, so
+/// that a malformed load report does not spoil the answer that carries it.
 fn load_report(attributes: &Value) -> Vec<ReportedMetric> {
     let report = attributes.get(LOAD_REPORT_KEY).and_then(Value::as_str).unwrap_or_default();
-    let pairs = report.split(';').filter_map(|pair| pair.split_once(':'));
-    pairs
-        .filter_map(|(name, value)| {
-            Some(ReportedMetric { name: name.trim().to_owned(), value: load_value(value)? })
-        })
-        .collect()
+    report.split(';').filter_map(reported_metric).collect()
+}
+
+fn reported_metric(pair: &str) -> Option<ReportedMetric> {
+    let (name, value) = pair.split_once(':')?;
+    Some(ReportedMetric { name: name.trim().to_owned(), value: load_value(value)? })
 }
 
 fn load_value(text: &str) -> Option<f32> {
--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -16,11 +16,12 @@
 
 /// Connections to one worker at a time, those being established included.
 const MAX_CONNECTIONS_PER_WORKER: usize = 16;
-/// Connections to one worker that all schedulers together spread requests over. How many a worker accepts is not
-/// known in advance, and one that has no more descriptors refuses each further connection with the request on it.
+/// Connections to one worker that all schedulers together spread requests over. How many a worker accepts is
+/// not known in advance, and one that has no more descriptors refuses each further connection with the
+/// request on it.
 const SHARED_CONNECTIONS_PER_WORKER: usize = 48;
-/// Attempts on a connection from which the next one opens another, while descriptors last. An answer that cannot
-/// be decoded, or a reset, ends everything that is open on its connection.
+/// Attempts on a connection from which the next one opens another, while descriptors last. An answer that
+/// cannot be decoded, or a reset, ends everything that is open on its connection.
 const ATTEMPTS_BEFORE_NEW_CONNECTION: usize = 1;
 /// Routes kept beyond two for each attempt in flight before those of ended attempts are dropped.
 const SPARE_ROUTES: usize = 256;
@@ -74,8 +75,8 @@
         }
     }
 
-    /// Sets the address of a worker. If it is new, or another process has started there, nothing more is sent on
-    /// the connections to the old process; what is open on them ends by itself.
+    /// Sets the address of a worker. If it is new, or another process has started there, nothing more is sent
+    /// on the connections to the old process; what is open on them ends by itself.
     pub fn set_address(&mut self, worker: WorkerId, address: WorkerAddress, started_at: Option<Time>) {
         let known = self.targets.get(&worker);
         if known.is_some_and(|target| target.address == address && target.started_at == started_at) {
@@ -144,8 +145,9 @@
         Some(connection)
     }
 
-    /// The connection that a command to a worker takes, which may be a new one. An attempt gives its correlation
-    /// id: two open attempts of one request must not share a connection, because their answers would look alike.
+    /// The connection that a command to a worker takes, which may be a new one. An attempt gives its
+    /// correlation id: two open attempts of one request must not share a connection, because their answers
+    /// would look alike.
     fn connection_to(
         &mut self,
         worker: WorkerId,
@@ -175,8 +177,8 @@
         self.connect(worker, reactor, scheduler)
     }
 
-    /// Connections to one worker that requests are spread over. Clients may take a third of the descriptors; the
-    /// rest is shared equally by all workers.
+    /// Connections to one worker that requests are spread over. Clients may take a third of the descriptors;
+    /// the rest is shared equally by all workers.
     fn max_spread(&self) -> usize {
         let limits = self.limits.get();
         let share_of_descriptors = limits.max_connections * 2 / 3 / self.targets.len().max(1);
@@ -230,7 +232,8 @@
     }
 }
 
-/// Hands a command to a connection. A cancellation for one that has closed is dropped: what was open has ended.
+/// Hands a command to a connection. A cancellation for one that has closed is dropped: what was open has
+/// ended.
 fn submit_to(connection: u64, job: Job, reactor: &mut Reactor, scheduler: &mut Scheduler) {
     reactor.with_connection_of(connection, scheduler, |worker: &mut WorkerConnection, socket, context| {
         worker.submit(job, socket, context)
--- a/src/backend/tests/jsonrpc_codec.rs
+++ b/src/backend/tests/jsonrpc_codec.rs
@@ -1,20 +1,14 @@
 //! The wire format of JSON-RPC workers.
 
 use super::{
-    Decoded, FUNCTION, FUNCTION_NAME, alive, decode_error, empty_request, parse, request_with_key, response,
-    text,
+    FUNCTION, FUNCTION_NAME, alive, assert_decoded, assert_encoded, decode_error, empty_request, parse,
+    request_with_key, response,
 };
 use crate::backend::{Codec, DecodeErrorKind, JsonRpcCodec};
 use crate::model::Time;
 use crate::scheduler::{RequestPayload, WorkerResponse};
 use serde_json::json;
 
-fn assert_decoded(cases: Vec<(&str, Decoded)>) {
-    for (line, expected) in cases {
-        assert_eq!(JsonRpcCodec.decode(line.as_bytes()), expected, "{line}");
-    }
-}
-
 #[test]
 fn commands_are_encoded() {
     let payload = RequestPayload {
@@ -78,60 +72,76 @@
         ),
         (JsonRpcCodec.encode_health_check("p"), r#"{"id":"p","jsonrpc":"2.0","method":"probe","params":{}}"#),
     ];
-    for (line, expected) in cases {
-        assert_eq!(text(line), format!("{expected}\n"));
-    }
+    assert_encoded(cases);
 }
 
 #[test]
 fn valid_answers_are_decoded() {
-    assert_decoded(vec![
-        (
-            r#"{"jsonrpc":"2.0","id":"a","result":{"body":"aGk="}}"#,
-            response("a", WorkerResponse::Ok(b"hi".into()), None),
-        ),
-        (
-            r#"{"jsonrpc":"2.0","id":"a","result":{"copies":2}}"#,
-            response("a", WorkerResponse::Ok(vec![]), Some(2)),
-        ),
-        (r#"{"jsonrpc":"2.0","id":"a","result":{"load":{"util":0.5}}}"#, alive("a")),
-        (r#"{"jsonrpc":"2.0","id":"a","error":{"code":-32010}}"#, response("a", WorkerResponse::Miss, None)),
-        (
-            r#"{"jsonrpc":"2.0","id":"a","error":{"code":-32011,"data":{"copies":1}}}"#,
-            response("a", WorkerResponse::Full, Some(1)),
-        ),
-        (
-            r#"{"jsonrpc":"2.0","id":"a","error":{"code":-32012}}"#,
-            response("a", WorkerResponse::Expired, None),
-        ),
-        (r#"{"jsonrpc":"2.0","id":"a","error":{"code":-32601}}"#, response("a", WorkerResponse::Error, None)),
-        (
-            r#"{"jsonrpc":"2.0","id":"b","id":"a","result":{"body":"","more":1}}"#,
-            response("a", WorkerResponse::Ok(vec![]), None),
-        ),
-    ]);
+    assert_decoded(
+        &JsonRpcCodec,
+        vec![
+            (
+                r#"{"jsonrpc":"2.0","id":"a","result":{"body":"aGk="}}"#,
+                response("a", WorkerResponse::Ok(b"hi".into()), None),
+            ),
+            (
+                r#"{"jsonrpc":"2.0","id":"a","result":{"copies":2}}"#,
+                response("a", WorkerResponse::Ok(vec![]), Some(2)),
+            ),
+            (r#"{"jsonrpc":"2.0","id":"a","result":{"load":{"util":0.5}}}"#, alive("a")),
+            (
+                r#"{"jsonrpc":"2.0","id":"a","error":{"code":-32010}}"#,
+                response("a", WorkerResponse::Miss, None),
+            ),
+            (
+                r#"{"jsonrpc":"2.0","id":"a","error":{"code":-32011,"data":{"copies":1}}}"#,
+                response("a", WorkerResponse::Full, Some(1)),
+            ),
+            (
+                r#"{"jsonrpc":"2.0","id":"a","error":{"code":-32012}}"#,
+                response("a", WorkerResponse::Expired, None),
+            ),
+            (
+                r#"{"jsonrpc":"2.0","id":"a","error":{"code":-32601}}"#,
+                response("a", WorkerResponse::Error, None),
+            ),
+            (
+                r#"{"jsonrpc":"2.0","id":"b","id":"a","result":{"body":"","more":1}}"#,
+                response("a", WorkerResponse::Ok(vec![]), None),
+            ),
+        ],
+    );
 }
 
 #[test]
 fn malformed_answers_are_decode_errors() {
-    assert_decoded(vec![
-        (
-            r#"{"jsonrpc":"2.0","id":"a","error":{}}"#,
-            decode_error(Some("a"), DecodeErrorKind::MissingErrorCode),
-        ),
-        (r#"{"jsonrpc":"2.0","id":"a","result":{}}"#, decode_error(Some("a"), DecodeErrorKind::MissingBody)),
-        (
-            r#"{"jsonrpc":"2.0","id":"a","result":{"body":"%"}}"#,
-            decode_error(Some("a"), DecodeErrorKind::BodyNotBase64),
-        ),
-        (r#"{"jsonrpc":"2.0","id":"a"}"#, decode_error(Some("a"), DecodeErrorKind::NoResultOrError)),
-        (
-            r#"{"jsonrpc":"2.0","id":"a","result":null,"error":{"code":-32010}}"#,
-            decode_error(Some("a"), DecodeErrorKind::NoResultOrError),
-        ),
-        (r#"{"id":"a","result":{"body":""}}"#, decode_error(Some("a"), DecodeErrorKind::WrongVersion)),
-        (r#"{"jsonrpc":"2.0","id":1,"result":{"body":""}}"#, decode_error(None, DecodeErrorKind::ForeignId)),
-        ("[1]", decode_error(None, DecodeErrorKind::NotAnObject)),
-        ("{", decode_error(None, DecodeErrorKind::NotJson)),
-    ]);
+    assert_decoded(
+        &JsonRpcCodec,
+        vec![
+            (
+                r#"{"jsonrpc":"2.0","id":"a","error":{}}"#,
+                decode_error(Some("a"), DecodeErrorKind::MissingErrorCode),
+            ),
+            (
+                r#"{"jsonrpc":"2.0","id":"a","result":{}}"#,
+                decode_error(Some("a"), DecodeErrorKind::MissingBody),
+            ),
+            (
+                r#"{"jsonrpc":"2.0","id":"a","result":{"body":"%"}}"#,
+                decode_error(Some("a"), DecodeErrorKind::BodyNotBase64),
+            ),
+            (r#"{"jsonrpc":"2.0","id":"a"}"#, decode_error(Some("a"), DecodeErrorKind::NoResultOrError)),
+            (
+                r#"{"jsonrpc":"2.0","id":"a","result":null,"error":{"code":-32010}}"#,
+                decode_error(Some("a"), DecodeErrorKind::NoResultOrError),
+            ),
+            (r#"{"id":"a","result":{"body":""}}"#, decode_error(Some("a"), DecodeErrorKind::WrongVersion)),
+            (
+                r#"{"jsonrpc":"2.0","id":1,"result":{"body":""}}"#,
+                decode_error(None, DecodeErrorKind::ForeignId),
+            ),
+            ("[1]", decode_error(None, DecodeErrorKind::NotAnObject)),
+            ("{", decode_error(None, DecodeErrorKind::NotJson)),
+        ],
+    );
 }
--- a/src/backend/tests/mod.rs
+++ b/src/backend/tests/mod.rs
@@ -6,7 +6,7 @@
 mod write_queue;
 
 use super::job::Job;
-use super::{DecodeError, DecodeErrorKind, ResponseMessage, WorkerMessage};
+use super::{Codec, DecodeError, DecodeErrorKind, ResponseMessage, WorkerMessage};
 use crate::model::{FunctionId, Time};
 use crate::scheduler::{AttemptId, LoadOrderId, RequestPayload, WorkerResponse};
 use serde_json::Value;
@@ -40,8 +40,17 @@
     serde_json::from_slice(line).unwrap()
 }
 
-fn text(line: Vec<u8>) -> String {
-    String::from_utf8(line).unwrap()
+fn assert_decoded(codec: &dyn Codec, cases: Vec<(&str, Decoded)>) {
+    for (line, expected) in cases {
+        assert_eq!(codec.decode(line.as_bytes()), expected, "{line}");
+    }
+}
+
+/// Compares encoded lines byte for byte with what is expected before the line feed.
+fn assert_encoded<const COUNT: usize>(cases: [(Vec<u8>, &str); COUNT]) {
+    for (line, expected) in cases {
+        assert_eq!(String::from_utf8(line).unwrap(), format!("{expected}\n"));
+    }
 }
 
 /// A request whose class has characters that JSON escapes, or may.
--- a/src/backend/tests/node_agent_codec.rs
+++ b/src/backend/tests/node_agent_codec.rs
@@ -1,8 +1,8 @@
 //! The wire format of node agents.
 
 use super::{
-    Decoded, FUNCTION, FUNCTION_NAME, alive, decode_error, empty_request, parse, request_with_key, response,
-    text,
+    FUNCTION, FUNCTION_NAME, alive, assert_decoded, assert_encoded, decode_error, empty_request, parse,
+    request_with_key, response,
 };
 use crate::backend::{Codec, DecodeErrorKind, NodeAgentCodec, ResponseMessage, WorkerMessage};
 use crate::model::Time;
@@ -13,31 +13,31 @@
     ReportedMetric { name: name.to_owned(), value }
 }
 
-fn assert_decoded(cases: Vec<(&str, Decoded)>) {
-    for (line, expected) in cases {
-        assert_eq!(NodeAgentCodec.decode(line.as_bytes()), expected, "{line}");
-    }
-}
-
 #[test]
 fn valid_answers_are_decoded() {
-    assert_decoded(vec![
-        (
-            r#"{"verb":"200","rid":"a1","content":"aGk="}"#,
-            response("a1", WorkerResponse::Ok(b"hi".into()), None),
-        ),
-        (r#"{"verb":200,"rid":"a1"}"#, response("a1", WorkerResponse::Ok(vec![]), None)),
-        (
-            r#"{"verb":"200","rid":7,"attrs":{"replicas":"2"}}"#,
-            response("7", WorkerResponse::Ok(vec![]), Some(2)),
-        ),
-        (r#"{"verb":"503","rid":"l","attrs":{"replicas":1}}"#, response("l", WorkerResponse::Full, Some(1))),
-        (r#"{"verb":"404","rid":"a"}"#, response("a", WorkerResponse::Miss, None)),
-        (r#"{"verb":"500","rid":"a","attrs":null}"#, response("a", WorkerResponse::Error, None)),
-        (r#"{"verb":"504","rid":"a"}"#, response("a", WorkerResponse::Expired, None)),
-        (r#"{"verb":"alive","rid":"p","attrs":{"rep":"util:0.5"}}"#, alive("p")),
-        (r#"{"verb":"dead","rid":"p"}"#, response("p", WorkerResponse::Error, None)),
-    ]);
+    assert_decoded(
+        &NodeAgentCodec,
+        vec![
+            (
+                r#"{"verb":"200","rid":"a1","content":"aGk="}"#,
+                response("a1", WorkerResponse::Ok(b"hi".into()), None),
+            ),
+            (r#"{"verb":200,"rid":"a1"}"#, response("a1", WorkerResponse::Ok(vec![]), None)),
+            (
+                r#"{"verb":"200","rid":7,"attrs":{"replicas":"2"}}"#,
+                response("7", WorkerResponse::Ok(vec![]), Some(2)),
+            ),
+            (
+                r#"{"verb":"503","rid":"l","attrs":{"replicas":1}}"#,
+                response("l", WorkerResponse::Full, Some(1)),
+            ),
+            (r#"{"verb":"404","rid":"a"}"#, response("a", WorkerResponse::Miss, None)),
+            (r#"{"verb":"500","rid":"a","attrs":null}"#, response("a", WorkerResponse::Error, None)),
+            (r#"{"verb":"504","rid":"a"}"#, response("a", WorkerResponse::Expired, None)),
+            (r#"{"verb":"alive","rid":"p","attrs":{"rep":"util:0.5"}}"#, alive("p")),
+            (r#"{"verb":"dead","rid":"p"}"#, response("p", WorkerResponse::Error, None)),
+        ],
+    );
 }
 
 #[test]
@@ -49,35 +49,47 @@
         instances: None,
         load_report: vec![metric("inflight", 7.0), metric("util", 0.5)],
     });
-    assert_decoded(vec![(line, Ok(expected))]);
+    assert_decoded(&NodeAgentCodec, vec![(line, Ok(expected))]);
 }
 
 #[test]
 fn malformed_answers_are_decode_errors() {
-    assert_decoded(vec![
-        (
-            r#"{"verb":"200","rid":"a","content":"%"}"#,
-            decode_error(Some("a"), DecodeErrorKind::ContentNotBase64),
-        ),
-        (r#"{"verb":"207","rid":"a"}"#, decode_error(Some("a"), DecodeErrorKind::UnknownVerb)),
-        (r#"{"verb":null,"rid":"a"}"#, decode_error(Some("a"), DecodeErrorKind::InvalidVerb)),
-        (r#"{"verb":"200"}"#, decode_error(None, DecodeErrorKind::MissingRid)),
-        (r#"{"verb":"200","rid":"a""#, decode_error(None, DecodeErrorKind::NotAnAnswer)),
-        ("[]", decode_error(None, DecodeErrorKind::NotAnAnswer)),
-        ("", decode_error(None, DecodeErrorKind::NotAnAnswer)),
-    ]);
+    assert_decoded(
+        &NodeAgentCodec,
+        vec![
+            (
+                r#"{"verb":"200","rid":"a","content":"%"}"#,
+                decode_error(Some("a"), DecodeErrorKind::ContentNotBase64),
+            ),
+            (r#"{"verb":"207","rid":"a"}"#, decode_error(Some("a"), DecodeErrorKind::UnknownVerb)),
+            (r#"{"verb":null,"rid":"a"}"#, decode_error(Some("a"), DecodeErrorKind::InvalidVerb)),
+            (r#"{"verb":"200"}"#, decode_error(None, DecodeErrorKind::MissingRid)),
+            (r#"{"verb":"200","rid":"a""#, decode_error(None, DecodeErrorKind::NotAnAnswer)),
+            ("[]", decode_error(None, DecodeErrorKind::NotAnAnswer)),
+            ("", decode_error(None, DecodeErrorKind::NotAnAnswer)),
+        ],
+    );
 }
 
 #[test]
 fn unusual_but_tolerated_answers_are_decoded() {
-    assert_decoded(vec![
-        (r#"{"verb":"200","rid":"a","attrs":7,"more":{}}"#, response("a", WorkerResponse::Ok(vec![]), None)),
-        (r#"{"verb":"200","rid":"a","content":null}"#, response("a", WorkerResponse::Ok(vec![]), None)),
-        (r#"{"verb":"404","rid":"a","content":"%"}"#, response("a", WorkerResponse::Miss, None)),
-        (r#"{"verb":"404","rid":"a","attrs":{"replicas":-1}}"#, response("a", WorkerResponse::Miss, None)),
-        (r#"["200","a",null,"aGk="]"#, response("a", WorkerResponse::Ok(b"hi".into()), None)),
-        (r#"{"verb":"200","verb":"200","rid":"a"}"#, decode_error(None, DecodeErrorKind::NotAnAnswer)),
-    ]);
+    assert_decoded(
+        &NodeAgentCodec,
+        vec![
+            (
+                r#"{"verb":"200","rid":"a","attrs":7,"more":{}}"#,
+                response("a", WorkerResponse::Ok(vec![]), None),
+            ),
+            (r#"{"verb":"200","rid":"a","content":null}"#, response("a", WorkerResponse::Ok(vec![]), None)),
+            (r#"{"verb":"404","rid":"a","content":"%"}"#, response("a", WorkerResponse::Miss, None)),
+            (
+                r#"{"verb":"404","rid":"a","attrs":{"replicas":-1}}"#,
+                response("a", WorkerResponse::Miss, None),
+            ),
+            (r#"["200","a",null,"aGk="]"#, response("a", WorkerResponse::Ok(b"hi".into()), None)),
+            (r#"{"verb":"200","verb":"200","rid":"a"}"#, decode_error(None, DecodeErrorKind::NotAnAnswer)),
+        ],
+    );
 }
 
 #[test]
@@ -137,7 +149,5 @@
         (NodeAgentCodec.encode_unload(FUNCTION), r#"{"rid":"000000000000007f","verb":"purge"}"#),
         (NodeAgentCodec.encode_health_check("p"), r#"{"rid":"p","verb":"stat"}"#),
     ];
-    for (line, expected) in cases {
-        assert_eq!(text(line), format!("{expected}\n"));
-    }
+    assert_encoded(cases);
 }
--- a/src/backend/write_queue.rs
+++ b/src/backend/write_queue.rs
@@ -16,8 +16,8 @@
 #[derive(Default)]
 pub(super) struct WriteQueue {
     waiting: VecDeque<Job>,
-    /// The attempt or order to load whose bytes the system may not have taken whole. Health checks are not
-    /// tracked, because a repeat of them is always safe.
+    /// The attempt or order to load whose bytes the operating system may not all have taken. Health checks
+    /// are not tracked: they may be repeated however far they were written.
     writing: Option<Exchange>,
 }
 
@@ -27,7 +27,7 @@
         self.waiting.push_back(job);
     }
 
-    /// Takes the next command. It may only be written once the one before has been written whole.
+    /// Takes the next command. It may only be written once the one before has been written completely.
     pub(super) fn pop(&mut self) -> Option<Job> {
         self.waiting.pop_front()
     }
@@ -44,7 +44,8 @@
         self.writing = Some(exchange);
     }
 
-    /// Notes that everything has been handed to the system; returns the exchange whose command was being written.
+    /// Notes that everything has been handed to the operating system; returns the exchange whose command was
+    /// being written.
     pub(super) fn finish_write(&mut self) -> Option<Exchange> {
         self.writing.take()
     }
@@ -62,8 +63,8 @@
     /// How far each exchange had come when the connection closed with `unsent_bytes` left in its buffer:
     ///
     /// - [`WriteProgress::NotSent`] if its command still waited;
-    /// - [`WriteProgress::PartiallyWritten`] if its command was being written and bytes of it are left: the line
-    ///   that the worker has received has no end, so that it cannot have been carried out;
+    /// - [`WriteProgress::PartiallyWritten`] if its command was being written and bytes of it are left: the
+    ///   line that the worker has received has no end, so that it cannot have been carried out;
     /// - [`WriteProgress::Written`] otherwise.
     ///
     /// The commands that waited come first, in their order.
