Server: signals and leader election in modules of their own

The server kept its signal pipes as a triple and the VRRP machinery among its other methods, so that the event loop could not be read without both.

`SignalPipes` maps a pipe to a typed request, `LeaderElection` holds the virtual router's state machine, socket and configuration, with a typed cause for a dropped datagram. `Daemon` becomes `Server`. Log lines and the order of actions are unchanged.

--- /dev/null
+++ b/src/server/leader.rs
@@ -0,0 +1,118 @@
+//! Leader election: which of several servers on a host takes requests on the JSON-RPC front.
+//!
+//! The servers elect the active router of one virtual router by VRRP; see [`crate::vrrp`]. Advertisements
+//! travel over UDP between the addresses of the operator's file.
+
+use crate::config::VrrpConfig;
+use crate::model::{Span, Time};
+use crate::net::{Reactor, UdpSocketId};
+use crate::scheduler::Scheduler;
+use crate::vrrp::packet::{Advertisement, DecodeError, MAX_MESSAGE_LENGTH};
+use crate::vrrp::{self, Event, State, StateMachine};
+use std::io;
+use std::net::SocketAddr;
+use thiserror::Error;
+
+const MILLISECONDS_PER_CENTISECOND: u64 = 10;
+
+/// Why a datagram is dropped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+enum DatagramError {
+    /// It comes from an address that the operator's file doesn't list.
+    #[error("not from a peer")]
+    UnknownSender,
+    /// It is no valid advertisement.
+    #[error(transparent)]
+    Undecodable(#[from] DecodeError),
+}
+
+/// This server's part in the election.
+pub(super) struct LeaderElection {
+    state_machine: StateMachine,
+    config: VrrpConfig,
+    socket: UdpSocketId,
+}
+
+impl LeaderElection {
+    /// Binds the socket for advertisements. The election begins with [`Event::Startup`].
+    ///
+    /// # Errors
+    ///
+    /// The system's, where the address can't be bound.
+    pub(super) fn new(config: &VrrpConfig, reactor: &mut Reactor) -> io::Result<LeaderElection> {
+        let (socket, address) = reactor.bind_udp(config.bind)?;
+        let interval_milliseconds = u64::from(config.interval_centiseconds) * MILLISECONDS_PER_CENTISECOND;
+        let state_machine = StateMachine::new(vrrp::Configuration {
+            priority: config.priority,
+            advertisement_interval: Span::from_millis(interval_milliseconds),
+            preempt: config.preempt,
+            address,
+        });
+        Ok(LeaderElection { state_machine, config: config.clone(), socket })
+    }
+
+    /// When [`Event::TimerExpired`] is to be given.
+    pub(super) fn next_timer(&self) -> Option<Time> {
+        self.state_machine.next_timer()
+    }
+
+    /// Has the state machine handle an event, sends the advertisement that it asks for, and lets the
+    /// connections know whether this server is the active one.
+    pub(super) fn handle(&mut self, event: Event, reactor: &mut Reactor) {
+        let previous = self.state_machine.state();
+        if let Some(advertisement) = self.state_machine.handle(reactor.now(), event) {
+            self.advertise(advertisement.priority, reactor);
+        }
+        let state = self.state_machine.state();
+        reactor.active = state == State::Active;
+        if state != previous {
+            let virtual_router_id = self.config.virtual_router_id;
+            eprintln!("function-scheduler: vrrp vrid={virtual_router_id} state={state:?} was={previous:?}");
+        }
+    }
+
+    /// Reads the datagrams that have arrived. What is no advertisement of this virtual router is dropped and
+    /// counted.
+    pub(super) fn receive(&mut self, socket: UdpSocketId, reactor: &mut Reactor, scheduler: &mut Scheduler) {
+        // One byte more than the longest message, so that a longer one is not taken for it.
+        let mut buffer = [0; MAX_MESSAGE_LENGTH + 1];
+        while let Some((length, sender)) = reactor.receive_datagram(socket, &mut buffer) {
+            match self.decode(&buffer[..length], sender) {
+                Ok(message) if message.virtual_router_id == self.config.virtual_router_id => {
+                    let event = Event::AdvertisementReceived {
+                        priority: message.priority,
+                        interval: message.interval(),
+                        sender,
+                    };
+                    self.handle(event, reactor);
+                }
+                Ok(_) => scheduler.counters().vrrp_dropped += 1,
+                Err(error) => {
+                    scheduler.counters().vrrp_dropped += 1;
+                    eprintln!("function-scheduler: vrrp dropped from={sender} why=\"{error}\"");
+                }
+            }
+        }
+    }
+
+    fn decode(&self, datagram: &[u8], sender: SocketAddr) -> Result<Advertisement, DatagramError> {
+        if !self.config.peers.contains(&sender) {
+            return Err(DatagramError::UnknownSender);
+        }
+        Ok(Advertisement::decode(datagram)?)
+    }
+
+    /// Sends an advertisement of this priority to all peers.
+    fn advertise(&self, priority: u8, reactor: &Reactor) {
+        let message = Advertisement {
+            virtual_router_id: self.config.virtual_router_id,
+            priority,
+            interval_centiseconds: self.config.interval_centiseconds,
+            addresses: vec![self.config.address],
+        };
+        let datagram = message.encode();
+        for peer in &self.config.peers {
+            reactor.send_datagram(self.socket, &datagram, *peer);
+        }
+    }
+}
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -1,22 +1,23 @@
-//! The daemon: the scheduler with its fronts, back ends, bus, clock and signals round it.
+//! The server: the event loop that joins the scheduler with its frontends, its workers, discovery and
+//! signals.
+
+mod leader;
+mod signals;
 
 use crate::backend::{self, Pool};
-use crate::config::{
-    CheckerEndpoint, ConfigSources, Configuration, OperatorConfig, SchedulerConfig, VrrpConfig,
-};
+use crate::config::{CheckerEndpoint, ConfigSources, Configuration, OperatorConfig, SchedulerConfig};
 use crate::discovery::{AddressChange, Discovery, EndpointChange, WatchEvent};
 use crate::frontend::unix_socket::{self, SocketFile};
 use crate::frontend::{FrameConnection, JsonRpcConnection};
 use crate::model::{Endpoint, Site, Span, Time};
 use crate::net::{ListenerId, PipeId, Reactor, ReactorEvent, Stream, SystemClock, UdpSocketId};
 use crate::scheduler::{Command, Scheduler};
-use crate::vrrp::packet::{Advertisement, MAX_MESSAGE_LENGTH};
-use crate::vrrp::{self, Event};
-use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
+use crate::vrrp::Event;
+use leader::LeaderElection;
+use signals::{SignalPipes, SignalRequest};
 use std::collections::BTreeSet;
 use std::io;
 use std::net::SocketAddr;
-use std::os::unix::net::UnixStream;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 
 /// After SIGTERM clients still come for a while; nothing ends before this.
@@ -30,37 +31,7 @@
 /// Descriptors kept for the poll, the listeners, the pipes, the bus and the standard streams.
 const RESERVED: usize = 32;
 
-/// The virtual router that decides whether this daemon takes new calls on the second front.
-struct Router {
-    machine: vrrp::StateMachine,
-    setting: VrrpConfig,
-    socket: UdpSocketId,
-}
-
-impl Router {
-    fn new(setting: &VrrpConfig, reactor: &mut Reactor) -> io::Result<Router> {
-        let (socket, own) = reactor.bind_udp(setting.bind)?;
-        let machine = vrrp::StateMachine::new(vrrp::Configuration {
-            priority: setting.priority,
-            advertisement_interval: Span::from_millis(u64::from(setting.interval_centiseconds) * 10),
-            preempt: setting.preempt,
-            address: own,
-        });
-        Ok(Router { machine, setting: setting.clone(), socket })
-    }
-
-    fn advertisement(&self, priority: u8) -> Vec<u8> {
-        Advertisement {
-            virtual_router_id: self.setting.virtual_router_id,
-            priority,
-            interval_centiseconds: self.setting.interval_centiseconds,
-            addresses: vec![self.setting.address],
-        }
-        .encode()
-    }
-}
-
-struct Daemon {
+struct Server {
     sources: ConfigSources,
     scheduler: Scheduler,
     reactor: Reactor,
@@ -73,9 +44,9 @@
     /// The listener of the second front, and its file.
     rpc: Option<(ListenerId, SocketFile)>,
     rpc_clients: BTreeSet<u64>,
-    router: Option<Router>,
-    /// The pipes of the signals: to end, to print counters, and to read the files anew.
-    pipes: (PipeId, PipeId, PipeId),
+    /// Without it this server always takes requests on the JSON-RPC front.
+    leader_election: Option<LeaderElection>,
+    signals: SignalPipes,
     /// Since when the daemon is on its way out.
     ending: Option<Time>,
     /// Since when nothing is owed any more, on the way out.
@@ -85,17 +56,14 @@
 
 /// Serves until a signal ends it.
 pub fn run(configuration: Configuration, sources: ConfigSources) -> io::Result<()> {
-    Daemon::new(configuration, sources)?.serve()
+    Server::new(configuration, sources)?.serve()
 }
 
-impl Daemon {
-    fn new(configuration: Configuration, sources: ConfigSources) -> io::Result<Daemon> {
+impl Server {
+    fn new(configuration: Configuration, sources: ConfigSources) -> io::Result<Server> {
         let Configuration { scheduler: mut config, operator } = configuration;
         let mut reactor = Reactor::new(SystemClock::new())?;
-        let end = signal_pipe(&[SIGTERM, SIGINT])?;
-        let print = signal_pipe(&[SIGUSR1])?;
-        let reload = signal_pipe(&[SIGHUP])?;
-        let pipes = (reactor.watch_pipe(end)?, reactor.watch_pipe(print)?, reactor.watch_pipe(reload)?);
+        let signals = SignalPipes::install(&mut reactor)?;
         config.listen = reactor.listen_tcp(config.listen)?;
         let rpc = match &operator.jsonrpc {
             None => None,
@@ -104,18 +72,18 @@
                 Some((reactor.listen_unix(listener)?, file))
             }
         };
-        let router = match &operator.vrrp {
+        let leader_election = match &operator.vrrp {
+            Some(vrrp) => Some(LeaderElection::new(vrrp, &mut reactor)?),
             None => None,
-            Some(setting) => Some(Router::new(setting, &mut reactor)?),
         };
-        reactor.active = router.is_none();
+        reactor.active = leader_election.is_none();
         let mut scheduler = Scheduler::new(config.site.clone(), config.seed);
         limit_memory(&config, &mut scheduler, &mut reactor);
         let mut pool = Pool::new(worker_limits(&config));
         let configured = assign_checker_addresses(&operator, &config.site, &mut pool);
         let known = std::mem::take(&mut config.known_events);
         let discovery = Discovery::new(config.bus, known, configured, reactor.now());
-        Ok(Daemon {
+        Ok(Server {
             sources,
             scheduler,
             reactor,
@@ -126,8 +94,8 @@
             operator,
             rpc,
             rpc_clients: BTreeSet::new(),
-            router,
-            pipes,
+            leader_election,
+            signals,
             ending: None,
             settled: None,
             told_late: false,
@@ -140,7 +108,7 @@
         }
         self.settle();
         self.reactor.ready = true;
-        self.vrrp(Event::Startup);
+        self.update_leader(Event::Startup);
         let at = self.config.listen;
         eprintln!(
             "function-scheduler: serving name={} listen={at} offset={}",
@@ -148,28 +116,24 @@
             self.discovery.last_offset()
         );
         loop {
-            let router = self.router.as_ref().and_then(|router| router.machine.next_timer());
+            let election = self.leader_election.as_ref().and_then(LeaderElection::next_timer);
             let until = self.scheduler.next_timer().into_iter().chain(self.discovery.next_timer());
-            let until = until.chain(self.next_step()).chain(self.accept_again).chain(router).min();
+            let until = until.chain(self.next_step()).chain(self.accept_again).chain(election).min();
             for signal in self.reactor.poll(until, &mut self.scheduler)? {
                 match signal {
                     ReactorEvent::ClientWaiting(listener) => self.accept(listener),
-                    ReactorEvent::PipeReadable(pipe) if pipe == self.pipes.0 => self.begin_end(),
-                    ReactorEvent::PipeReadable(pipe) if pipe == self.pipes.1 => {
-                        eprintln!("function-scheduler: {}", self.scheduler.counters())
-                    }
-                    ReactorEvent::PipeReadable(_) => self.reload(),
-                    ReactorEvent::DatagramWaiting(socket) => self.hear(socket),
+                    ReactorEvent::PipeReadable(pipe) => self.handle_signal(pipe),
+                    ReactorEvent::DatagramWaiting(socket) => self.receive_advertisements(socket),
                 }
             }
             let now = self.reactor.now();
             if self.accept_again.take_if(|at| *at <= now).is_some() {
                 self.reactor.listener_ids().into_iter().for_each(|listener| self.accept(listener));
             }
-            self.vrrp(Event::TimerExpired);
+            self.update_leader(Event::TimerExpired);
             self.settle();
             if self.ended() {
-                eprintln!("function-scheduler: {}", self.scheduler.counters());
+                self.print_counters();
                 eprintln!("function-scheduler: ended name={}", self.config.name);
                 return Ok(());
             }
@@ -356,46 +320,28 @@
         }
     }
 
-    // ---- VRRP
-
-    fn vrrp(&mut self, event: Event) {
-        let Some(router) = &mut self.router else { return };
-        let (now, before) = (self.reactor.now(), router.machine.state());
-        if let Some(advertise) = router.machine.handle(now, event) {
-            let message = router.advertisement(advertise.priority);
-            for peer in &router.setting.peers {
-                self.reactor.send_datagram(router.socket, &message, *peer);
-            }
+    fn handle_signal(&mut self, pipe: PipeId) {
+        match self.signals.request_of(pipe) {
+            Some(SignalRequest::Shutdown) => self.begin_end(),
+            Some(SignalRequest::PrintCounters) => self.print_counters(),
+            Some(SignalRequest::Reload) => self.reload(),
+            None => {}
         }
-        let state = router.machine.state();
-        self.reactor.active = state == vrrp::State::Active;
-        if state != before {
-            eprintln!(
-                "function-scheduler: vrrp vrid={} state={state:?} was={before:?}",
-                router.setting.virtual_router_id
-            );
+    }
+
+    fn print_counters(&mut self) {
+        eprintln!("function-scheduler: {}", self.scheduler.counters());
+    }
+
+    fn update_leader(&mut self, event: Event) {
+        if let Some(election) = &mut self.leader_election {
+            election.handle(event, &mut self.reactor);
         }
     }
 
-    fn hear(&mut self, socket: UdpSocketId) {
-        let mut bytes = [0; MAX_MESSAGE_LENGTH + 1];
-        while let Some((size, from)) = self.reactor.receive_datagram(socket, &mut bytes) {
-            let Some(router) = &self.router else { return };
-            let read = match router.setting.peers.contains(&from) {
-                true => Advertisement::decode(&bytes[..size]).map_err(|error| error.to_string()),
-                false => Err("not from a peer".to_owned()),
-            };
-            match read {
-                Ok(message) if message.virtual_router_id == router.setting.virtual_router_id => {
-                    let (priority, interval) = (message.priority, message.interval());
-                    self.vrrp(Event::AdvertisementReceived { priority, interval, sender: from });
-                }
-                Ok(_) => self.scheduler.counters().vrrp_dropped += 1,
-                Err(why) => {
-                    self.scheduler.counters().vrrp_dropped += 1;
-                    eprintln!("function-scheduler: vrrp dropped from={from} why=\"{why}\"");
-                }
-            }
+    fn receive_advertisements(&mut self, socket: UdpSocketId) {
+        if let Some(election) = &mut self.leader_election {
+            election.receive(socket, &mut self.reactor, &mut self.scheduler);
         }
     }
 
@@ -413,7 +359,7 @@
         );
         self.ending = Some(self.reactor.now());
         self.reactor.ready = false;
-        self.vrrp(Event::Shutdown);
+        self.update_leader(Event::Shutdown);
         self.leave_all();
     }
 
@@ -486,13 +432,3 @@
     }
     endpoints
 }
-
-/// The reading end of a pipe that gets a byte for each of these signals.
-fn signal_pipe(signals: &[i32]) -> io::Result<UnixStream> {
-    let (read, write) = UnixStream::pair()?;
-    write.set_nonblocking(true)?;
-    for signal in signals {
-        signal_hook::low_level::pipe::register(*signal, write.try_clone()?)?;
-    }
-    Ok(read)
-}
