Server: accepting clients and the limits in modules of their own

Listeners, the count of JSON-RPC clients and the delay after a failed accept were fields of the server beside everything else, and the figures that follow from the configuration were spread over its methods.

`Acceptor` owns the listeners' side, with a typed cause for a dropped client and with the JSON-RPC front's change in two steps, so that a reload can acquire the socket before it applies anything. `limits` holds the figures, as named constants. Log lines and the order of actions are unchanged.

--- /dev/null
+++ b/src/server/accept.rs
@@ -0,0 +1,223 @@
+//! Accepting clients: the listeners, and how many clients are taken.
+
+use crate::config::JsonRpcConfig;
+use crate::frontend::unix_socket::{self, SocketFile};
+use crate::frontend::{FrameConnection, JsonRpcConnection};
+use crate::model::{Span, Time};
+use crate::net::{ListenerId, Reactor, Stream};
+use crate::scheduler::Scheduler;
+use std::collections::BTreeSet;
+use std::io;
+use thiserror::Error;
+
+/// Delay before clients are accepted again after the system could not accept one.
+const RETRY_DELAY: Span = Span::from_millis(50);
+
+/// Why a client is dropped as soon as it has been accepted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+enum DropCause {
+    /// Its descriptor is needed for workers, and no idle connection could be closed instead.
+    #[error("no descriptors left")]
+    NoDescriptors,
+    /// The JSON-RPC front has all the clients that the operator's file allows, and none is idle.
+    #[error("max_clients")]
+    MaxClients,
+}
+
+/// The JSON-RPC front's listener.
+#[derive(Debug)]
+pub(super) struct JsonRpcListener {
+    listener: ListenerId,
+    /// Removes the socket's file when the listener is dropped.
+    socket_file: SocketFile,
+    config: JsonRpcConfig,
+}
+
+impl JsonRpcListener {
+    /// Listens on the configured Unix socket.
+    ///
+    /// # Errors
+    ///
+    /// The system's, or that of [`unix_socket::bind`].
+    pub(super) fn bind(config: &JsonRpcConfig, reactor: &mut Reactor) -> io::Result<JsonRpcListener> {
+        let (listener, socket_file) = unix_socket::bind(&config.socket, config.mode)?;
+        Ok(JsonRpcListener { listener: reactor.listen_unix(listener)?, socket_file, config: config.clone() })
+    }
+}
+
+/// What a reload does to the JSON-RPC front. Clients that are connected stay in any case.
+#[derive(Debug)]
+pub(super) enum JsonRpcUpdate {
+    /// The socket stays, with other limits for clients that are still to come.
+    Reconfigure(JsonRpcConfig),
+    /// Another listener takes the place of the present one, or none does.
+    Replace(Option<JsonRpcListener>),
+}
+
+/// Takes clients from the listeners.
+#[derive(Debug)]
+pub(super) struct Acceptor {
+    /// Connections of any kind from which on a client is only taken in place of an idle one.
+    max_connections: usize,
+    jsonrpc: Option<JsonRpcListener>,
+    /// Clients of the JSON-RPC front, also such as have closed since the last one was accepted.
+    jsonrpc_clients: BTreeSet<u64>,
+    /// When to accept again from all listeners: the system reports a waiting client only once.
+    retry_at: Option<Time>,
+}
+
+impl Acceptor {
+    /// Accepts clients up to this number of connections of any kind.
+    pub(super) fn new(max_connections: usize, jsonrpc: Option<JsonRpcListener>) -> Acceptor {
+        Acceptor { max_connections, jsonrpc, jsonrpc_clients: BTreeSet::new(), retry_at: None }
+    }
+
+    /// When [`Acceptor::retry`] has something to do.
+    pub(super) fn next_timer(&self) -> Option<Time> {
+        self.retry_at
+    }
+
+    /// Sets the number of connections from which on a client is only taken in place of an idle one.
+    pub(super) fn set_max_connections(&mut self, max_connections: usize) {
+        self.max_connections = max_connections;
+    }
+
+    /// Acquires what a new configuration of the JSON-RPC front needs, and leaves the present one in place.
+    ///
+    /// # Errors
+    ///
+    /// Those of [`JsonRpcListener::bind`], or the system's where the socket's file can't be given another
+    /// mode.
+    pub(super) fn prepare_jsonrpc(
+        &self,
+        config: Option<&JsonRpcConfig>,
+        reactor: &mut Reactor,
+    ) -> io::Result<JsonRpcUpdate> {
+        let Some(config) = config else {
+            return Ok(JsonRpcUpdate::Replace(None));
+        };
+        match &self.jsonrpc {
+            Some(present) if present.config.socket == config.socket => {
+                present.socket_file.set_mode(config.mode)?;
+                Ok(JsonRpcUpdate::Reconfigure(config.clone()))
+            }
+            _ => {
+                let listener = JsonRpcListener::bind(config, reactor)?;
+                Ok(JsonRpcUpdate::Replace(Some(listener)))
+            }
+        }
+    }
+
+    /// Applies what [`Acceptor::prepare_jsonrpc`] has acquired.
+    pub(super) fn apply_jsonrpc(&mut self, update: JsonRpcUpdate, reactor: &mut Reactor) {
+        match update {
+            JsonRpcUpdate::Reconfigure(config) => {
+                if let Some(present) = &mut self.jsonrpc {
+                    present.config = config;
+                }
+            }
+            JsonRpcUpdate::Replace(replacement) => {
+                if let Some(previous) = std::mem::replace(&mut self.jsonrpc, replacement) {
+                    reactor.close_listener(previous.listener);
+                }
+            }
+        }
+    }
+
+    /// Accepts from all listeners once the delay after a failure has passed.
+    pub(super) fn retry(&mut self, now: Time, reactor: &mut Reactor, scheduler: &mut Scheduler) {
+        if self.retry_at.take_if(|at| *at <= now).is_none() {
+            return;
+        }
+        for listener in reactor.listener_ids() {
+            self.accept(listener, reactor, scheduler);
+        }
+    }
+
+    /// Accepts all clients that wait at a listener.
+    pub(super) fn accept(&mut self, listener: ListenerId, reactor: &mut Reactor, scheduler: &mut Scheduler) {
+        loop {
+            let has_room = reactor.connection_count() < self.max_connections;
+            match reactor.accept(listener) {
+                Ok(None) => return,
+                Ok(Some(stream)) if has_room || reactor.close_longest_idle(scheduler) => {
+                    self.add_client(listener, stream, reactor, scheduler);
+                }
+                Ok(Some(_)) => log_dropped(DropCause::NoDescriptors, reactor.now(), scheduler),
+                Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {}
+                Err(error) => {
+                    self.schedule_retry(&error, reactor.now(), scheduler);
+                    return;
+                }
+            }
+        }
+    }
+
+    fn schedule_retry(&mut self, error: &io::Error, now: Time, scheduler: &mut Scheduler) {
+        if scheduler.may_log(now) {
+            eprintln!("function-scheduler: accept failed why=\"{error}\"");
+        }
+        self.retry_at = Some(now + RETRY_DELAY);
+    }
+
+    fn add_client(
+        &mut self,
+        listener: ListenerId,
+        stream: Stream,
+        reactor: &mut Reactor,
+        scheduler: &mut Scheduler,
+    ) {
+        if self.jsonrpc.as_ref().is_some_and(|jsonrpc| jsonrpc.listener == listener) {
+            self.add_jsonrpc_client(stream, reactor, scheduler);
+        } else {
+            let connection = Box::new(FrameConnection::new(reactor.now()));
+            reactor.add_connected(stream, connection, FrameConnection::buffer_limits(), scheduler);
+        }
+    }
+
+    fn add_jsonrpc_client(&mut self, stream: Stream, reactor: &mut Reactor, scheduler: &mut Scheduler) {
+        let Some(jsonrpc) = &self.jsonrpc else {
+            return;
+        };
+        let max_line = jsonrpc.config.max_line_bytes;
+        let max_clients = jsonrpc.config.max_clients;
+        let now = reactor.now();
+        if !self.make_room_for_jsonrpc_client(max_clients, reactor, scheduler) {
+            log_dropped(DropCause::MaxClients, now, scheduler);
+            return;
+        }
+        let connection = Box::new(JsonRpcConnection::new(now, max_line));
+        let limits = JsonRpcConnection::buffer_limits(max_line);
+        let client = reactor.add_connected(stream, connection, limits, scheduler);
+        self.jsonrpc_clients.extend(client);
+    }
+
+    /// Closes the JSON-RPC client that has been idle for longest if there are as many as allowed; false if
+    /// none is idle.
+    fn make_room_for_jsonrpc_client(
+        &mut self,
+        max_clients: usize,
+        reactor: &mut Reactor,
+        scheduler: &mut Scheduler,
+    ) -> bool {
+        self.jsonrpc_clients.retain(|client| reactor.has_connection(*client));
+        if self.jsonrpc_clients.len() >= max_clients
+            && let Some(idle) = self.longest_idle_jsonrpc_client(reactor)
+        {
+            reactor.close_connection(idle, scheduler);
+            self.jsonrpc_clients.remove(&idle);
+        }
+        self.jsonrpc_clients.len() < max_clients
+    }
+
+    fn longest_idle_jsonrpc_client(&self, reactor: &Reactor) -> Option<u64> {
+        let idle = |client: &u64| reactor.idle_since(*client).map(|since| (since, *client));
+        self.jsonrpc_clients.iter().filter_map(idle).min().map(|(_, client)| client)
+    }
+}
+
+fn log_dropped(cause: DropCause, now: Time, scheduler: &mut Scheduler) {
+    if scheduler.may_log(now) {
+        eprintln!("function-scheduler: accept dropped why=\"{cause}\"");
+    }
+}
--- /dev/null
+++ b/src/server/limits.rs
@@ -0,0 +1,52 @@
+//! Limits on memory, descriptors and connections that follow from the configuration.
+
+use crate::backend;
+use crate::config::SchedulerConfig;
+use crate::model::Span;
+
+/// Descriptors kept for the poll, the listeners, the pipes, the watch and the standard streams.
+const RESERVED_DESCRIPTORS: usize = 32;
+/// Of the connections that descriptors allow, clients leave one in so many free for workers.
+const FREE_CONNECTION_DIVISOR: usize = 8;
+/// Output that waits to be sent, on all connections together, may take one in so many parts of the memory.
+const UNSENT_OUTPUT_DIVISOR: usize = 6;
+const BYTES_PER_MEGABYTE: usize = 1 << 20;
+/// An idle connection is closed after this part of the time in which the worker would close it, so that no
+/// request is written to a connection that the worker is closing.
+const IDLE_TIMEOUT_FRACTION: f64 = 0.8;
+/// The platform allows this much more for a connect than the settings say.
+const CONNECT_TIMEOUT_ALLOWANCE: Span = Span::from_millis(50);
+
+/// The memory that the program may take, in bytes.
+pub(super) fn memory_limit(config: &SchedulerConfig) -> usize {
+    config.memory_mb * BYTES_PER_MEGABYTE
+}
+
+/// The output that may wait to be sent, in bytes.
+pub(super) fn unsent_output_limit(config: &SchedulerConfig) -> usize {
+    memory_limit(config) / UNSENT_OUTPUT_DIVISOR
+}
+
+/// The number of connections of any kind from which on no further client is accepted, save in place of an
+/// idle one.
+pub(super) fn max_connections_with_clients(config: &SchedulerConfig) -> usize {
+    let max_connections = max_connections(config);
+    max_connections - max_connections / FREE_CONNECTION_DIVISOR
+}
+
+/// The limits on connections to workers.
+pub(super) fn worker_limits(config: &SchedulerConfig) -> backend::Limits {
+    let site = &config.site;
+    backend::Limits {
+        attempts_per_connection: site.attempts_per_connection,
+        idle_timeout: site.idle_timeout.mul_f64(IDLE_TIMEOUT_FRACTION),
+        connect_timeout: Span(site.connect_timeout.0 + CONNECT_TIMEOUT_ALLOWANCE.0),
+        max_connections: max_connections(config),
+        schedulers: site.settings.fleet_size as usize,
+    }
+}
+
+/// The number of connections of any kind that the descriptors allow.
+fn max_connections(config: &SchedulerConfig) -> usize {
+    config.max_descriptors.saturating_sub(RESERVED_DESCRIPTORS)
+}
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -1,21 +1,21 @@
 //! The server: the event loop that joins the scheduler with its frontends, its workers, discovery and
 //! signals.
 
+mod accept;
 mod leader;
+mod limits;
 mod signals;
 
 use crate::backend::{self, Pool};
 use crate::config::{CheckerEndpoint, ConfigSources, Configuration, OperatorConfig, SchedulerConfig};
 use crate::discovery::{AddressChange, Discovery, EndpointChange, WatchEvent};
-use crate::frontend::unix_socket::{self, SocketFile};
-use crate::frontend::{FrameConnection, JsonRpcConnection};
 use crate::model::{Endpoint, Site, Span, Time};
-use crate::net::{ListenerId, PipeId, Reactor, ReactorEvent, Stream, SystemClock, UdpSocketId};
+use crate::net::{ListenerId, PipeId, Reactor, ReactorEvent, SystemClock, UdpSocketId};
 use crate::scheduler::{Command, Scheduler};
 use crate::vrrp::Event;
+use accept::{Acceptor, JsonRpcListener};
 use leader::LeaderElection;
 use signals::{SignalPipes, SignalRequest};
-use std::collections::BTreeSet;
 use std::io;
 use std::net::SocketAddr;
 use std::panic::{AssertUnwindSafe, catch_unwind};
@@ -26,11 +26,6 @@
 const LATE_LEAVE: Span = Span::from_millis(750);
 /// How long answers may wait to be written before the end, from when the last is put in line.
 const LAST_WRITE: Span = Span::from_millis(500);
-/// Pause before clients are accepted again after the system could not give one a descriptor.
-const ACCEPT_AGAIN: Span = Span::from_millis(50);
-/// Descriptors kept for the poll, the listeners, the pipes, the bus and the standard streams.
-const RESERVED: usize = 32;
-
 struct Server {
     sources: ConfigSources,
     scheduler: Scheduler,
@@ -39,11 +34,7 @@
     config: SchedulerConfig,
     operator: OperatorConfig,
     discovery: Discovery,
-    /// When to look again at the listeners: the system tells of a client that waits there once only.
-    accept_again: Option<Time>,
-    /// The listener of the second front, and its file.
-    rpc: Option<(ListenerId, SocketFile)>,
-    rpc_clients: BTreeSet<u64>,
+    acceptor: Acceptor,
     /// Without it this server always takes requests on the JSON-RPC front.
     leader_election: Option<LeaderElection>,
     signals: SignalPipes,
@@ -65,12 +56,9 @@
         let mut reactor = Reactor::new(SystemClock::new())?;
         let signals = SignalPipes::install(&mut reactor)?;
         config.listen = reactor.listen_tcp(config.listen)?;
-        let rpc = match &operator.jsonrpc {
+        let jsonrpc = match &operator.jsonrpc {
+            Some(jsonrpc) => Some(JsonRpcListener::bind(jsonrpc, &mut reactor)?),
             None => None,
-            Some(front) => {
-                let (listener, file) = unix_socket::bind(&front.socket, front.mode)?;
-                Some((reactor.listen_unix(listener)?, file))
-            }
         };
         let leader_election = match &operator.vrrp {
             Some(vrrp) => Some(LeaderElection::new(vrrp, &mut reactor)?),
@@ -79,7 +67,8 @@
         reactor.active = leader_election.is_none();
         let mut scheduler = Scheduler::new(config.site.clone(), config.seed);
         limit_memory(&config, &mut scheduler, &mut reactor);
-        let mut pool = Pool::new(worker_limits(&config));
+        let acceptor = Acceptor::new(limits::max_connections_with_clients(&config), jsonrpc);
+        let mut pool = Pool::new(limits::worker_limits(&config));
         let configured = assign_checker_addresses(&operator, &config.site, &mut pool);
         let known = std::mem::take(&mut config.known_events);
         let discovery = Discovery::new(config.bus, known, configured, reactor.now());
@@ -90,10 +79,8 @@
             pool,
             config,
             discovery,
-            accept_again: None,
+            acceptor,
             operator,
-            rpc,
-            rpc_clients: BTreeSet::new(),
             leader_election,
             signals,
             ending: None,
@@ -118,18 +105,15 @@
         loop {
             let election = self.leader_election.as_ref().and_then(LeaderElection::next_timer);
             let until = self.scheduler.next_timer().into_iter().chain(self.discovery.next_timer());
-            let until = until.chain(self.next_step()).chain(self.accept_again).chain(election).min();
+            let until = until.chain(self.next_step()).chain(self.acceptor.next_timer()).chain(election).min();
             for signal in self.reactor.poll(until, &mut self.scheduler)? {
                 match signal {
-                    ReactorEvent::ClientWaiting(listener) => self.accept(listener),
+                    ReactorEvent::ClientWaiting(listener) => self.accept_clients(listener),
                     ReactorEvent::PipeReadable(pipe) => self.handle_signal(pipe),
                     ReactorEvent::DatagramWaiting(socket) => self.receive_advertisements(socket),
                 }
             }
-            let now = self.reactor.now();
-            if self.accept_again.take_if(|at| *at <= now).is_some() {
-                self.reactor.listener_ids().into_iter().for_each(|listener| self.accept(listener));
-            }
+            self.retry_accept();
             self.update_leader(Event::TimerExpired);
             self.settle();
             if self.ended() {
@@ -166,59 +150,13 @@
         self.pool.forget_ended(&self.scheduler);
     }
 
-    fn accept(&mut self, listener: ListenerId) {
-        loop {
-            // Clients hold a third of the descriptors at most; what workers need is kept free.
-            let budget = self.config.max_descriptors.saturating_sub(RESERVED);
-            let room = self.reactor.connection_count() < budget - budget / 8;
-            match self.reactor.accept(listener) {
-                Ok(Some(stream)) if room || self.reactor.close_longest_idle(&mut self.scheduler) => {
-                    let now = self.reactor.now();
-                    if self.rpc.as_ref().is_some_and(|(number, _)| *number == listener) {
-                        self.accept_rpc(now, stream);
-                        continue;
-                    }
-                    let connection = Box::new(FrameConnection::new(now));
-                    let limits = FrameConnection::buffer_limits();
-                    self.reactor.add_connected(stream, connection, limits, &mut self.scheduler);
-                }
-                Ok(Some(_)) if !self.scheduler.may_log(self.reactor.now()) => {}
-                Ok(Some(_)) => eprintln!("function-scheduler: accept dropped why=\"no descriptors left\""),
-                Ok(None) => return,
-                Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
-                Err(e) => {
-                    let now = self.reactor.now();
-                    if self.scheduler.may_log(now) {
-                        eprintln!("function-scheduler: accept failed why=\"{e}\"");
-                    }
-                    self.accept_again = Some(now + ACCEPT_AGAIN);
-                    return;
-                }
-            }
-        }
+    fn accept_clients(&mut self, listener: ListenerId) {
+        self.acceptor.accept(listener, &mut self.reactor, &mut self.scheduler);
     }
 
-    fn accept_rpc(&mut self, now: Time, stream: Stream) {
-        let Some(front) = &self.operator.jsonrpc else { return };
-        let reactor = &mut self.reactor;
-        self.rpc_clients.retain(|id| reactor.has_connection(*id));
-        if self.rpc_clients.len() >= front.max_clients {
-            // The one that has held its place longest without anything open makes room, if there is one.
-            let idle = |id: &u64| Some((reactor.idle_since(*id)?, *id));
-            if let Some((_, id)) = self.rpc_clients.iter().filter_map(idle).min() {
-                reactor.close_connection(id, &mut self.scheduler);
-                self.rpc_clients.remove(&id);
-            }
-        }
-        if self.rpc_clients.len() >= front.max_clients && !self.scheduler.may_log(now) {
-            return;
-        }
-        if self.rpc_clients.len() >= front.max_clients {
-            return eprintln!("function-scheduler: accept dropped why=\"max_clients\"");
-        }
-        let connection = Box::new(JsonRpcConnection::new(now, front.max_line_bytes));
-        let limits = JsonRpcConnection::buffer_limits(front.max_line_bytes);
-        self.rpc_clients.extend(reactor.add_connected(stream, connection, limits, &mut self.scheduler));
+    fn retry_accept(&mut self) {
+        let now = self.reactor.now();
+        self.acceptor.retry(now, &mut self.reactor, &mut self.scheduler);
     }
 
     // ---- Discovery
@@ -264,9 +202,11 @@
             Ok(read) => read,
             Err(why) => return eprintln!("function-scheduler: reload refused why=\"{why}\""),
         };
-        if let Err(why) = self.reload_fronts(&operator) {
-            return eprintln!("function-scheduler: reload refused why=\"{why}\"");
-        }
+        let jsonrpc = match self.acceptor.prepare_jsonrpc(operator.jsonrpc.as_ref(), &mut self.reactor) {
+            Ok(update) => update,
+            Err(why) => return eprintln!("function-scheduler: reload refused why=\"{why}\""),
+        };
+        self.acceptor.apply_jsonrpc(jsonrpc, &mut self.reactor);
         let now = self.reactor.now();
         // What can only be had at a start stays as it is, and is said.
         let fixed = [
@@ -287,32 +227,14 @@
         let known = std::mem::take(&mut config.known_events);
         self.config = config;
         self.scheduler.reconfigure(now, self.config.site.clone());
-        self.pool.configure(worker_limits(&self.config), &mut self.reactor, &mut self.scheduler);
+        self.pool.configure(limits::worker_limits(&self.config), &mut self.reactor, &mut self.scheduler);
         limit_memory(&self.config, &mut self.scheduler, &mut self.reactor);
+        self.acceptor.set_max_connections(limits::max_connections_with_clients(&self.config));
         self.replace_checkers(now);
         self.reload_discovery(now, self.config.bus, known);
         eprintln!("function-scheduler: reloaded offset={}", self.discovery.last_offset());
     }
 
-    /// The second front's part of the operator's file. Its socket moves if the file names another; clients
-    /// that are connected stay. Where the new socket cannot be had nothing has changed.
-    fn reload_fronts(&mut self, operator: &OperatorConfig) -> io::Result<()> {
-        let path = |operator: &OperatorConfig| operator.jsonrpc.as_ref().map(|front| front.socket.clone());
-        let same = path(operator) == path(&self.operator);
-        let new = match (&operator.jsonrpc, &self.rpc) {
-            (Some(front), Some((_, file))) if same => return file.set_mode(front.mode),
-            (None, _) => None,
-            (Some(front), _) => {
-                let (listener, file) = unix_socket::bind(&front.socket, front.mode)?;
-                Some((self.reactor.listen_unix(listener)?, file))
-            }
-        };
-        if let Some((listener, _)) = std::mem::replace(&mut self.rpc, new) {
-            self.reactor.close_listener(listener);
-        }
-        Ok(())
-    }
-
     fn replace_checkers(&mut self, now: Time) {
         let configured = assign_checker_addresses(&self.operator, &self.config.site, &mut self.pool);
         if let Some(change) = self.discovery.set_configured(configured) {
@@ -405,22 +327,8 @@
 
 /// Bodies of open calls take a sixth of the memory, and output that nobody reads another.
 fn limit_memory(config: &SchedulerConfig, scheduler: &mut Scheduler, reactor: &mut Reactor) {
-    scheduler.set_memory_limit(config.memory_mb << 20);
-    reactor.unsent_limit = (config.memory_mb << 20) / 6;
-}
-
-/// What the configuration lets connections to workers take.
-fn worker_limits(config: &SchedulerConfig) -> backend::Limits {
-    let site = &config.site;
-    backend::Limits {
-        attempts_per_connection: site.attempts_per_connection,
-        // Closed before the worker's own limit, or a command could cross its close.
-        idle_timeout: site.idle_timeout.mul_f64(0.8),
-        // The platform allows connects 50 ms more than the simulator does.
-        connect_timeout: Span(site.connect_timeout.0 + Span::from_millis(50).0),
-        max_connections: config.max_descriptors.saturating_sub(RESERVED),
-        schedulers: site.settings.fleet_size as usize,
-    }
+    scheduler.set_memory_limit(limits::memory_limit(config));
+    reactor.unsent_limit = limits::unsent_output_limit(config);
 }
 
 /// Gives the pool the addresses of the operator's checkers; their entries of the endpoint list.
