VRRP tests: a stand-in router, named priorities and intervals, one case a test

The socket tests of VRRP passed bare numbers and strings, and one of them held three cases: dropped advertisements, stepping back, taking over.

Dropped advertisements have a test of their own, which now also has a request served after them; the other assertions are kept as they were.

--- a/src/vrrp/packet.rs
+++ b/src/vrrp/packet.rs
@@ -102,15 +102,13 @@
     pub fn decode(message: &[u8]) -> Result<Advertisement, DecodeError> {
         let (header, addresses) =
             message.split_first_chunk::<HEADER_LENGTH>().ok_or(DecodeError::TooShort)?;
-        let [version_and_type, virtual_router_id, priority, address_count, interval_high, interval_low, _, _] =
-            *header;
+        let [version_and_type, virtual_router_id, priority, address_count, interval @ .., _, _] = *header;
         check_version_and_type(version_and_type)?;
         let addresses = decode_addresses(addresses, address_count)?;
         if internet_checksum(message) != 0 {
             return Err(DecodeError::ChecksumMismatch);
         }
-        let interval_centiseconds =
-            u16::from_be_bytes([interval_high, interval_low]) & MAX_INTERVAL_CENTISECONDS;
+        let interval_centiseconds = u16::from_be_bytes(interval) & MAX_INTERVAL_CENTISECONDS;
         if virtual_router_id == 0 || interval_centiseconds == 0 {
             return Err(DecodeError::ZeroField);
         }
@@ -146,7 +144,7 @@
     message[CHECKSUM_FIELD].copy_from_slice(&checksum.to_be_bytes());
 }
 
-/// The Internet checksum (RFC 1071) of a message, without the pseudo-header; 0 where the message holds its own.
+/// The Internet checksum (RFC 1071) of a message, without a pseudo-header; 0 if the message holds its own.
 fn internet_checksum(message: &[u8]) -> u16 {
     let mut sum: u32 = 0;
     for pair in message.chunks(2) {
--- a/tests/vrrp.rs
+++ b/tests/vrrp.rs
@@ -1,106 +1,202 @@
-//! VRRP on real sockets: one daemon takes new calls on the second front, the other stands by.
+//! VRRP between scheduler processes and over UDP: the active one takes new requests of the JSON-RPC front
+//! end, the backup rejects them.
 
 #[allow(dead_code, reason = "each test crate uses a part of the support code")]
 mod support;
 
 use function_scheduler::vrrp::packet::Advertisement;
 use serde_json::{Value, json};
-use std::net::{SocketAddr, UdpSocket};
+use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
 use support::configuration::Configuration;
-use support::jsonrpc_client::{JsonRpcClient, request};
+use support::jsonrpc_client::{JsonRpcClient, operator_file, request};
 use support::scheduler_process::SchedulerProcess;
 use support::worker::StandInWorker;
 use support::{IDEMPOTENT_CLASS, REQUEST_ID, WAIT_LIMIT};
 
-/// A daemon of this priority whose only peer is the test.
-fn start(
-    worker: &StandInWorker,
+const VIRTUAL_ROUTER_ID: u8 = 7;
+const VIRTUAL_ADDRESS: Ipv4Addr = Ipv4Addr::new(127, 0, 0, 100);
+/// Priority of the scheduler under test; its peer's are above it.
+const PRIORITY: u8 = 100;
+const HIGHER_PRIORITY: u8 = 250;
+/// Priority of a router that shuts down.
+const RESIGNED: u8 = 0;
+/// Intervals between advertisements, in centiseconds.
+const SHORT_INTERVAL: u16 = 10;
+const MEDIUM_INTERVAL: u16 = 50;
+const LONG_INTERVAL: u16 = 4000;
+
+/// The JSON-RPC error of a rejected request.
+const REJECTED: i64 = -32001;
+/// How long the client of a request waits, in milliseconds.
+const ALLOWED_MS: u64 = 2900;
+
+const BECAME_ACTIVE: &str = "state=Active was=Backup";
+const BECAME_BACKUP: &str = "state=Backup was=Active";
+
+/// A scheduler's part in a virtual router.
+struct RouterConfiguration {
     priority: u8,
-    interval: u16,
-    bind: &str,
+    interval_centiseconds: u16,
+    bind: SocketAddr,
     peer: SocketAddr,
-) -> SchedulerProcess {
-    Configuration::new(&[worker.address()]).operator_file(|folder| {
-        format!(
-            "[jsonrpc]\nsocket = {:?}\n[vrrp]\nvrid = 7\npriority = {priority}\ninterval_cs = {interval}\nbind = \"{bind}\"\n\
-             peers = [\"{peer}\"]\naddress = \"127.0.0.100\"\n",
-            folder.file("calls.sock")
-        )
-    }).start()
 }
 
-fn say(socket: &UdpSocket, to: SocketAddr, vrid: u8, priority: u8, interval: u16) {
-    let addresses = vec!["127.0.0.100".parse().unwrap()];
-    let message =
-        Advertisement { virtual_router_id: vrid, priority, interval_centiseconds: interval, addresses };
-    socket.send_to(&message.encode(), to).unwrap();
+impl RouterConfiguration {
+    /// Starts a scheduler with this worker.
+    fn start(&self, worker: &StandInWorker) -> SchedulerProcess {
+        let RouterConfiguration { priority, interval_centiseconds, bind, peer } = self;
+        let vrrp = format!(
+            "[vrrp]\nvrid = {VIRTUAL_ROUTER_ID}\npriority = {priority}\n\
+             interval_cs = {interval_centiseconds}\nbind = \"{bind}\"\n\
+             peers = [\"{peer}\"]\naddress = \"{VIRTUAL_ADDRESS}\"\n"
+        );
+        Configuration::new(&[worker.address()]).operator_file(|folder| operator_file(folder) + &vrrp).start()
+    }
+}
+
+/// A stand-in for another router, with a socket of its own.
+struct StandInRouter {
+    socket: UdpSocket,
+}
+
+impl StandInRouter {
+    fn bind() -> StandInRouter {
+        let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+        socket.set_read_timeout(Some(WAIT_LIMIT)).unwrap();
+        StandInRouter { socket }
+    }
+
+    /// Starts a scheduler whose only peer is this router.
+    fn start_scheduler(&self, worker: &StandInWorker) -> SchedulerProcess {
+        let configuration = RouterConfiguration {
+            priority: PRIORITY,
+            interval_centiseconds: SHORT_INTERVAL,
+            bind: "127.0.0.1:0".parse().unwrap(),
+            peer: self.socket.local_addr().unwrap(),
+        };
+        configuration.start(worker)
+    }
+
+    fn send(&self, to: SocketAddr, datagram: &[u8]) {
+        self.socket.send_to(datagram, to).unwrap();
+    }
+
+    /// Sends an advertisement for the virtual router.
+    fn advertise(&self, to: SocketAddr, priority: u8, interval_centiseconds: u16) {
+        self.advertise_for(VIRTUAL_ROUTER_ID, to, priority, interval_centiseconds);
+    }
+
+    /// Sends an advertisement for any virtual router.
+    fn advertise_for(&self, virtual_router_id: u8, to: SocketAddr, priority: u8, interval_centiseconds: u16) {
+        let addresses = vec![VIRTUAL_ADDRESS];
+        let advertisement = Advertisement { virtual_router_id, priority, interval_centiseconds, addresses };
+        self.send(to, &advertisement.encode());
+    }
+
+    /// Waits for an advertisement and returns it with its sender.
+    fn receive(&self) -> (Advertisement, SocketAddr) {
+        let mut datagram = [0; 1500];
+        let (length, sender) = self.socket.recv_from(&mut datagram).unwrap();
+        (Advertisement::decode(&datagram[..length]).unwrap(), sender)
+    }
+}
+
+fn send_request(client: &mut JsonRpcClient, id: u32) {
+    client.send(&request(&json!(id), IDEMPOTENT_CLASS, REQUEST_ID, ALLOWED_MS, ""));
+}
+
+/// The error code of the next answer.
+fn next_error_code(client: &mut JsonRpcClient) -> Value {
+    client.next_message()["error"]["code"].clone()
+}
+
+/// Has a request served by this worker.
+fn expect_served(client: &mut JsonRpcClient, worker: &StandInWorker, id: u32) {
+    send_request(client, id);
+    worker.next_command().succeed("eQ==");
+    assert_eq!(client.next_message()["result"]["body"], "eQ==");
 }
 
-fn hear(socket: &UdpSocket) -> (Advertisement, SocketAddr) {
-    let mut bytes = [0; 1500];
-    let (size, from) = socket.recv_from(&mut bytes).unwrap();
-    (Advertisement::decode(&bytes[..size]).unwrap(), from)
+/// An address of this loopback host with a free port. Each scheduler has to know its peer's port before it
+/// starts; no other test binds these hosts, so that the ports stay free.
+fn free_address(host: Ipv4Addr) -> SocketAddr {
+    UdpSocket::bind((host, 0)).unwrap().local_addr().unwrap()
 }
 
-fn code(rpc: &mut JsonRpcClient, id: u32) -> Value {
-    rpc.send(&request(&json!(id), IDEMPOTENT_CLASS, REQUEST_ID, 2900, ""));
-    rpc.next_message()["error"]["code"].clone()
+#[test]
+fn advertisements_that_are_malformed_or_foreign_are_dropped() {
+    let worker = StandInWorker::node_agent();
+    let peer = StandInRouter::bind();
+    let scheduler = peer.start_scheduler(&worker);
+    let (advertisement, address) = peer.receive();
+    assert_eq!(advertisement.virtual_router_id, VIRTUAL_ROUTER_ID);
+    assert_eq!(advertisement.priority, PRIORITY);
+    assert_eq!(advertisement.interval_centiseconds, SHORT_INTERVAL);
+    scheduler.wait_for_log(BECAME_ACTIVE);
+    peer.send(address, b"\x31\x07\xff");
+    peer.advertise_for(VIRTUAL_ROUTER_ID + 1, address, HIGHER_PRIORITY, LONG_INTERVAL);
+    let stranger = StandInRouter::bind();
+    stranger.advertise(address, HIGHER_PRIORITY, LONG_INTERVAL);
+    scheduler.wait_for_counter("vrrp_dropped", 3);
+    assert!(!scheduler.wait_for_log("vrrp").contains(BECAME_BACKUP));
+    let mut client = JsonRpcClient::connect(&scheduler);
+    expect_served(&mut client, &worker, 1);
 }
 
 #[test]
-fn only_the_active_daemon_takes_new_calls_and_one_that_steps_back_finishes_its_own() {
+fn only_the_active_scheduler_takes_new_requests_and_one_that_steps_back_finishes_its_own() {
     let worker = StandInWorker::node_agent();
-    let peer = UdpSocket::bind("127.0.0.1:0").unwrap();
-    peer.set_read_timeout(Some(WAIT_LIMIT)).unwrap();
-    let daemon = start(&worker, 100, 10, "127.0.0.1:0", peer.local_addr().unwrap());
-    let (message, at) = hear(&peer);
-    assert_eq!((message.virtual_router_id, message.priority, message.interval_centiseconds), (7, 100, 10));
-    daemon.wait_for_log("state=Active was=Backup");
-    let mut client = JsonRpcClient::connect(&daemon);
-    client.send(&request(&json!(1), IDEMPOTENT_CLASS, REQUEST_ID, 2900, ""));
-    let mut heard = worker.next_command();
-    // Malformed and foreign ones change nothing.
-    peer.send_to(b"\x31\x07\xff", at).unwrap();
-    say(&peer, at, 8, 250, 4000);
-    let stranger = UdpSocket::bind("127.0.0.1:0").unwrap();
-    say(&stranger, at, 7, 250, 4000);
-    daemon.wait_for_counter("vrrp_dropped", 3);
-    assert!(!daemon.wait_for_log("vrrp").contains("state=Backup was=Active"));
-    // A higher priority: this one steps back, for three of the other's long intervals.
-    say(&peer, at, 7, 250, 4000);
-    daemon.wait_for_log("state=Backup was=Active");
-    assert_eq!(code(&mut client, 2), -32001, "no new call");
-    heard.succeed("eA==");
+    let peer = StandInRouter::bind();
+    let scheduler = peer.start_scheduler(&worker);
+    let (_, address) = peer.receive();
+    scheduler.wait_for_log(BECAME_ACTIVE);
+    let mut client = JsonRpcClient::connect(&scheduler);
+    send_request(&mut client, 1);
+    let mut command = worker.next_command();
+    // Steps back for three of the peer's long intervals.
+    peer.advertise(address, HIGHER_PRIORITY, LONG_INTERVAL);
+    scheduler.wait_for_log(BECAME_BACKUP);
+    send_request(&mut client, 2);
+    assert_eq!(next_error_code(&mut client), REJECTED);
+    command.succeed("eA==");
     assert_eq!(client.next_message(), json!({"jsonrpc": "2.0", "id": 1, "result": {"body": "eA=="}}));
-    // The other one tells a short interval and stops: this one takes over after its skew.
-    say(&peer, at, 7, 250, 10);
-    say(&peer, at, 7, 0, 10);
-    daemon.wait_for_log_times("state=Active was=Backup", 2);
-    client.send(&request(&json!(3), IDEMPOTENT_CLASS, REQUEST_ID, 2900, ""));
-    worker.next_command().succeed("eQ==");
-    assert_eq!(client.next_message()["result"]["body"], "eQ==");
+    // Takes over after its skew time, which goes by the peer's interval.
+    peer.advertise(address, HIGHER_PRIORITY, SHORT_INTERVAL);
+    peer.advertise(address, RESIGNED, SHORT_INTERVAL);
+    scheduler.wait_for_log_times(BECAME_ACTIVE, 2);
+    expect_served(&mut client, &worker, 3);
 }
 
 #[test]
-fn two_daemons_hand_over_at_shutdown() {
-    let (one, two) = (StandInWorker::node_agent(), StandInWorker::node_agent());
-    // Each must know the other's port before it starts. No other test binds these addresses, so what the
-    // system gives out stays free.
-    let [low, high] =
-        ["127.0.0.61:0", "127.0.0.62:0"].map(|at| UdpSocket::bind(at).unwrap().local_addr().unwrap());
-    let backup = start(&one, 100, 50, &low.to_string(), high);
+fn a_scheduler_that_shuts_down_hands_over_to_the_backup() {
+    let backup_worker = StandInWorker::node_agent();
+    let active_worker = StandInWorker::node_agent();
+    let backup_address = free_address(Ipv4Addr::new(127, 0, 0, 61));
+    let active_address = free_address(Ipv4Addr::new(127, 0, 0, 62));
+    let backup_configuration = RouterConfiguration {
+        priority: 100,
+        interval_centiseconds: MEDIUM_INTERVAL,
+        bind: backup_address,
+        peer: active_address,
+    };
+    let active_configuration = RouterConfiguration {
+        priority: 200,
+        interval_centiseconds: MEDIUM_INTERVAL,
+        bind: active_address,
+        peer: backup_address,
+    };
+    let backup = backup_configuration.start(&backup_worker);
     backup.wait_for_log("state=Active");
-    let mut active = start(&two, 200, 50, &high.to_string(), low);
+    let mut active = active_configuration.start(&active_worker);
     active.wait_for_log("state=Active");
-    backup.wait_for_log("state=Backup was=Active");
+    backup.wait_for_log(BECAME_BACKUP);
     let mut client = JsonRpcClient::connect(&backup);
-    assert_eq!(code(&mut client, 1), -32001);
+    send_request(&mut client, 1);
+    assert_eq!(next_error_code(&mut client), REJECTED);
     active.signal("TERM");
     active.wait_for_exit();
     let log = active.wait_for_log("ended");
     assert!(log.contains("state=Initialize was=Active"), "{log}");
-    backup.wait_for_log_times("state=Active was=Backup", 2);
-    client.send(&request(&json!(2), IDEMPOTENT_CLASS, REQUEST_ID, 2900, ""));
-    one.next_command().succeed("eA==");
-    assert_eq!(client.next_message()["result"]["body"], "eA==");
+    backup.wait_for_log_times(BECAME_ACTIVE, 2);
+    expect_served(&mut client, &backup_worker, 2);
 }
