Backend: a connection's commands and answers beside its lifecycle; one report for unsent commands

Change: connection.rs keeps lifecycle and timers; connection/commands.rs takes and writes commands, connection/answers.rs handles answers. The pool hands every command over in one place and reports in one place that no connection can be had. The code moved is unchanged.

--- a/src/backend/connection.rs
+++ b/src/backend/connection.rs
@@ -1,18 +1,15 @@
-//! A connection to a worker: its lifecycle and timers, and the exchange of commands and answers.
+//! A connection to a worker: its lifecycle and timers.
 
-use super::codec::{Codec, DecodeError, ResponseMessage, WorkerMessage};
-use super::correlation::{
-    CorrelationTable, Exchange, health_check_correlation_id, load_order_correlation_id,
-};
-use super::job::Job;
+mod answers;
+mod commands;
+
+use super::codec::Codec;
+use super::correlation::{CorrelationTable, Exchange, health_check_correlation_id};
 use super::limits::Limits;
 use super::write_queue::WriteQueue;
-use crate::model::{FunctionId, Span, Time};
+use crate::model::{Span, Time};
 use crate::net::{BufferLimits, BufferedStream, Connection, ConnectionFlow, Context};
-use crate::scheduler::{
-    AttemptError, AttemptId, FailureCause, HealthCheckId, LoadOrderId, LoadResult, RequestPayload,
-    WorkerResponse, WriteProgress,
-};
+use crate::scheduler::{AttemptError, FailureCause, HealthCheckId, WriteProgress};
 use std::cell::Cell;
 use std::rc::Rc;
 
@@ -91,180 +88,6 @@
         self.correlations.open_attempt_count()
     }
 
-    /// Takes a command for the worker.
-    pub(super) fn submit(
-        &mut self,
-        job: Job,
-        socket: &mut BufferedStream,
-        context: &mut Context,
-    ) -> ConnectionFlow {
-        match &job {
-            Job::Start { attempt, payload, .. } => {
-                self.correlations.open_attempt(*attempt, &payload.correlation_id);
-            }
-            Job::Cancel { attempt } => {
-                if !self.cancel_attempt(*attempt, context.now) {
-                    return ConnectionFlow::Continue;
-                }
-            }
-            Job::Load { order, .. } => self.correlations.open_load_order(*order),
-            Job::HealthCheck { check, deadline } => {
-                self.correlations.open_health_check(*check);
-                self.health_check = Some(OutstandingHealthCheck { check: *check, deadline: *deadline });
-            }
-            Job::Unload { .. } => {}
-        }
-        self.last_activity = context.now;
-        self.write_queue.push(job);
-        self.flush_jobs(socket, context)
-    }
-
-    /// Cancels an attempt, and returns whether the worker needs a command for that. It needs none if the
-    /// attempt has been answered, or if its start still waited and so is never written.
-    fn cancel_attempt(&mut self, attempt: AttemptId, now: Time) -> bool {
-        if !self.correlations.has_attempt(attempt) {
-            return false;
-        }
-        if self.write_queue.remove_start(attempt) {
-            self.correlations.close_unsent_attempt(attempt);
-            return false;
-        }
-        self.correlations.cancel_attempt(attempt, now);
-        true
-    }
-
-    /// Writes the waiting commands one after another, each once the one before has been written completely.
-    fn flush_jobs(&mut self, socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow {
-        while socket.is_connected() && socket.unsent() == 0 {
-            if let Some(Exchange::Attempt(attempt)) = self.write_queue.finish_write() {
-                context.scheduler.attempt_written(context.now, attempt);
-            }
-            let Some(job) = self.write_queue.pop() else {
-                break;
-            };
-            let Some(line) = self.encode(job, context) else {
-                continue;
-            };
-            socket.enqueue(&line);
-            if socket.flush().is_err() {
-                return ConnectionFlow::Close;
-            }
-        }
-        ConnectionFlow::Continue
-    }
-
-    /// Encodes a command whose turn has come; none if it must not be written any more.
-    fn encode(&mut self, job: Job, context: &mut Context) -> Option<Vec<u8>> {
-        match job {
-            Job::Start { attempt, payload, deadline } => {
-                self.encode_start(attempt, &payload, deadline, context)
-            }
-            Job::Cancel { attempt } => {
-                let correlation_id = self.correlations.take_cancelled(attempt)?;
-                Some(self.codec.encode_cancel(&correlation_id))
-            }
-            Job::Load { order, function, instances } => self.encode_load(order, function, instances, context),
-            Job::HealthCheck { check, .. } => {
-                Some(self.codec.encode_health_check(&health_check_correlation_id(check)))
-            }
-            Job::Unload { function } => Some(self.codec.encode_unload(function)),
-        }
-    }
-
-    fn encode_start(
-        &mut self,
-        attempt: AttemptId,
-        payload: &RequestPayload,
-        deadline: Time,
-        context: &mut Context,
-    ) -> Option<Vec<u8>> {
-        if !context.scheduler.admits_write(context.now, attempt) {
-            self.correlations.close_unsent_attempt(attempt);
-            context.scheduler.attempt_not_sent(context.now, attempt);
-            return None;
-        }
-        self.write_queue.begin_write(Exchange::Attempt(attempt));
-        Some(self.codec.encode_request(payload, context.now, deadline))
-    }
-
-    fn encode_load(
-        &mut self,
-        order: LoadOrderId,
-        function: FunctionId,
-        instances: u8,
-        context: &mut Context,
-    ) -> Option<Vec<u8>> {
-        let correlation_id = load_order_correlation_id(order);
-        if !context.scheduler.admits_load_order(context.now, order) {
-            self.correlations.close(&correlation_id);
-            context.scheduler.load_order_not_sent(context.now, order);
-            return None;
-        }
-        self.write_queue.begin_write(Exchange::LoadOrder(order));
-        Some(self.codec.encode_load(&correlation_id, function, instances))
-    }
-
-    fn handle_line(&mut self, line: &[u8], context: &mut Context) -> ConnectionFlow {
-        self.unresponsive = false;
-        match self.codec.decode(line) {
-            Ok(WorkerMessage::Response(message)) => self.handle_response(message, context),
-            Ok(WorkerMessage::Alive { correlation_id }) => self.handle_alive(&correlation_id, context),
-            Err(error) => {
-                self.handle_decode_error(&error, context);
-                // It is no longer certain where lines begin and end, so that whatever is open on this
-                // connection could wait for its answer in vain.
-                return ConnectionFlow::Close;
-            }
-        }
-        ConnectionFlow::Continue
-    }
-
-    fn handle_response(&mut self, message: ResponseMessage, context: &mut Context) {
-        match self.correlations.close(&message.correlation_id) {
-            Some(Exchange::Attempt(attempt)) => self.end_attempt(attempt, message, context),
-            Some(Exchange::LoadOrder(order)) => end_load_order(order, &message, context),
-            Some(Exchange::HealthCheck(check)) => self.fail_health_check(check, context),
-            // The answer to something that has been cancelled or was never sent.
-            None => {}
-        }
-        self.last_activity = context.now;
-    }
-
-    fn end_attempt(&mut self, attempt: AttemptId, message: ResponseMessage, context: &mut Context) {
-        // A request that was not served may be tried again under the same id. That attempt has to take
-        // another connection, so that a duplicate of this answer is not taken for its own.
-        if !matches!(message.response, WorkerResponse::Ok(_)) {
-            self.correlations.retire(message.correlation_id, context.now);
-        }
-        context.scheduler.record_load_report(attempt, &message.load_report);
-        context.scheduler.attempt_ended(context.now, attempt, Ok(message.response));
-    }
-
-    fn handle_alive(&mut self, correlation_id: &str, context: &mut Context) {
-        if let Some(Exchange::HealthCheck(check)) = self.correlations.exchange(correlation_id) {
-            self.correlations.close(correlation_id);
-            self.health_check = None;
-            context.scheduler.health_check_ended(context.now, check, Ok(()));
-        }
-    }
-
-    /// Ends a health check that was answered, but not with the message that the worker is alive.
-    fn fail_health_check(&mut self, check: HealthCheckId, context: &mut Context) {
-        self.health_check = None;
-        let error = AttemptError { progress: WriteProgress::Answered, cause: FailureCause::NotAlive };
-        context.scheduler.health_check_ended(context.now, check, Err(error));
-    }
-
-    fn handle_decode_error(&mut self, error: &DecodeError, context: &mut Context) {
-        context.scheduler.counters().unreadable += 1;
-        let exchange = error.correlation_id.as_ref().and_then(|id| self.correlations.close(id));
-        if let Some(Exchange::Attempt(attempt)) = exchange {
-            let error =
-                AttemptError { progress: WriteProgress::Answered, cause: FailureCause::UndecodableResponse };
-            context.scheduler.attempt_ended(context.now, attempt, Err(error));
-        }
-    }
-
     /// Ends the health check that has not been answered in time.
     fn expire_health_check(&mut self, context: &mut Context) {
         let overdue = self.health_check.take_if(|outstanding| outstanding.deadline <= context.now);
@@ -293,11 +116,6 @@
     }
 }
 
-fn end_load_order(order: LoadOrderId, message: &ResponseMessage, context: &mut Context) {
-    let result = LoadResult { status: message.response.status(), instances: message.instances.unwrap_or(0) };
-    context.scheduler.load_order_ended(context.now, order, Ok(result));
-}
-
 /// Reports an exchange that the connection's end has cut off.
 fn report_failure(exchange: Exchange, error: AttemptError, context: &mut Context) {
     match exchange {
--- /dev/null
+++ b/src/backend/connection/answers.rs
@@ -0,0 +1,79 @@
+//! The answers that arrive on a connection.
+
+use super::WorkerConnection;
+use crate::backend::codec::{DecodeError, ResponseMessage, WorkerMessage};
+use crate::backend::correlation::Exchange;
+use crate::net::{ConnectionFlow, Context};
+use crate::scheduler::{
+    AttemptError, AttemptId, FailureCause, HealthCheckId, LoadOrderId, LoadResult, WorkerResponse,
+    WriteProgress,
+};
+
+impl WorkerConnection {
+    /// Decodes a line of the worker and ends the exchange that it answers.
+    pub(super) fn handle_line(&mut self, line: &[u8], context: &mut Context) -> ConnectionFlow {
+        self.unresponsive = false;
+        match self.codec.decode(line) {
+            Ok(WorkerMessage::Response(message)) => self.handle_response(message, context),
+            Ok(WorkerMessage::Alive { correlation_id }) => self.handle_alive(&correlation_id, context),
+            Err(error) => {
+                self.handle_decode_error(&error, context);
+                // It is no longer certain where lines begin and end, so that whatever is open on this
+                // connection could wait for its answer in vain.
+                return ConnectionFlow::Close;
+            }
+        }
+        ConnectionFlow::Continue
+    }
+
+    fn handle_response(&mut self, message: ResponseMessage, context: &mut Context) {
+        match self.correlations.close(&message.correlation_id) {
+            Some(Exchange::Attempt(attempt)) => self.end_attempt(attempt, message, context),
+            Some(Exchange::LoadOrder(order)) => end_load_order(order, &message, context),
+            Some(Exchange::HealthCheck(check)) => self.fail_health_check(check, context),
+            // The answer to something that has been cancelled or was never sent.
+            None => {}
+        }
+        self.last_activity = context.now;
+    }
+
+    fn end_attempt(&mut self, attempt: AttemptId, message: ResponseMessage, context: &mut Context) {
+        // A request that was not served may be tried again under the same id. That attempt has to take
+        // another connection, so that a duplicate of this answer is not taken for its own.
+        if !matches!(message.response, WorkerResponse::Ok(_)) {
+            self.correlations.retire(message.correlation_id, context.now);
+        }
+        context.scheduler.record_load_report(attempt, &message.load_report);
+        context.scheduler.attempt_ended(context.now, attempt, Ok(message.response));
+    }
+
+    fn handle_alive(&mut self, correlation_id: &str, context: &mut Context) {
+        if let Some(Exchange::HealthCheck(check)) = self.correlations.exchange(correlation_id) {
+            self.correlations.close(correlation_id);
+            self.health_check = None;
+            context.scheduler.health_check_ended(context.now, check, Ok(()));
+        }
+    }
+
+    /// Ends a health check that was answered, but not with the message that the worker is alive.
+    fn fail_health_check(&mut self, check: HealthCheckId, context: &mut Context) {
+        self.health_check = None;
+        let error = AttemptError { progress: WriteProgress::Answered, cause: FailureCause::NotAlive };
+        context.scheduler.health_check_ended(context.now, check, Err(error));
+    }
+
+    fn handle_decode_error(&mut self, error: &DecodeError, context: &mut Context) {
+        context.scheduler.counters().unreadable += 1;
+        let exchange = error.correlation_id.as_ref().and_then(|id| self.correlations.close(id));
+        if let Some(Exchange::Attempt(attempt)) = exchange {
+            let error =
+                AttemptError { progress: WriteProgress::Answered, cause: FailureCause::UndecodableResponse };
+            context.scheduler.attempt_ended(context.now, attempt, Err(error));
+        }
+    }
+}
+
+fn end_load_order(order: LoadOrderId, message: &ResponseMessage, context: &mut Context) {
+    let result = LoadResult { status: message.response.status(), instances: message.instances.unwrap_or(0) };
+    context.scheduler.load_order_ended(context.now, order, Ok(result));
+}
--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -26,10 +26,6 @@
 /// Routes kept beyond two for each attempt in flight before those of ended attempts are dropped.
 const SPARE_ROUTES: usize = 256;
 
-/// How a health check fails for which no connection can be had.
-const NO_CONNECTION: AttemptError =
-    AttemptError { progress: WriteProgress::NotSent, cause: FailureCause::NoConnection };
-
 /// A worker process in the endpoint list.
 struct Target {
     address: WorkerAddress,
@@ -101,12 +97,7 @@
         match command {
             Command::Send { attempt, worker, payload, deadline } => {
                 let job = Job::Start { attempt, payload, deadline };
-                match self.submit(worker, job, reactor, scheduler) {
-                    Some(connection) => {
-                        self.routes.insert(attempt, connection);
-                    }
-                    None => scheduler.attempt_not_sent(reactor.now(), attempt),
-                }
+                self.submit(worker, job, reactor, scheduler);
             }
             Command::Cancel { attempt, .. } => {
                 if let Some(connection) = self.routes.remove(&attempt) {
@@ -115,15 +106,11 @@
             }
             Command::Load { order, worker, function, instances } => {
                 let job = Job::Load { order, function, instances };
-                if self.submit(worker, job, reactor, scheduler).is_none() {
-                    scheduler.load_order_not_sent(reactor.now(), order);
-                }
+                self.submit(worker, job, reactor, scheduler);
             }
             Command::HealthCheck { check, worker, deadline } => {
                 let job = Job::HealthCheck { check, deadline };
-                if self.submit(worker, job, reactor, scheduler).is_none() {
-                    scheduler.health_check_ended(reactor.now(), check, Err(NO_CONNECTION));
-                }
+                self.submit(worker, job, reactor, scheduler);
             }
             Command::Unload { worker, function } => {
                 self.submit(worker, Job::Unload { function }, reactor, scheduler);
@@ -132,17 +119,16 @@
         }
     }
 
-    /// Hands a command for a worker to one of its connections; none if no connection can be had.
-    fn submit(
-        &mut self,
-        worker: WorkerId,
-        job: Job,
-        reactor: &mut Reactor,
-        scheduler: &mut Scheduler,
-    ) -> Option<u64> {
-        let connection = self.connection_to(worker, job.attempt_correlation_id(), reactor, scheduler)?;
+    /// Hands a command for a worker to one of its connections, or reports that no connection can be had.
+    fn submit(&mut self, worker: WorkerId, job: Job, reactor: &mut Reactor, scheduler: &mut Scheduler) {
+        let correlation_id = job.attempt_correlation_id();
+        let Some(connection) = self.connection_to(worker, correlation_id, reactor, scheduler) else {
+            return report_not_sent(&job, reactor.now(), scheduler);
+        };
+        if let Job::Start { attempt, .. } = &job {
+            self.routes.insert(*attempt, connection);
+        }
         submit_to(connection, job, reactor, scheduler);
-        Some(connection)
     }
 
     /// The connection that a command to a worker takes, which may be a new one. An attempt gives its
@@ -239,3 +225,16 @@
         worker.submit(job, socket, context)
     });
 }
+
+/// Reports a command for which no connection can be had.
+fn report_not_sent(job: &Job, now: Time, scheduler: &mut Scheduler) {
+    match job {
+        Job::Start { attempt, .. } => scheduler.attempt_not_sent(now, *attempt),
+        Job::Load { order, .. } => scheduler.load_order_not_sent(now, *order),
+        Job::HealthCheck { check, .. } => {
+            let error = AttemptError { progress: WriteProgress::NotSent, cause: FailureCause::NoConnection };
+            scheduler.health_check_ended(now, *check, Err(error));
+        }
+        Job::Cancel { .. } | Job::Unload { .. } => {}
+    }
+}
