Server: a graceful shutdown with named phases

The shutdown was three optional fields of the server and two methods that read them, and which moment ended what had to be worked out from both.

`Shutdown` is a type of its own without I/O: its phases are named, one function says what ends each of them, and its constants carry their units. Log lines and the order of actions are unchanged.

--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -4,28 +4,26 @@
 mod accept;
 mod leader;
 mod limits;
+mod shutdown;
 mod signals;
+#[cfg(test)]
+mod tests;
 
 use crate::backend::{self, Pool};
 use crate::config::{CheckerEndpoint, ConfigSources, Configuration, OperatorConfig, SchedulerConfig};
 use crate::discovery::{AddressChange, Discovery, EndpointChange, WatchEvent};
-use crate::model::{Endpoint, Site, Span, Time};
+use crate::model::{Endpoint, Site, Time};
 use crate::net::{ListenerId, PipeId, Reactor, ReactorEvent, SystemClock, UdpSocketId};
 use crate::scheduler::{Command, Scheduler};
 use crate::vrrp::Event;
 use accept::{Acceptor, JsonRpcListener};
 use leader::LeaderElection;
+use shutdown::{Activity, Shutdown, ShutdownPhase};
 use signals::{SignalPipes, SignalRequest};
 use std::io;
 use std::net::SocketAddr;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 
-/// After SIGTERM clients still come for a while; nothing ends before this.
-const PART: Span = Span::from_millis(1_200);
-/// When connections that came after SIGTERM are told that they are to leave.
-const LATE_LEAVE: Span = Span::from_millis(750);
-/// How long answers may wait to be written before the end, from when the last is put in line.
-const LAST_WRITE: Span = Span::from_millis(500);
 struct Server {
     sources: ConfigSources,
     scheduler: Scheduler,
@@ -38,11 +36,8 @@
     /// Without it this server always takes requests on the JSON-RPC front.
     leader_election: Option<LeaderElection>,
     signals: SignalPipes,
-    /// Since when the daemon is on its way out.
-    ending: Option<Time>,
-    /// Since when nothing is owed any more, on the way out.
-    settled: Option<Time>,
-    told_late: bool,
+    /// The graceful shutdown, once one has begun.
+    shutdown: Option<Shutdown>,
 }
 
 /// Serves until a signal ends it.
@@ -83,9 +78,7 @@
             operator,
             leader_election,
             signals,
-            ending: None,
-            settled: None,
-            told_late: false,
+            shutdown: None,
         })
     }
 
@@ -105,7 +98,8 @@
         loop {
             let election = self.leader_election.as_ref().and_then(LeaderElection::next_timer);
             let until = self.scheduler.next_timer().into_iter().chain(self.discovery.next_timer());
-            let until = until.chain(self.next_step()).chain(self.acceptor.next_timer()).chain(election).min();
+            let until =
+                until.chain(self.shutdown_timer()).chain(self.acceptor.next_timer()).chain(election).min();
             for signal in self.reactor.poll(until, &mut self.scheduler)? {
                 match signal {
                     ReactorEvent::ClientWaiting(listener) => self.accept_clients(listener),
@@ -116,7 +110,7 @@
             self.retry_accept();
             self.update_leader(Event::TimerExpired);
             self.settle();
-            if self.ended() {
+            if self.advance_shutdown() {
                 self.print_counters();
                 eprintln!("function-scheduler: ended name={}", self.config.name);
                 return Ok(());
@@ -244,7 +238,7 @@
 
     fn handle_signal(&mut self, pipe: PipeId) {
         match self.signals.request_of(pipe) {
-            Some(SignalRequest::Shutdown) => self.begin_end(),
+            Some(SignalRequest::Shutdown) => self.begin_shutdown(),
             Some(SignalRequest::PrintCounters) => self.print_counters(),
             Some(SignalRequest::Reload) => self.reload(),
             None => {}
@@ -267,11 +261,12 @@
         }
     }
 
-    // ---- The end
+    // ---- Shutdown
 
-    /// SIGTERM: no longer ready, clients are asked to leave, but what still comes is taken and answered.
-    fn begin_end(&mut self) {
-        if self.ending.is_some() {
+    /// Begins a graceful shutdown, unless one has begun: the server is no longer ready, and clients are asked
+    /// to send no new requests.
+    fn begin_shutdown(&mut self) {
+        if self.shutdown.is_some() {
             return;
         }
         eprintln!(
@@ -279,49 +274,47 @@
             self.config.name,
             self.scheduler.open_requests()
         );
-        self.ending = Some(self.reactor.now());
+        self.shutdown = Some(Shutdown::new(self.reactor.now()));
         self.reactor.ready = false;
         self.update_leader(Event::Shutdown);
-        self.leave_all();
+        self.notify_clients();
     }
 
-    fn leave_all(&mut self) {
-        for id in self.reactor.connection_ids() {
-            self.reactor.with_client(id, &mut self.scheduler, |client, socket, context| {
+    /// Asks all clients to send no new requests on their connections.
+    fn notify_clients(&mut self) {
+        for connection in self.reactor.connection_ids() {
+            self.reactor.with_client(connection, &mut self.scheduler, |client, socket, context| {
                 client.request_leave(socket, context)
             });
         }
     }
 
-    fn next_step(&self) -> Option<Time> {
-        let since = self.ending?;
-        let now = self.reactor.now();
-        if self.settled.is_some() && now >= since + PART && !self.reactor.has_unsent_output() {
-            // One more look at the sockets.
-            return Some(now);
-        }
-        let given_up = self.settled.map(|settled| settled.max(since + PART) + LAST_WRITE);
-        let steps = [Some(since + LATE_LEAVE), Some(since + PART), given_up];
-        steps.into_iter().flatten().find(|at| *at > now)
+    fn shutdown_timer(&self) -> Option<Time> {
+        let shutdown = self.shutdown.as_ref()?;
+        shutdown.next_timer(self.reactor.now(), self.reactor.has_unsent_output())
     }
 
-    fn ended(&mut self) -> bool {
-        let Some(since) = self.ending else { return false };
+    /// Moves a shutdown on; true once it is complete.
+    fn advance_shutdown(&mut self) -> bool {
         let now = self.reactor.now();
-        if now >= since + LATE_LEAVE && !self.told_late {
-            self.told_late = true;
-            self.leave_all();
-        }
-        if self.scheduler.open_requests() > 0 {
-            self.settled = None;
-            return false;
+        while let Some(phase) = self.enter_next_shutdown_phase(now) {
+            match phase {
+                ShutdownPhase::LateRequests => self.notify_clients(),
+                ShutdownPhase::Complete => return true,
+                _ => {}
+            }
         }
-        // The last answer may come as late as its call allows: the time to write it counts from then.
-        let settled = (*self.settled.get_or_insert(now)).max(since + PART);
-        // A request may wait unread behind answers that have just gone out, and closing on it would take from
-        // its client also what that has not read yet. The end comes when the sockets have nothing more.
-        let done = !self.reactor.has_unsent_output() && self.reactor.last_poll_was_empty();
-        now >= since + PART && (done || now >= settled + LAST_WRITE)
+        false
+    }
+
+    fn enter_next_shutdown_phase(&mut self, now: Time) -> Option<ShutdownPhase> {
+        let shutdown = self.shutdown.as_mut()?;
+        let activity = Activity {
+            open_requests: self.scheduler.open_requests(),
+            has_unsent_output: self.reactor.has_unsent_output(),
+            last_poll_was_empty: self.reactor.last_poll_was_empty(),
+        };
+        shutdown.advance(now, activity)
     }
 }
 
--- /dev/null
+++ b/src/server/tests/mod.rs
@@ -0,0 +1,3 @@
+//! Tests of the server's parts that need no sockets.
+
+mod shutdown;
