Derive the limits on worker connections in one place, and reword the configuration's docs

The server and the embedded client each turned a site's settings into the pool's limits, with the same constant.

Limits::for_site does it; the server adds its allowance for connects. Behaviour is the same.

--- a/src/backend/limits.rs
+++ b/src/backend/limits.rs
@@ -1,6 +1,10 @@
 //! Limits on connections to workers.
 
-use crate::model::Span;
+use crate::model::{Site, Span};
+
+/// An idle connection is closed after this part of the time in which the worker would close it, so that no
+/// request is written to a connection that the worker is closing.
+const IDLE_TIMEOUT_FRACTION: f64 = 0.8;
 
 /// Limits that all connections to workers share.
 #[derive(Clone, Copy, Debug)]
@@ -17,3 +21,16 @@
     /// Number of schedulers that connect to the same workers.
     pub schedulers: usize,
 }
+
+impl Limits {
+    /// The limits that a site's settings give, with at most `max_connections` connections.
+    pub fn for_site(site: &Site, max_connections: usize) -> Limits {
+        Limits {
+            attempts_per_connection: site.attempts_per_connection,
+            idle_timeout: site.idle_timeout.mul_f64(IDLE_TIMEOUT_FRACTION),
+            connect_timeout: site.connect_timeout,
+            max_connections,
+            schedulers: site.settings.fleet_size as usize,
+        }
+    }
+}
--- a/src/client.rs
+++ b/src/client.rs
@@ -60,9 +60,6 @@
 
 /// Most connections to workers that a client opens.
 const MAX_CONNECTIONS: usize = 256;
-/// An idle connection is closed after this part of the time in which the worker would close it, so that no
-/// request is written to a connection that the worker is closing.
-const IDLE_TIMEOUT_FRACTION: f64 = 0.8;
 /// All requests of the embedding program count as coming from one connection.
 const CONNECTION: u64 = 0;
 
@@ -104,18 +101,11 @@
     ///
     /// # Errors
     ///
-    /// The system's, where it gives no poll.
+    /// Those of the operating system, where it refuses the event queue on which the client waits.
     pub fn new(site: Site, seed: u64) -> io::Result<Client> {
-        let limits = Limits {
-            attempts_per_connection: site.attempts_per_connection,
-            idle_timeout: site.idle_timeout.mul_f64(IDLE_TIMEOUT_FRACTION),
-            connect_timeout: site.connect_timeout,
-            max_connections: MAX_CONNECTIONS,
-            schedulers: site.settings.fleet_size as usize,
-        };
         Ok(Client {
             reactor: Reactor::new(SystemClock::new())?,
-            pool: Pool::new(limits),
+            pool: Pool::new(Limits::for_site(&site, MAX_CONNECTIONS)),
             scheduler: Scheduler::new(site, seed),
             last_request: 0,
             correlation_prefix: correlation_prefix(seed),
@@ -147,19 +137,19 @@
         id
     }
 
-    /// Cancels a request: no response comes, and its worker is told where that helps.
+    /// Cancels a request: there will be no response, and the worker is notified where it can stop the work.
     pub fn cancel(&mut self, request: SubmittedRequestId) {
         self.scheduler.cancel(self.reactor.now(), origin(request));
         self.completed.retain(|completed| completed.request != request);
         self.run_commands();
     }
 
-    /// Works until something has happened or `until` has come, and returns the requests that have ended since
+    /// Waits until something has happened, at most until `until`, and returns the requests that have ended since
     /// the last call.
     ///
     /// # Errors
     ///
-    /// The system's, where its poll fails.
+    /// Those of the operating system, where waiting on the event queue fails.
     pub fn poll(&mut self, until: Time) -> io::Result<Vec<CompletedRequest>> {
         if self.completed.is_empty() {
             let wake_at = self.scheduler.next_timer().map_or(until, |timer| timer.min(until));
--- a/src/config/operator_file.rs
+++ b/src/config/operator_file.rs
@@ -144,10 +144,10 @@
 }
 
 fn check_loopback(key: &'static str, address: SocketAddr) -> Result<(), ConfigProblem> {
-    match address.ip().is_loopback() {
-        true => Ok(()),
-        false => Err(ConfigProblem::NotLoopback { key, address }),
+    if address.ip().is_loopback() {
+        return Ok(());
     }
+    Err(ConfigProblem::NotLoopback { key, address })
 }
 
 fn parse_checkers(documents: Vec<CheckerDocument>) -> Result<Vec<CheckerConfig>, ConfigProblem> {
--- a/src/config/scheduler_file.rs
+++ b/src/config/scheduler_file.rs
@@ -25,14 +25,14 @@
     pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
-    /// Seed of random numbers; 0 where the file has none or one that is not hexadecimal.
+    /// Seed of random numbers; 0 where the file has none, or one that is not hexadecimal or above 64 bits.
     pub seed: u64,
     /// Descriptors that may be held.
     pub max_descriptors: usize,
     /// Memory that may be taken, in MB.
     pub memory_mb: usize,
-    /// Where the event bus is, which tells of workers; absent where there is none.
-    pub bus: Option<SocketAddr>,
+    /// The event bus, which publishes the endpoint list; absent where there is none.
+    pub event_bus: Option<SocketAddr>,
     /// The bus's events up to now, by their offsets.
     pub known_events: Vec<WatchEvent>,
     /// The site.
@@ -47,14 +47,14 @@
 pub fn parse_scheduler_config(json: &[u8]) -> Result<SchedulerConfig, ConfigError> {
     let document: SchedulerDocument = serde_json::from_slice(json).map_err(|error| invalid(error.into()))?;
     let site = parse_site(document.settings.to_string().as_bytes())?;
-    let known_events = parse_known_events(document.known, &site).map_err(invalid)?;
+    let known_events = parse_known_events(&document.known, &site).map_err(invalid)?;
     Ok(SchedulerConfig {
         name: document.name,
         listen: document.listen,
         seed: u64::from_str_radix(&document.seed, 16).unwrap_or_default(),
         max_descriptors: document.limits.max_descriptors.unwrap_or(DEFAULT_MAX_DESCRIPTORS),
         memory_mb: document.limits.memory_mb.map_or(DEFAULT_MEMORY_MB, whole_megabytes),
-        bus: document.bus,
+        event_bus: document.event_bus,
         known_events,
         site,
     })
@@ -68,7 +68,7 @@
     megabytes.clamp(MIN_MEMORY_MB, MAX_MEMORY_MB) as usize
 }
 
-fn parse_known_events(known: KnownDocument, site: &Site) -> Result<Vec<WatchEvent>, ConfigProblem> {
+fn parse_known_events(known: &KnownDocument, site: &Site) -> Result<Vec<WatchEvent>, ConfigProblem> {
     let events = known.events.iter().map(|event| parse_event(event, site));
     let mut events: Vec<WatchEvent> = events.collect::<Result<_, _>>()?;
     events.sort_by_key(|event| event.offset);
@@ -125,7 +125,8 @@
     seed: String,
     #[serde(default)]
     limits: LimitsDocument,
-    bus: Option<SocketAddr>,
+    #[serde(rename = "bus")]
+    event_bus: Option<SocketAddr>,
     #[serde(default)]
     known: KnownDocument,
     settings: serde_json::Value,
--- a/src/config/settings/convert.rs
+++ b/src/config/settings/convert.rs
@@ -122,7 +122,7 @@
     numbered.map(|(number, class)| parse_class(&format!("classes[{number}]"), class)).collect()
 }
 
-/// `key` is where the class stands in the document, for errors.
+/// `key` is the path of the class in the document, for errors.
 fn parse_class(key: &str, class: &ClassDocument) -> Result<RequestClass, ConfigProblem> {
     Ok(RequestClass {
         latency_objective: Span(class.latency_objective_ns),
--- a/src/model/events.rs
+++ b/src/model/events.rs
@@ -1,4 +1,4 @@
-//! Events: what the policy is told.
+//! Events: the input of the policy.
 
 use super::{ClassId, Endpoint, EndpointUpdateKind, FunctionId, RequestId, Span, TenantId, WorkerId};
 
@@ -32,7 +32,7 @@
     }
 }
 
-/// What an answer tells of the instance that served the request.
+/// What an answer says about the instance that served the request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum InstanceState {
     /// Nothing.
@@ -81,7 +81,7 @@
     pub latency: Span,
     /// Whether the request has ended, with this attempt or before.
     pub request_finished: bool,
-    /// What the answer tells of the instance.
+    /// What the answer says about the instance.
     pub instance_state: InstanceState,
     /// Requests for the same function that the worker held when this one arrived.
     pub function_in_flight: u32,
--- a/src/model/settings.rs
+++ b/src/model/settings.rs
@@ -91,8 +91,7 @@
     pub may_probe: bool,
     /// Workers may be ordered to load and unload functions.
     pub may_order: bool,
-    /// Longest time for which a client can be told to wait before it retries; absent where clients are not
-    /// told.
+    /// Longest wait before a retry that a client can be advised; absent where clients are not advised.
     pub max_retry_after: Option<Span>,
 }
 
@@ -157,7 +156,7 @@
     OnRequest,
 }
 
-/// What a scheduler is told of its site.
+/// The settings that a scheduler gets at its start.
 #[derive(Clone, Debug)]
 pub struct Settings {
     /// How many schedulers there are.
@@ -184,7 +183,8 @@
     pub prices: Prices,
     /// What the values of a load report measure, in their order.
     pub load_metrics: Vec<LoadMetric>,
-    /// Whether [`AttemptOutcome::function_in_flight`](super::AttemptOutcome::function_in_flight) is told.
+    /// Whether [`AttemptOutcome::function_in_flight`](super::AttemptOutcome::function_in_flight) is
+    /// reported.
     pub reports_function_in_flight: bool,
     /// How changes of the endpoint list arrive.
     pub discovery: DiscoveryMode,
--- a/src/server/limits.rs
+++ b/src/server/limits.rs
@@ -11,9 +11,6 @@
 /// Output that waits to be sent, on all connections together, may take one in so many parts of the memory.
 const UNSENT_OUTPUT_DIVISOR: usize = 6;
 const BYTES_PER_MEGABYTE: usize = 1 << 20;
-/// An idle connection is closed after this part of the time in which the worker would close it, so that no
-/// request is written to a connection that the worker is closing.
-const IDLE_TIMEOUT_FRACTION: f64 = 0.8;
 /// The platform allows this much more for a connect than the settings say.
 const CONNECT_TIMEOUT_ALLOWANCE: Span = Span::from_millis(50);
 
@@ -38,11 +35,8 @@
 pub(super) fn worker_limits(config: &SchedulerConfig) -> backend::Limits {
     let site = &config.site;
     backend::Limits {
-        attempts_per_connection: site.attempts_per_connection,
-        idle_timeout: site.idle_timeout.mul_f64(IDLE_TIMEOUT_FRACTION),
         connect_timeout: Span(site.connect_timeout.0 + CONNECT_TIMEOUT_ALLOWANCE.0),
-        max_connections: max_connections(config),
-        schedulers: site.settings.fleet_size as usize,
+        ..backend::Limits::for_site(site, max_connections(config))
     }
 }
 
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -66,7 +66,7 @@
         let mut pool = Pool::new(limits::worker_limits(&config));
         let configured = assign_checker_addresses(&operator, &config.site, &mut pool);
         let known = std::mem::take(&mut config.known_events);
-        let discovery = Discovery::new(config.bus, known, configured, reactor.now());
+        let discovery = Discovery::new(config.event_bus, known, configured, reactor.now());
         Ok(Server {
             sources,
             scheduler,
@@ -225,7 +225,7 @@
         limit_memory(&self.config, &mut self.scheduler, &mut self.reactor);
         self.acceptor.set_max_connections(limits::max_connections_with_clients(&self.config));
         self.replace_checkers(now);
-        self.reload_discovery(now, self.config.bus, known);
+        self.reload_discovery(now, self.config.event_bus, known);
         eprintln!("function-scheduler: reloaded offset={}", self.discovery.last_offset());
     }
 
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -218,13 +218,13 @@
 fn the_configuration_has_defaults_and_its_events_are_in_order() {
     let least = json!({"listen": "127.0.0.1:1", "settings": settings()});
     let config = parse_scheduler_config(least.to_string().as_bytes()).unwrap();
-    assert_eq!((config.name.as_str(), config.seed, config.bus), ("", 0, None));
+    assert_eq!((config.name.as_str(), config.seed, config.event_bus), ("", 0, None));
     assert_eq!((config.max_descriptors, config.memory_mb, config.known_events.len()), (1024, 192, 0));
-    for (told, taken) in [(0.0, 1), (64.9, 64), (1e9, 1_000_000)] {
+    for (configured, expected) in [(0.0, 1), (64.9, 64), (1e9, 1_000_000)] {
         let mut limited = least.clone();
-        limited["limits"] = json!({ "memory_mb": told });
+        limited["limits"] = json!({ "memory_mb": configured });
         let config = parse_scheduler_config(limited.to_string().as_bytes()).unwrap();
-        assert_eq!(config.memory_mb, taken, "{told}");
+        assert_eq!(config.memory_mb, expected, "{configured}");
     }
 
     let mut known = least;
