--- a/tests/policy/admission.rs
+++ b/tests/policy/admission.rs
@@ -5,7 +5,7 @@
 };
 use function_scheduler::{Action, IncomingRequest, OnMiss, RequestId, Settings, Span, Status};
 
-/// The policy once kept requests that had no way out until just before their deadline.
+/// The policy once held requests that no worker could serve until just before their deadline.
 #[test]
 fn request_without_a_worker_is_rejected_early_with_a_retry_after() {
     let mut settings = test_settings(OnMiss::Miss);
@@ -18,7 +18,7 @@
     assert_eq!(rejections_and_failures(&actions), vec![rejection], "before half its time of 2500 ms");
 }
 
-/// Incidents i0164ec and i650135: queues at workers fed a backlog of answers that all came too late.
+/// Incidents i0164ec and i650135: queues at the workers grew until all answers came too late.
 #[test]
 fn overload_is_shed_by_the_scheduler_and_not_queued_at_workers() {
     let mut harness = PolicyHarness::new(test_settings(OnMiss::Load), 1);
@@ -51,7 +51,7 @@
     }
 }
 
-/// Overloads of large fleets: no limit of a single worker acts where each worker is seen now and then.
+/// Overloads of large fleets: each scheduler sends to each worker too rarely for the limit of a single worker to act.
 #[test]
 fn saturation_over_all_workers_sheds_before_anything_is_queued() {
     let settings = Settings { fleet_size: 200, ..test_settings(OnMiss::Load) };
--- a/tests/policy/concurrency_limit.rs
+++ b/tests/policy/concurrency_limit.rs
@@ -5,7 +5,7 @@
 };
 use function_scheduler::{AttemptOutcome, Event, InstanceState, OnMiss, RequestId, Span, Status};
 
-/// Instances that found no memory shut requests out from the loaded ones, and cut their worker's limit.
+/// A failed load for lack of memory kept requests away from the worker's loaded instances and cut its limit.
 #[test]
 fn worker_without_memory_for_a_new_instance_still_serves_its_loaded_ones() {
     let mut harness = PolicyHarness::new(test_settings(OnMiss::Load), 4);
@@ -31,8 +31,8 @@
     assert!(sent.filter(|worker| *worker == home).count() >= 6, "its limit is unchanged");
 }
 
-/// An instance had been evicted unseen, and its worker without memory for another was cut to one request, though it
-/// was quick.
+/// An instance had been evicted without notice. Its worker had no memory for another and its limit was cut to one
+/// request, though it answered quickly.
 #[test]
 fn quick_worker_that_rejects_a_request_keeps_its_limit_and_loses_the_instance() {
     let mut harness = PolicyHarness::new(test_settings(OnMiss::Load), 2);
@@ -51,7 +51,7 @@
     assert!(sent.iter().filter(|worker| **worker == home).count() >= 6, "{sent:?}");
 }
 
-/// After a spell of slow answers the mean latency stayed high and went on cutting, though every answer was quick again.
+/// After slow answers the mean latency stayed high and the limit was cut further, though new answers were quick.
 #[test]
 fn quick_answers_after_slow_ones_do_not_cut_the_limit_further() {
     let mut harness = PolicyHarness::new(test_settings(OnMiss::Load), 1);
@@ -69,14 +69,14 @@
     assert!((4..=6).contains(&sent), "cut for the slow answers alone: {sent}");
 }
 
-/// Sends 30 requests spread over this many functions; how many go out at once.
+/// Submits 30 requests spread over this many functions, and returns how many are sent at once.
 fn sent_of_30_requests(harness: &mut PolicyHarness, functions: u32) -> usize {
     let requests = (100..130).map(|n| request(n, u64::from(n % functions)));
     requests.map(|request| harness.receive_and_place(request).len()).sum()
 }
 
-/// rennes-campus, day 7 of few schedulers: requests of functions wanted once, waiting for their loads on idle cores,
-/// filled the workers' limits, and what else came was rejected after a fifth of its latency objective.
+/// rennes-campus, day 7 of few schedulers: requests for functions requested once waited for their loads on idle cores
+/// and filled the workers' limits; other requests were rejected after a fifth of their latency objective.
 #[test]
 fn requests_that_wait_for_loads_leave_capacity_for_others() {
     let mut harness = PolicyHarness::new(test_settings(OnMiss::Load), 1);
--- a/tests/policy/health.rs
+++ b/tests/policy/health.rs
@@ -10,7 +10,8 @@
 };
 use std::collections::BTreeSet;
 
-/// Incident i650135: single reset connections erased what was known as loaded and set off reloads everywhere.
+/// Incident i650135: a single reset connection made the policy forget the worker's loaded functions, which started
+/// loads on other workers.
 #[test]
 fn reset_connection_keeps_the_loaded_instances_but_a_refused_one_does_not() {
     for (status, stays) in [(Status::Reset, true), (Status::ConnectFailed, false)] {
@@ -23,7 +24,7 @@
     }
 }
 
-/// A process that answers everything with an error at once looked the least busy and drew ever more requests.
+/// A worker that answers every request with an error at once had the lowest load, so it was sent ever more requests.
 #[test]
 fn worker_that_fails_every_request_at_once_is_ejected() {
     let mut harness = PolicyHarness::new(test_settings(OnMiss::Load), 4);
@@ -37,7 +38,10 @@
             attempts_at_faulty += usize::from(worker == faulty);
             let status = if worker == faulty { Status::Error } else { Status::Ok };
             sent_to = workers_sent_to(&harness.finish_attempt(RequestId(n), attempt, status));
-            assert!(!sent_to.contains(&faulty) || worker != faulty, "not at once where it has just failed");
+            assert!(
+                !sent_to.contains(&faulty) || worker != faulty,
+                "no retry at once where it has just failed"
+            );
         }
         harness.advance_ms(10);
     }
@@ -77,7 +81,7 @@
     worker.0 % 2 == 1
 }
 
-/// Receives a request of a function of its own and answers it unless its worker is cut off; the worker.
+/// Submits a request for a function of its own, answers it unless its worker is cut off, and returns the worker.
 fn place_and_serve(harness: &mut PolicyHarness, id: u32) -> WorkerId {
     let worker = harness.receive_and_place(request(id, u64::from(id)))[0];
     if !is_cut_off(&worker) {
@@ -86,8 +90,8 @@
     worker
 }
 
-/// rennes-campus, case3338: a hall was cut off. No health check is allowed there and nothing was reset, so each
-/// request that went there was lost until its deadline, and the next ones followed it.
+/// rennes-campus, case3338: a zone was cut off. Health checks are not allowed there and no connection was reset, so
+/// each request sent there was lost until its deadline, and later requests were still sent there.
 #[test]
 fn zone_that_is_silent_to_several_requests_is_ejected_and_its_requests_are_placed_elsewhere() {
     let mut settings = test_settings(OnMiss::Load);
@@ -108,7 +112,7 @@
     assert!((0..30).all(|_| !is_cut_off(&place_next(&mut harness))));
 }
 
-/// The same day: what ended unanswered taught the policy nothing of the worker, not even where it had been silent.
+/// rennes-campus, case3338: an attempt that ended without an answer did not count against its worker.
 #[test]
 fn worker_that_was_silent_for_a_requests_whole_time_is_avoided() {
     let mut settings = test_settings(OnMiss::Load);
--- a/tests/policy/main.rs
+++ b/tests/policy/main.rs
@@ -1,4 +1,4 @@
-//! The decisions of the policy through its public interface: the ordinary path and each gate.
+//! The policy's decisions, tested through its public interface.
 
 mod admission;
 mod concurrency_limit;
@@ -8,6 +8,7 @@
 mod prewarm;
 mod retries;
 mod robustness;
+mod simulated_fleet;
 mod slow_start;
 #[path = "../support/mod.rs"]
 #[allow(dead_code, reason = "each test crate uses a part of the support code")]
--- a/tests/policy/placement.rs
+++ b/tests/policy/placement.rs
@@ -16,7 +16,7 @@
     let home = workers_sent_to(&actions);
     assert_eq!((home.len(), requested_loads(&actions).len()), (1, 0));
     harness.finish_last_attempt(Status::Ok);
-    assert_eq!(harness.receive_and_place(request(2, 7)), home, "it sticks to the warm worker");
+    assert_eq!(harness.receive_and_place(request(2, 7)), home, "it stays on the warm worker");
 }
 
 #[test]
@@ -43,7 +43,7 @@
     assert_eq!(rejections_and_failures(&actions).len(), 1);
 }
 
-/// Overload days: requests that found their home without capacity began loads on worker after worker.
+/// Overload days: requests that found their home without capacity started loads on one worker after the other.
 #[test]
 fn full_home_does_not_spread_loads_along_the_rendezvous_order() {
     let mut harness = PolicyHarness::new(test_settings(OnMiss::Load), 8);
@@ -56,7 +56,7 @@
     assert!(used.len() <= 2, "{used:?}");
 }
 
-/// Requests waited for the one worker with their function loaded, until they were given up, while others were idle.
+/// Requests waited until their deadline for the only worker with their function loaded, while others were idle.
 #[test]
 fn request_does_not_wait_for_a_full_worker_while_others_have_capacity() {
     let mut harness = PolicyHarness::new(test_settings(OnMiss::Load), 4);
@@ -72,8 +72,8 @@
     assert!(workers_sent_to(&actions).iter().any(|worker| *worker != home), "{actions:?}");
 }
 
-/// rennes-campus, case4356: a hundred schedulers of which each has one request at a home see it as idle, and what
-/// was rarely asked of each of them piled up there, while its load reports told of ninety requests.
+/// rennes-campus, case4356: each of a hundred schedulers had one request in flight at a home and took it for idle.
+/// Requests for rare functions queued up there, though its load reports named ninety requests in flight.
 #[test]
 fn home_that_reports_many_requests_is_avoided_until_the_report_is_old() {
     let settings = Settings {
--- a/tests/policy/prewarm.rs
+++ b/tests/policy/prewarm.rs
@@ -24,7 +24,8 @@
     assert_eq!(workers_sent_to(&after_load), first);
 }
 
-/// Answers this many requests of one function, then sends three more without an answer; the loads those three start.
+/// Answers this many requests for one function, then submits three more that stay in flight, and returns the loads
+/// that those three start.
 fn loads_with_all_instances_in_use(requests_before: u32) -> Vec<RequestedLoad> {
     let mut harness = PolicyHarness::new(test_settings(OnMiss::Miss), 4);
     for n in 0..requests_before {
@@ -39,7 +40,7 @@
     assert_eq!(loads_with_all_instances_in_use(80).len(), 1);
 }
 
-/// gori-jar-plant overload, idf049f: instances that the counted requests did not need evicted others.
+/// gori-jar-plant overload, idf049f: instances that the request rate did not call for evicted others.
 #[test]
 fn instances_in_use_of_a_rare_function_start_no_load() {
     assert_eq!(loads_with_all_instances_in_use(4), vec![]);
@@ -65,7 +66,7 @@
     assert!(loads_by_worker.values().any(|count| *count > 1), "{loads_by_worker:?}");
 }
 
-/// rustavi-plant rough-1 and big-2: a flood of functions asked for once filled the workers' load queues.
+/// rustavi-plant rough-1 and big-2: many functions that were requested only once filled the workers' load queues.
 #[test]
 fn loads_of_rare_functions_leave_capacity_for_popular_ones() {
     let mut harness = PolicyHarness::new(test_settings(OnMiss::Miss), 2);
@@ -84,7 +85,7 @@
     assert!(popular_loads.iter().any(|load| load.function == FUNCTION), "{popular_loads:?}");
 }
 
-/// rustavi-plant-later big-1: loads that ended for want of memory were asked of one worker after the other, 8 a
+/// rustavi-plant-later big-1: after a load failed for lack of memory, one worker after the other was asked, 8 for each
 /// request.
 #[test]
 fn loads_that_find_workers_full_are_not_asked_of_the_whole_fleet() {
--- a/tests/policy/retries.rs
+++ b/tests/policy/retries.rs
@@ -48,8 +48,8 @@
     assert_eq!(rejections_and_failures(&actions), vec![failure], "given up at once, not at its deadline");
 }
 
-/// rennes-campus, day 3: with nearly half of the workers cut off and some crowded, all were taken for well again, and
-/// a request went to one lost worker up to five times.
+/// rennes-campus, day 3: with nearly half of the workers cut off and some overloaded, all were taken for healthy again,
+/// and a request was sent to the same unreachable worker up to five times.
 #[test]
 fn undeliverable_request_tries_each_worker_once_however_many_are_lost() {
     let mut harness = PolicyHarness::new(test_settings(OnMiss::Load), 5);
--- a/tests/policy/robustness.rs
+++ b/tests/policy/robustness.rs
@@ -27,7 +27,7 @@
     assert!(only_timers, "a repeated outcome changes nothing");
 }
 
-/// All actions of 300 requests of seven functions, of which every fifth misses.
+/// Returns all actions on 300 requests for seven functions, of which every fifth misses.
 fn actions_of_a_run() -> Vec<Action> {
     let mut harness = PolicyHarness::new(test_settings(OnMiss::Miss), 5);
     let mut actions = vec![];
--- /dev/null
+++ b/tests/policy/simulated_fleet.rs
@@ -0,0 +1,182 @@
+//! A fleet of schedulers with more requests than its workers can serve, one of which starts cold.
+
+use crate::support::policy_harness::{
+    PolicyHarness, endpoint_started_at, ready_endpoint, request, test_settings,
+};
+use function_scheduler::{Endpoint, EndpointUpdateKind, OnMiss, RequestId, Settings, Span, Status, WorkerId};
+use std::collections::VecDeque;
+
+/// The worker that starts cold, in all tests of slow start.
+pub(crate) const COLD_WORKER: WorkerId = WorkerId(1);
+/// Schedulers in the simulated fleet.
+pub(crate) const SCHEDULERS: u32 = 30;
+/// Workers in the simulated fleet.
+const WORKERS: u64 = 8;
+/// Requests that a warm worker serves in a second.
+const WORKER_RATE: f64 = 10.0;
+/// Requests that come to the fleet in a second: a third more than all workers serve.
+const REQUEST_RATE: f64 = WORKER_RATE * WORKERS as f64 * 1.3;
+/// When the cold worker starts.
+const COLD_START_MS: u64 = 6_000;
+/// How long each attempt takes.
+const LATENCY_MS: u64 = 200;
+/// The length of a run.
+const RUN_MS: u64 = 14_000;
+/// The step of the simulation, as that of the harness's clock.
+const STEP_MS: u64 = 10;
+/// The part of its capacity that a worker has at its start.
+const INITIAL_CAPACITY: f64 = 0.16;
+/// How long a worker takes to come to its full capacity.
+const WARM_UP_MS: u64 = 17_000;
+/// How many times its capacity a worker may be sent within the overload window.
+const OVERLOAD_MULTIPLE: f64 = 4.0;
+/// The span over which requests to a worker are counted.
+pub(crate) const OVERLOAD_WINDOW_MS: u64 = 3_000;
+
+/// A restart of the schedulers with indexes below `count`.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Restart {
+    /// When it happens, counted from the start of the simulation.
+    pub(crate) at_ms: u64,
+    /// How many schedulers restart.
+    pub(crate) count: u32,
+}
+
+/// An attempt of the simulated fleet that will be answered.
+struct InFlight {
+    answered_at_ms: u64,
+    scheduler: usize,
+    request: RequestId,
+    attempt: u16,
+}
+
+/// A linear congruential generator of numbers from 0 to 1, the same for the same seed.
+struct RandomNumbers {
+    state: u64,
+}
+
+impl RandomNumbers {
+    fn new(seed: u64) -> RandomNumbers {
+        RandomNumbers { state: 0x9e37_79b9_7f4a_7c15 ^ seed }
+    }
+
+    fn next(&mut self) -> f64 {
+        self.state =
+            self.state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (self.state >> 33) as f64 / (1u64 << 31) as f64
+    }
+}
+
+/// Many schedulers with more requests than their workers can serve.
+pub(crate) struct SimulatedFleet {
+    schedulers: Vec<PolicyHarness>,
+    cold: Endpoint,
+    random: RandomNumbers,
+    in_flight: VecDeque<InFlight>,
+    last_id: u32,
+    /// When an attempt was sent to the cold worker after its start, in milliseconds.
+    pub(crate) cold_sends_ms: Vec<u64>,
+}
+
+impl SimulatedFleet {
+    /// A fleet whose workers are all warm.
+    pub(crate) fn new(seed: u64) -> SimulatedFleet {
+        let schedulers: Vec<PolicyHarness> =
+            (0..SCHEDULERS).map(|index| PolicyHarness::new(fleet_settings(index), WORKERS)).collect();
+        let cold_start = schedulers[0].now + Span::from_millis(COLD_START_MS);
+        SimulatedFleet {
+            schedulers,
+            cold: endpoint_started_at(COLD_WORKER.0, cold_start),
+            random: RandomNumbers::new(seed),
+            in_flight: VecDeque::new(),
+            last_id: 0,
+            cold_sends_ms: vec![],
+        }
+    }
+
+    /// Replaces schedulers by new ones with the current endpoint list; attempts of the old ones get no answer.
+    fn restart(&mut self, restart: Restart) {
+        for index in 0..restart.count {
+            let scheduler = index as usize;
+            let mut harness = PolicyHarness::new(fleet_settings(index), WORKERS);
+            harness.now = self.schedulers[scheduler].now;
+            harness.update_endpoints(EndpointUpdateKind::Full, self.endpoints(restart.at_ms));
+            self.schedulers[scheduler] = harness;
+            self.in_flight.retain(|attempt| attempt.scheduler != scheduler);
+        }
+    }
+
+    fn endpoints(&self, at_ms: u64) -> Vec<Endpoint> {
+        let mut endpoints: Vec<Endpoint> = (1..=WORKERS).map(ready_endpoint).collect();
+        if at_ms >= COLD_START_MS {
+            endpoints[0] = self.cold;
+        }
+        endpoints
+    }
+
+    /// One step of one scheduler: time passes, and a request may come.
+    fn step_scheduler(&mut self, scheduler: usize, now_ms: u64) {
+        let harness = &mut self.schedulers[scheduler];
+        if now_ms == COLD_START_MS {
+            harness.update_endpoints(EndpointUpdateKind::Delta, vec![self.cold]);
+        }
+        let sent_before = harness.sent.len();
+        harness.advance_ms(STEP_MS);
+        if self.random.next() < REQUEST_RATE / f64::from(SCHEDULERS) / 100.0 {
+            self.last_id += 1;
+            // A few functions draw most requests.
+            let function = (self.random.next() * self.random.next() * 40.0) as u64;
+            harness.receive(request(self.last_id, function));
+        }
+        for sent in &harness.sent[sent_before..] {
+            let answered_at_ms = now_ms + LATENCY_MS;
+            let attempt =
+                InFlight { answered_at_ms, scheduler, request: sent.request, attempt: sent.attempt };
+            self.in_flight.push_back(attempt);
+            if sent.worker == COLD_WORKER && now_ms >= COLD_START_MS {
+                self.cold_sends_ms.push(now_ms);
+            }
+        }
+    }
+
+    /// Answers all attempts that are due.
+    fn answer_attempts(&mut self, now_ms: u64) {
+        while self.in_flight.front().is_some_and(|attempt| attempt.answered_at_ms <= now_ms) {
+            if let Some(due) = self.in_flight.pop_front() {
+                self.schedulers[due.scheduler].finish_attempt(due.request, due.attempt, Status::Ok);
+            }
+        }
+    }
+
+    /// Runs the fleet with these restarts.
+    pub(crate) fn run(&mut self, restarts: &[Restart]) {
+        for now_ms in (0..RUN_MS).step_by(STEP_MS as usize) {
+            for restart in restarts.iter().filter(|restart| restart.at_ms == now_ms) {
+                self.restart(*restart);
+            }
+            for scheduler in 0..self.schedulers.len() {
+                self.step_scheduler(scheduler, now_ms);
+            }
+            self.answer_attempts(now_ms);
+        }
+    }
+}
+
+fn fleet_settings(index: u32) -> Settings {
+    let mut settings = Settings { fleet_size: SCHEDULERS, index, ..test_settings(OnMiss::Load) };
+    let limits = &mut settings.safety_limits;
+    limits.overload_multiple = OVERLOAD_MULTIPLE;
+    limits.overload_window = Span::from_millis(OVERLOAD_WINDOW_MS);
+    limits.initial_capacity = INITIAL_CAPACITY;
+    limits.warm_up_duration = Span::from_millis(WARM_UP_MS);
+    settings
+}
+
+/// The most requests that may be sent to the cold worker in an overload window that begins at this time, with a
+/// tolerance for chance.
+pub(crate) fn cold_budget(window_start_ms: u64) -> f64 {
+    let warmed_up = (window_start_ms - COLD_START_MS) as f64 / WARM_UP_MS as f64;
+    let capacity = INITIAL_CAPACITY + (1.0 - INITIAL_CAPACITY) * warmed_up;
+    let requests = OVERLOAD_MULTIPLE * capacity * WORKER_RATE * (OVERLOAD_WINDOW_MS as f64 / 1000.0);
+    requests + 2.0 * requests.sqrt() + 2.0
+}
--- a/tests/server/client_disconnect.rs
+++ b/tests/server/client_disconnect.rs
@@ -1,17 +1,18 @@
-//! Clients that cancel a request, close or half-close their connection, or spoil it: nothing more is sent for them
-//! and no answer is owed.
+//! Clients that cancel a request, close or half-close their connection, or send malformed input: their requests are
+//! cancelled and get no answer.
 
 use crate::support::configuration::{
     Configuration, default_settings, large_fleet_settings, slow_connect_settings,
 };
 use crate::support::discovery::{StandInDiscovery, WorkerState, change_event};
-use crate::support::frames::{FrameClient, failed, request, served};
+use crate::support::frame_client::{FrameClient, failed, request, served};
 use crate::support::raw_worker::UnacceptingWorker;
 use crate::support::scheduler_process::SchedulerProcess;
-use crate::support::worker::{CommandKind, StandInWorker};
+use crate::support::worker::StandInWorker;
+use crate::support::worker_command::CommandKind;
 use crate::support::{IDEMPOTENT_CLASS, REQUEST_ID, request_id};
 
-/// A cancelled request takes no place at its worker that others want.
+/// A cancelled request does not occupy its worker any longer.
 #[test]
 fn cancelled_request_is_cancelled_at_its_worker() {
     let worker = StandInWorker::node_agent();
@@ -43,8 +44,8 @@
     assert_eq!((scheduler.counter("taken"), scheduler.counter("served")), (2, 0));
 }
 
-/// Four clients with a request each, of which the first cancels, the second shuts its half of the connection and the
-/// third closes it; the fourth, whose request has the id 3.
+/// Connects four clients that send a request each. The first cancels it, the second shuts down its half of the
+/// connection and the third closes it. Returns the fourth, whose request has the id 3.
 fn disconnect_three_of_four_clients(scheduler: &SchedulerProcess, allow_ms: u64) -> FrameClient {
     let mut clients: Vec<_> = (0..4).map(|_| FrameClient::connect(scheduler)).collect();
     for (n, client) in (0..).zip(&mut clients) {
@@ -59,8 +60,8 @@
     clients.remove(2)
 }
 
-/// The clients leave while their requests wait for a connection that is coming up: it comes up, and only the request
-/// that somebody waits for goes out.
+/// The clients leave while their requests wait for a connection to be established; once it is, only the request of the
+/// remaining client is written.
 #[test]
 fn requests_of_gone_clients_are_not_written_when_their_connection_comes_up() {
     let worker = UnacceptingWorker::new();
@@ -89,7 +90,8 @@
     assert_eq!(scheduler.counter("sent"), 1);
 }
 
-/// The first attempt breaks and the client leaves, both before the scheduler looks: there is no second attempt.
+/// The first attempt's connection is closed and the client leaves in the same turn of the event loop: there is no
+/// second attempt.
 #[test]
 fn request_is_not_retried_for_a_client_that_left_in_the_same_turn() {
     for closes in [false, true] {
@@ -117,8 +119,8 @@
     }
 }
 
-/// A client sends what cannot be read while a request of its is open: it is told and its connection ends, so the
-/// request is cancelled at once and no answer follows the error.
+/// A client with an open request sends malformed input: it gets an error and its connection ends, so the request is
+/// cancelled at once and no answer follows the error.
 #[test]
 fn request_is_cancelled_when_its_connection_ends_in_an_error() {
     let worker = StandInWorker::node_agent();
@@ -129,7 +131,7 @@
     let mut command = worker.next_request();
     client.send_bytes(&[0; 4]);
     assert_eq!(client.next_frame(), Some(failed(0)));
-    // The client has not closed: the scheduler knows by itself that it cannot be answered.
+    // The client has not closed the connection: the scheduler cancels the request by itself.
     other.send_request(1, &request(IDEMPOTENT_CLASS, &request_id(2), 20_000, b""));
     let cancel = worker.next_command();
     assert_eq!((cancel.kind(), cancel.request_id()), (CommandKind::Cancel, request_id(1)));
@@ -140,7 +142,7 @@
     assert_eq!(scheduler.counter("served"), 1);
 }
 
-/// The time of a request is over and its client cancels, both before the scheduler looks: no answer is owed or given.
+/// A request's deadline passes and its client cancels in the same turn of the event loop: there is no answer.
 #[test]
 fn cancel_in_the_turn_of_the_deadline_gets_no_answer() {
     let worker = StandInWorker::node_agent();
@@ -152,7 +154,7 @@
     client.send_request(1, &request(IDEMPOTENT_CLASS, &request_id(1), 500, b""));
     worker.next_request();
     scheduler.signal("STOP");
-    // Another scheduler's rejection shows that the time is over.
+    // Another scheduler's rejection shows that the deadline has passed.
     timer.send_request(1, &request(IDEMPOTENT_CLASS, &request_id(1), 600, b""));
     timer.expect_rejection(1);
     client.send_cancel(1);
--- a/tests/server/connection_limits.rs
+++ b/tests/server/connection_limits.rs
@@ -1,8 +1,8 @@
-//! Descriptors run out, and connections to workers are shared or not.
+//! Limits on descriptors, and on the number of connections to a worker.
 
 use crate::support::configuration::{Configuration, default_settings};
 use crate::support::discovery::StandInDiscovery;
-use crate::support::frames::{FrameClient, request, served};
+use crate::support::frame_client::{FrameClient, request, served};
 use crate::support::scheduler_process::SchedulerProcess;
 use crate::support::worker::{StandInWorker, echo};
 use crate::support::{IDEMPOTENT_CLASS, REQUEST_ID, request_id};
@@ -24,8 +24,8 @@
     assert!(descriptors <= 256, "{descriptors} descriptors");
 }
 
-/// The system has no descriptor left for a client that waits to be accepted, and no further client comes: it is
-/// accepted once there is one, and the watch of the discovery service, which went down meanwhile, comes back too.
+/// The process has no descriptor left for a client that waits to be accepted, and no further client connects: the
+/// client is accepted once a descriptor is free, and the lost watch of the discovery service is opened again.
 #[test]
 fn client_that_found_no_descriptor_is_accepted_once_there_is_one() {
     let worker = StandInWorker::node_agent();
@@ -44,8 +44,8 @@
     assert_eq!(watch.offset, 1);
 }
 
-/// rennes-campus, case4356: a hundred schedulers that each opened a connection for each request at a time filled the
-/// workers' connection tables, and what came on one connection more was rejected with it.
+/// rennes-campus, case4356: a hundred schedulers opened a connection for each request in flight and filled the workers'
+/// connection tables; requests on further connections were rejected.
 #[test]
 fn requests_of_a_large_fleet_share_their_connections_to_a_worker() {
     for (fleet_size, connections) in [(3, 6), (100, 1)] {
--- a/tests/server/correlation_ids.rs
+++ b/tests/server/correlation_ids.rs
@@ -1,13 +1,14 @@
-//! An answer belongs to the attempt that it answers: repeated, late and foreign answers end nothing else.
+//! An answer ends only the attempt that it belongs to: repeated, late and unknown answers are ignored.
 
 use crate::support::configuration::large_fleet_settings;
-use crate::support::frames::{FrameClient, failed, request, served};
+use crate::support::frame_client::{FrameClient, failed, request, served};
 use crate::support::scheduler_process::SchedulerProcess;
-use crate::support::worker::{CommandKind, StandInWorker, WorkerStatus};
+use crate::support::worker::StandInWorker;
+use crate::support::worker_command::{CommandKind, WorkerStatus};
 use crate::support::{IDEMPOTENT_CLASS, REQUEST_ID, request_id};
 use serde_json::json;
 
-/// The id of an open request with another body, on whatever connection: workers could not tell the two apart.
+/// Workers could not tell two requests with the same id apart, even if they come from different clients.
 #[test]
 fn request_with_the_id_of_an_open_one_fails() {
     let worker = StandInWorker::node_agent();
@@ -23,10 +24,10 @@
     assert!(worker.is_idle());
     other.send_request(2, &request(IDEMPOTENT_CLASS, REQUEST_ID, 2900, b"b"));
     worker.next_command().succeed("Yg==");
-    assert_eq!(other.next_frame(), Some(served(2, b"b")), "free again");
+    assert_eq!(other.next_frame(), Some(served(2, b"b")), "the id is free again");
 }
 
-/// The late answer of a request that was given up must not be taken for the answer of a newer one.
+/// The late answer to an expired request must not be taken for the answer to a newer one with the same id.
 #[test]
 fn late_answer_of_an_expired_request_is_ignored() {
     let worker = StandInWorker::node_agent();
@@ -34,7 +35,7 @@
     let mut client = FrameClient::connect(&scheduler);
     client.send_request(1, &request(IDEMPOTENT_CLASS, REQUEST_ID, 1000, b"a"));
     let mut old = worker.next_command();
-    // Rejected at its deadline, for it may be repeated.
+    // At its deadline it is rejected and not failed, because it is idempotent.
     client.expect_rejection(1);
     assert_eq!(worker.next_command().kind(), CommandKind::Cancel);
     client.send_request(2, &request(IDEMPOTENT_CLASS, REQUEST_ID, 2900, b"b"));
@@ -64,8 +65,8 @@
     client.assert_ready();
 }
 
-/// A worker rejects a request, twice over, and the second answer comes when the request is out there again: it is
-/// none of the new attempt's.
+/// A worker answers the same attempt twice, and the second answer comes when the request has been sent to it again: it
+/// does not end the new attempt.
 #[test]
 fn repeated_answer_does_not_end_the_next_attempt() {
     for status in [WorkerStatus::Full, WorkerStatus::Error, WorkerStatus::Miss] {
@@ -81,7 +82,7 @@
         // A request on the same connection shows that the second answer has been read.
         client.send_request(2, &request(IDEMPOTENT_CLASS, &request_id(2), 5_000, b""));
         let mut other = worker.next_request();
-        assert_eq!(other.request_id(), request_id(2), "{status:?}: the attempt that is out goes on");
+        assert_eq!(other.request_id(), request_id(2), "{status:?}: the new attempt goes on");
         other.succeed("eQ==");
         assert_eq!(client.next_frame(), Some(served(2, b"y")));
         retry.succeed("eA==");
--- a/tests/server/discovery_watch.rs
+++ b/tests/server/discovery_watch.rs
@@ -6,10 +6,11 @@
 use crate::support::discovery::{
     StandInDiscovery, WorkerState, change_event, full_list_event, keep_alive_frame,
 };
-use crate::support::frames::{FrameClient, request, request_to_function, served};
+use crate::support::frame_client::{FrameClient, request, request_to_function, served};
 use crate::support::raw_worker::UnacceptingWorker;
 use crate::support::scheduler_process::{ReloadResult, SchedulerProcess};
-use crate::support::worker::{CommandKind, StandInWorker, echo};
+use crate::support::worker::{StandInWorker, echo};
+use crate::support::worker_command::CommandKind;
 use crate::support::{IDEMPOTENT_CLASS, refusing_address, request_id};
 use serde_json::{Value, json};
 use std::net::{Ipv4Addr, SocketAddr};
@@ -48,7 +49,7 @@
     let bad_frame = vec![0, 0, 0, 1];
     watch.send(&[old_event, bad_frame].concat());
     let watch = discovery.accept();
-    assert_eq!(watch.offset, 3, "an old event says nothing new, and a bad frame ends the connection");
+    assert_eq!(watch.offset, 3, "an old event changes nothing, and a bad frame ends the connection");
     let commands = second.serve(echo);
     let mut client = FrameClient::connect(&scheduler);
     for n in 1..20 {
@@ -59,7 +60,8 @@
     assert_eq!(commands.count(CommandKind::Run), 19);
 }
 
-/// A discovery service that is cut off keeps its connection up and silent; empty frames show that it is alive.
+/// The connection to a discovery service that is cut off stays open and silent, without the empty frames that show
+/// that it is alive.
 #[test]
 fn silent_watch_is_replaced() {
     let worker = StandInWorker::node_agent();
@@ -72,8 +74,8 @@
     scheduler.wait_for_log("bus silent");
 }
 
-/// A machine has gone and another has its address, but nothing told of the end of the first. What is sent to the
-/// old id would reach the new machine, as work that nobody counts against its warm-up.
+/// A machine is gone and a new one has its address, but no event has reported the old one gone. Requests sent to the
+/// old id would reach the new machine and not count against its slow start.
 #[test]
 fn new_worker_at_an_old_address_replaces_the_old_one() {
     let worker = StandInWorker::node_agent();
@@ -94,7 +96,7 @@
     for n in 20..60 {
         assert!(serve_request(n) > old_connection, "request {n} went to the old id");
     }
-    // The end of the old one, told late, is none of the new one's.
+    // Late events about the old worker do not affect the new one.
     let draining = change_event(3, 1, worker.address(), WorkerState::Draining);
     let gone = change_event(4, 1, worker.address(), WorkerState::Gone);
     watch.send(&[draining, gone].concat());
@@ -102,7 +104,7 @@
     serve_request(60);
 }
 
-/// An event breaks off in the middle, comes whole and twice on the next connection, and its full list leaves out the
+/// An event is cut off in the middle and arrives complete, and twice, on the next connection. Its full list omits the
 /// worker for whose connection a request waits: the request goes to the other worker.
 #[test]
 fn request_does_not_follow_a_worker_that_a_full_list_omits() {
@@ -119,7 +121,7 @@
     watch.send(&full_list[..30]);
     drop(watch);
     let mut watch = discovery.accept();
-    assert_eq!(watch.offset, 1, "half an event is none");
+    assert_eq!(watch.offset, 1, "an incomplete event does not count");
     watch.send(&[&full_list[..], &full_list].concat());
     scheduler.wait_for_counter("list_events", 2);
     let mut connection = omitted.accept_waiting();
@@ -131,8 +133,8 @@
     connection.assert_nothing_received();
 }
 
-/// SIGHUP moves the discovery service while the old one's connection is coming up, or while the scheduler waits to
-/// try again.
+/// SIGHUP moves the discovery service while the connection to the old one is being established, or while the scheduler
+/// waits to try again.
 #[test]
 fn moved_discovery_is_watched_at_once_whatever_the_old_connection_does() {
     let unaccepting = UnacceptingWorker::new();
@@ -155,7 +157,7 @@
     }
 }
 
-/// What the old discovery service says after the move is ignored, also if it is there before the scheduler looks.
+/// Events of the old discovery service after the move are ignored, also if they are already in the socket buffer.
 #[test]
 fn events_of_the_old_discovery_after_the_move_are_ignored() {
     let worker = StandInWorker::node_agent();
@@ -167,7 +169,7 @@
     move_discovery(&scheduler, moved.address());
     let mut watch = moved.accept();
     assert_eq!(watch.offset, 1);
-    // It says that the worker has gone; the new one says otherwise under the same number.
+    // The old service reports the worker gone; the new one has another event under the same number.
     old_watch.try_send(&change_event(2, 1, worker.address(), WorkerState::Gone));
     watch.send(&change_event(2, 2, second.address(), WorkerState::Draining));
     scheduler.wait_for_counter("list_events", 2);
--- a/tests/server/frame_frontend.rs
+++ b/tests/server/frame_frontend.rs
@@ -1,12 +1,12 @@
 //! Requests and answers of the frame protocol.
 
-use crate::support::frames::{FrameClient, failed, frame, frame_type, payload, request, served};
+use crate::support::frame_client::{FrameClient, failed, frame, frame_type, payload, request, served};
 use crate::support::scheduler_process::SchedulerProcess;
 use crate::support::worker::{StandInWorker, echo};
 use crate::support::{IDEMPOTENCY_KEY, IDEMPOTENT_CLASS, KEYED_CLASS, REQUEST_ID, request_id};
 use serde_json::json;
 
-/// The head, the fields and the stream of a request with a body of 256 bytes, as the protocol page gives them.
+/// The bytes before the body of a request with a body of 256 bytes, as the protocol page defines them.
 const REQUEST_WITHOUT_BODY: &[&[u8]] = &[
     b"\x00\x00\x01\xaa", // length: 426 bytes follow
     b"\x00",             // type: request
@@ -29,7 +29,7 @@
     let body: Vec<u8> = (0..=255).collect();
     let bytes = [&REQUEST_WITHOUT_BODY.concat()[..], &body].concat();
     let encoded = frame(frame_type::REQUEST, 1, &request(IDEMPOTENT_CLASS, REQUEST_ID, 2000, &body));
-    assert_eq!(encoded, bytes, "the encoder of the other tests keeps to the protocol page");
+    assert_eq!(encoded, bytes, "the encoder that the tests use follows the protocol page");
     for byte in bytes {
         client.send_bytes(&[byte]);
     }
@@ -70,7 +70,7 @@
     assert_eq!(client.next_frame(), Some(served(9, b"x")));
 }
 
-/// A request comes in pieces, late in the life of an idle connection: the connection is not idle any more.
+/// A request arrives in pieces shortly before its connection would be closed as idle: the connection stays open.
 #[test]
 fn connection_is_not_closed_as_idle_amid_a_request() {
     let worker = StandInWorker::node_agent();
@@ -80,7 +80,7 @@
     let mut timer = FrameClient::connect(&scheduler);
     client.send_request(1, &request(IDEMPOTENT_CLASS, &request_id(1), 3_000, b"x"));
     assert_eq!(client.next_frame(), Some(served(1, b"x")));
-    // Rejections of requests that nobody serves tell the time: 4.2 s, and 1.2 s more.
+    // Requests that no worker answers serve as timers: they are rejected after 4.2 s, and 1.2 s later.
     let mut wait_ms = |stream: u32, milliseconds| {
         let unserved = request(KEYED_CLASS, &request_id(100 + stream), milliseconds, b"");
         timer.send_request(stream, &unserved);
--- a/tests/server/frontend_equivalence.rs
+++ b/tests/server/frontend_equivalence.rs
@@ -1,17 +1,16 @@
-//! Both front ends treat the same requests alike.
+//! The same requests get the same answers and cause the same worker commands on both front ends.
 
 use crate::support::configuration::{Configuration, default_settings};
-use crate::support::frames::{self, FrameClient, ReceivedFrame, code};
+use crate::support::frame_client::{self, FrameClient, ReceivedFrame, code};
 use crate::support::jsonrpc_client::{self, JsonRpcClient, operator_file};
 use crate::support::scheduler_process::SchedulerProcess;
-use crate::support::worker::{
-    CommandKind, CommandLog, ReceivedCommand, StandInWorker, WorkerReply, WorkerStatus, echo,
-};
+use crate::support::worker::{CommandLog, StandInWorker, echo};
+use crate::support::worker_command::{CommandKind, ReceivedCommand, WorkerReply, WorkerStatus};
 use crate::support::{IDEMPOTENT_CLASS, KEYED_CLASS, request_id};
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 
-/// What becomes of a request; the worker reads it from the request's body alone.
+/// How a worker answers a request, which it reads from the request's body.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Scenario {
     Served,
@@ -46,7 +45,7 @@
     }
 }
 
-/// A worker's reply to a request, by its body.
+/// Returns a worker's reply to a request, by its body.
 fn reply_by_body(command: &ReceivedCommand) -> Option<WorkerReply> {
     if command.kind() != CommandKind::Run {
         return echo(command);
@@ -67,8 +66,8 @@
     scenario: Scenario,
 }
 
-/// 160 requests: every third is keyed, and of forty one finds the worker full, one has an error, and one of the first
-/// forty gets no answer.
+/// Returns 160 requests. Every third is keyed. In each forty one finds the worker full and one ends in an error; in the
+/// first forty one gets no answer.
 fn test_requests() -> Vec<TestRequest> {
     let test_request = |n: u32| {
         let scenario = match n % 40 {
@@ -83,7 +82,8 @@
     (0..160).map(test_request).collect()
 }
 
-/// A burst that nobody answers: it fills the instances of the first worker, so that a load is ordered elsewhere.
+/// Returns a burst of unanswered requests that occupies all instances of the first worker, so that a load is ordered
+/// from the other.
 fn unanswered_burst() -> Vec<TestRequest> {
     let unanswered = |n: u32| TestRequest {
         class: IDEMPOTENT_CLASS,
@@ -133,7 +133,7 @@
 impl TestClient for FrameClient {
     fn send_test_request(&mut self, number: u32, request: &TestRequest) {
         let body = request.scenario.body();
-        let payload = frames::request(request.class, &request.id, request.allow_ms, body);
+        let payload = frame_client::request(request.class, &request.id, request.allow_ms, body);
         self.send_request(number, &payload);
     }
 
@@ -155,18 +155,18 @@
     }
 }
 
-/// What the same requests led to on one front end.
+/// The answers and worker commands that the requests led to on one front end.
 #[derive(Debug, PartialEq, Eq)]
 struct Observation {
     answers: Vec<Answer>,
     commands: BTreeMap<CommandKind, usize>,
 }
 
-/// Plays all requests on a scheduler of its own, over the front end that `connect` connects to.
+/// Sends all requests to a new scheduler over the front end that `connect` connects to.
 fn observe<C: TestClient>(connect: impl Fn(&SchedulerProcess) -> C) -> Observation {
     let workers = [StandInWorker::node_agent(), StandInWorker::node_agent()];
-    // No function has a place among the most popular: its loads come by the clock, and a slow machine would see more
-    // of them.
+    // With little memory no function is kept loaded on all workers. Such loads are repeated on a timer, so their number
+    // would depend on the speed of the machine.
     let mut settings = default_settings();
     settings["familyInfo"]["memoryMbByKind"] = json!([1000.0]);
     let scheduler = Configuration::new(&[workers[0].address(), workers[1].address()])
--- a/tests/server/jsonrpc_frontend.rs
+++ b/tests/server/jsonrpc_frontend.rs
@@ -4,7 +4,8 @@
 use crate::support::jsonrpc_client::{JsonRpcClient, operator_file, request};
 use crate::support::scheduler_process::{SchedulerProcess, run_to_exit};
 use crate::support::temp_folder::TempFolder;
-use crate::support::worker::{CommandKind, StandInWorker, WorkerStatus, echo};
+use crate::support::worker::{StandInWorker, echo};
+use crate::support::worker_command::{CommandKind, WorkerStatus};
 use crate::support::{IDEMPOTENT_CLASS, REQUEST_ID};
 use serde_json::{Value, json};
 use std::io::Write;
@@ -55,7 +56,7 @@
     ids.sort();
     assert_eq!(ids, ["\"b\"", "1", "null"]);
     let requests = commands.count(CommandKind::Run);
-    assert_eq!(requests, 2, "a request that nobody could be answered about is not taken");
+    assert_eq!(requests, 2, "a request sent as a notification is not taken");
 }
 
 #[test]
@@ -82,7 +83,7 @@
     assert_eq!(half.next_message()["error"]["code"], -32700, "the line has no end");
 }
 
-/// A line that has begun must end; a client that holds a connection without a request makes room when it is wanted.
+/// A line must be complete within a time limit; a connection without a request is closed when a new client needs one.
 #[test]
 fn unfinished_line_is_ended_and_silent_clients_make_room() {
     let worker = StandInWorker::node_agent();
@@ -102,7 +103,7 @@
     }
 }
 
-/// A client that does not read must neither grow the scheduler nor stall once it reads again.
+/// A client that does not read must neither fill the scheduler's memory nor stall once it reads again.
 #[test]
 fn unread_output_holds_input_back_until_it_is_read() {
     let worker = StandInWorker::node_agent();
@@ -175,11 +176,11 @@
         !run_to_exit(&folder, &config, &format!("[jsonrpc]\nsocket = {path:?}\n")).success()
     };
     std::fs::write(&path, "precious").unwrap();
-    assert!(start_fails(), "no socket");
+    assert!(start_fails(), "the file is no socket");
     assert_eq!(std::fs::read_to_string(&path).unwrap(), "precious");
     std::fs::remove_file(&path).unwrap();
     let listener = UnixListener::bind(&path).unwrap();
-    assert!(start_fails(), "somebody listens");
+    assert!(start_fails(), "another process listens on it");
     drop(listener);
     let mut scheduler = Configuration::new(&[worker.address()])
         .operator_file(|_| format!("[jsonrpc]\nsocket = {path:?}\nmode = \"600\"\n"))
--- a/tests/server/jsonrpc_workers.rs
+++ b/tests/server/jsonrpc_workers.rs
@@ -1,11 +1,12 @@
 //! Workers that speak JSON-RPC on Unix sockets.
 
 use crate::support::configuration::{Configuration, default_settings, health_check_settings};
-use crate::support::frames::{self, FrameClient, served};
+use crate::support::frame_client::{FrameClient, request as frame_request, served};
 use crate::support::jsonrpc_client::{JsonRpcClient, operator_file, request};
 use crate::support::scheduler_process::SchedulerProcess;
 use crate::support::temp_folder::TempFolder;
-use crate::support::worker::{CommandKind, StandInWorker, WorkerStatus};
+use crate::support::worker::StandInWorker;
+use crate::support::worker_command::{CommandKind, WorkerStatus};
 use crate::support::{IDEMPOTENCY_KEY, IDEMPOTENT_CLASS, KEYED_CLASS, REQUEST_ID, WAIT_LIMIT, request_id};
 use serde_json::{Value, json};
 use std::path::PathBuf;
@@ -22,7 +23,7 @@
         .start()
 }
 
-/// The rules on ids and on unreadable answers hold here as for node agents.
+/// Duplicate ids and unreadable answers are treated as with node agents.
 #[test]
 fn duplicate_id_and_unreadable_answer_harm_no_other_request() {
     let folder = TempFolder::new();
@@ -57,10 +58,10 @@
     worker.next_command().succeed("YQ==");
     assert_eq!(client.next_message()["result"]["body"], "YQ==");
     let mut frame_client = FrameClient::connect(&scheduler);
-    frame_client.send_request(1, &frames::request(IDEMPOTENT_CLASS, "00000000000000aa", 2900, b""));
+    frame_client.send_request(1, &frame_request(IDEMPOTENT_CLASS, "00000000000000aa", 2900, b""));
     worker.next_command().succeed("Yg==");
     assert_eq!(frame_client.next_frame(), Some(served(1, b"b")));
-    frame_client.send_request(2, &frames::request(IDEMPOTENT_CLASS, "00000000000000bb", 1000, b""));
+    frame_client.send_request(2, &frame_request(IDEMPOTENT_CLASS, "00000000000000bb", 1000, b""));
     worker.next_command();
     frame_client.expect_rejection(2);
     assert_eq!(worker.next_command().kind(), CommandKind::Cancel);
@@ -76,7 +77,7 @@
     for n in 0..12 {
         client.send(&request(&json!(n), IDEMPOTENT_CLASS, &request_id(n), 60_000, ""));
     }
-    // The home holds its requests and receives a health check; the other one receives a load order.
+    // The home leaves its requests unanswered and gets a health check; the other worker gets a load order.
     let mut unanswered = Vec::new();
     let mut health_checks = 0;
     let mut loads = 0;
--- a/tests/server/main.rs
+++ b/tests/server/main.rs
@@ -1,4 +1,4 @@
-//! The scheduler program on real sockets, between stand-in workers, a stand-in discovery service and clients.
+//! The scheduler program on real sockets, with stand-ins for the workers, the discovery service and the clients.
 
 mod client_disconnect;
 mod connection_limits;
--- a/tests/server/malformed_frames.rs
+++ b/tests/server/malformed_frames.rs
@@ -1,7 +1,7 @@
-//! Input of the frame protocol that cannot be read, that never ends, or that comes in floods.
+//! Malformed, unfinished and oversized input of the frame protocol.
 
 use crate::support::configuration::Configuration;
-use crate::support::frames::{FrameClient, failed, frame, frame_type, request, served};
+use crate::support::frame_client::{FrameClient, failed, frame, frame_type, request, served};
 use crate::support::scheduler_process::SchedulerProcess;
 use crate::support::worker::{StandInWorker, echo};
 use crate::support::{IDEMPOTENT_CLASS, REQUEST_ID};
@@ -43,8 +43,8 @@
     assert_eq!(scheduler.counter("panics"), 0);
 }
 
-/// Who opens a connection and sends nothing, or half a frame, or goes on without an end, is told so or closed,
-/// and holds neither descriptors nor buffers.
+/// A client that sends nothing, half a frame or an endless one gets an error or is closed, so that it holds neither a
+/// descriptor nor a buffer.
 #[test]
 fn unfinished_and_endless_input_is_ended() {
     let worker = StandInWorker::node_agent();
@@ -77,7 +77,7 @@
     line.split_whitespace().nth(1).unwrap().parse::<usize>().unwrap() / 1024
 }
 
-/// Long frames by the hundred, none of which ends: they must not be buffered.
+/// Many clients send long frames that they never finish: the frames must not be buffered.
 #[test]
 fn flood_of_long_frames_stays_within_the_memory_limit() {
     let worker = StandInWorker::node_agent();
--- a/tests/server/reload.rs
+++ b/tests/server/reload.rs
@@ -1,19 +1,20 @@
-//! SIGHUP: a new configuration is checked, then used, and ends nothing.
+//! Reload on SIGHUP: a new configuration is validated, then applied, and open requests continue.
 
 use crate::support::configuration::{Configuration, large_fleet_settings};
 use crate::support::discovery::{StandInDiscovery, WorkerState, change_event};
-use crate::support::frames::{FrameClient, failed, rejected, request, served};
+use crate::support::frame_client::{FrameClient, failed, rejected, request, served};
 use crate::support::jsonrpc_client::{self, JsonRpcClient, SOCKET_NAME};
 use crate::support::raw_worker::RawWorker;
 use crate::support::scheduler_process::{ReloadResult, SchedulerProcess};
 use crate::support::temp_folder::TempFolder;
-use crate::support::worker::{CommandKind, StandInWorker, WorkerStatus};
+use crate::support::worker::StandInWorker;
+use crate::support::worker_command::{CommandKind, WorkerStatus};
 use crate::support::{IDEMPOTENT_CLASS, KEYED_CLASS, REQUEST_ID, request_id};
 use serde_json::json;
 use std::path::Path;
 
-/// The file is checked and then used, requests under way go on, and the new discovery service is asked from the last
-/// event on.
+/// An invalid file changes nothing; a valid one is applied while an open request continues, and the new discovery
+/// service is watched from the last event on.
 #[test]
 fn new_configuration_is_applied_whole_or_not_at_all() {
     let worker = StandInWorker::node_agent();
@@ -35,7 +36,7 @@
         assert_eq!(scheduler.reload(bad), ReloadResult::Refused);
     }
     client.send_request(2, &request("exam-submit", "00000000000000aa", 2900, b""));
-    assert_eq!(client.next_frame(), Some(failed(2)), "the old configuration stands");
+    assert_eq!(client.next_frame(), Some(failed(2)), "the old configuration is kept");
     assert_eq!(scheduler.reload(&text), ReloadResult::Applied);
     let mut watch = moved.accept();
     assert_eq!(watch.offset, 2, "from the last event");
@@ -43,16 +44,16 @@
     watch.send(&change_event(4, 7, second.address(), WorkerState::Ready));
     scheduler.wait_for_counter("list_events", 4);
     command.succeed("eQ==");
-    assert_eq!(client.next_frame(), Some(served(1, b"y")), "under way when the file changed");
+    assert_eq!(client.next_frame(), Some(served(1, b"y")), "open when the file changed");
     client.send_request(3, &request("exam-submit", "00000000000000bb", 2900, b""));
     second.next_command().succeed("eA==");
     assert_eq!(client.next_frame(), Some(served(3, b"x")));
     client.send_request(4, &request(KEYED_CLASS, "00000000000000cc", 2900, b""));
-    assert_eq!(client.next_frame(), Some(failed(4)), "the class has gone");
+    assert_eq!(client.next_frame(), Some(failed(4)), "the class is removed");
 }
 
-/// A reload shortens the time after which workers close idle connections: those that are open already are closed
-/// before the worker's new time is up, or a request could cross its close.
+/// A reload shortens the time after which workers close idle connections: connections that are already open are closed
+/// within the new time, or a request could cross the worker's close.
 #[test]
 fn open_connections_keep_to_the_idle_time_of_a_new_configuration() {
     let worker = RawWorker::new();
@@ -70,7 +71,7 @@
     connection.wait_for_close();
 }
 
-/// Requests at a time on one connection, by the old figure and by the new one, on a connection that is open.
+/// A lower limit on the requests in flight on one connection applies to a connection that is already open.
 #[test]
 fn open_connection_carries_no_more_requests_than_a_new_configuration_allows() {
     let worker = StandInWorker::node_agent();
@@ -86,8 +87,8 @@
     assert_ne!(first.connection, second.connection);
 }
 
-/// Retries, cancels and retry delays of open requests go by the new figures, and a class of the configuration before
-/// is unknown to new requests.
+/// The new limits on retries, cancels and retry delays apply to open requests, and new requests of a removed class
+/// fail.
 #[test]
 fn open_requests_go_by_the_limits_of_a_new_configuration() {
     let worker = StandInWorker::node_agent();
@@ -106,10 +107,10 @@
     config["settings"]["classes"].as_array_mut().unwrap().reverse();
     scheduler.reload(&config.to_string());
     first.fail(WorkerStatus::Full);
-    assert_eq!(client.next_frame(), Some(rejected(1)), "no further attempt, no time to stay away");
+    assert_eq!(client.next_frame(), Some(rejected(1)), "no further attempt, no retry delay");
     client.send_cancel(2);
     client.send_request(3, &request(IDEMPOTENT_CLASS, &request_id(3), 3_000, b""));
-    assert_eq!(client.next_frame(), Some(failed(3)), "the class has gone");
+    assert_eq!(client.next_frame(), Some(failed(3)), "the class is removed");
     client.send_request(4, &request("other-check", &request_id(4), 3_000, b""));
     let mut next = worker.next_command();
     assert_eq!((next.kind(), next.request_id()), (CommandKind::Run, request_id(4)), "no cancel before it");
@@ -128,7 +129,7 @@
     )
 }
 
-/// SIGHUP reads the operator's file too: the socket moves, JSON-RPC workers change, requests under way go on.
+/// SIGHUP reads the operator's file too: the socket moves, JSON-RPC workers are replaced, and open requests continue.
 #[test]
 fn new_operators_file_moves_the_socket_and_replaces_workers() {
     let folder = TempFolder::new();
@@ -146,7 +147,7 @@
     let no_socket = scheduler.folder.file("precious");
     std::fs::write(&no_socket, "").unwrap();
     scheduler.write_operator_file(&format!("[jsonrpc]\nsocket = {no_socket:?}\n"));
-    assert_eq!(scheduler.reload(&config), ReloadResult::Refused, "there is something that is no socket");
+    assert_eq!(scheduler.reload(&config), ReloadResult::Refused, "the path holds a file that is no socket");
     JsonRpcClient::connect(&scheduler);
     scheduler.write_operator_file(&operator_file(&scheduler.folder, "moved.sock", 1, &paths[1]));
     assert_eq!(scheduler.reload(&config), ReloadResult::Applied);
@@ -156,5 +157,5 @@
     workers[1].next_command().succeed("eA==");
     assert_eq!(second.next_message()["result"]["body"], "eA==");
     command.succeed("eQ==");
-    assert_eq!(client.next_message()["result"]["body"], "eQ==", "under way when the file changed");
+    assert_eq!(client.next_message()["result"]["body"], "eQ==", "open when the file changed");
 }
--- a/tests/server/retries.rs
+++ b/tests/server/retries.rs
@@ -1,14 +1,14 @@
 //! The deduplication window of keyed requests, on both front ends.
 
 use crate::support::configuration::{Configuration, deduplication_window_settings};
-use crate::support::frames::{FrameClient, request};
+use crate::support::frame_client::{FrameClient, request};
 use crate::support::jsonrpc_client::{self, JsonRpcClient, operator_file};
 use crate::support::scheduler_process::SchedulerProcess;
 use crate::support::worker::StandInWorker;
 use crate::support::{IDEMPOTENCY_KEY, KEYED_CLASS, REQUEST_ID};
 use serde_json::json;
 
-/// A reset after the write proves nothing: outside its key's window the request must not go out again.
+/// After a reset the request may have run: outside its key's deduplication window it must not be sent again.
 #[test]
 fn keyed_request_is_retried_only_inside_its_window() {
     for (window_ns, expected_attempts) in [(6_000_000_000, 3), (1, 1)] {
@@ -23,7 +23,7 @@
             keys.push(command.message["attrs"]["dedupe"].clone());
             command.close_connection();
         }
-        // All workers drop a repeat, so a rejection is harmless.
+        // The deduplication scope is all workers, so the request is rejected and not failed.
         client.expect_rejection(1);
         client.assert_ready();
         assert!(worker.is_idle(), "window {window_ns}");
--- a/tests/server/shutdown.rs
+++ b/tests/server/shutdown.rs
@@ -1,14 +1,15 @@
-//! SIGTERM: clients are notified, what has been taken and what still comes is answered, and the program ends.
+//! Graceful shutdown on SIGTERM: clients are notified, open and new requests are answered, and the program ends.
 
 use crate::support::configuration::{Configuration, slow_connect_settings};
 use crate::support::discovery::StandInDiscovery;
-use crate::support::frames::{
+use crate::support::frame_client::{
     FrameClient, ReceivedFrame, code, decode_frames, frame, frame_type, no_new_requests, request, served,
 };
 use crate::support::jsonrpc_client::{self, JsonRpcClient, SOCKET_NAME, operator_file};
 use crate::support::raw_worker::UnacceptingWorker;
 use crate::support::scheduler_process::{ReloadResult, SchedulerProcess};
-use crate::support::worker::{ReceivedCommand, StandInWorker, echo};
+use crate::support::worker::{StandInWorker, echo};
+use crate::support::worker_command::ReceivedCommand;
 use crate::support::{IDEMPOTENT_CLASS, REQUEST_ID, refusing_address, request_id};
 use serde_json::json;
 use std::io::{ErrorKind, Read};
@@ -35,7 +36,7 @@
     assert!(scheduler.wait_for_log("ended").contains(" served=2 "));
 }
 
-/// A planned restart: not ready any more, but what is under way and what still comes is answered.
+/// A planned restart: the scheduler reports that it is not ready, but still answers open and new requests.
 #[test]
 fn jsonrpc_requests_are_answered_after_sigterm_too() {
     let worker = StandInWorker::node_agent();
@@ -100,8 +101,8 @@
     }
 }
 
-/// Sends requests with large bodies on a connection that is not read, from stream 3 on, until the scheduler reads no
-/// more of them either; the last stream.
+/// Sends requests with large bodies on a connection that is not read, from stream 3 on, until the scheduler stops
+/// reading them, and returns the last stream.
 fn fill_output_buffer(
     scheduler: &SchedulerProcess,
     reader: &mut FrameClient,
@@ -126,8 +127,8 @@
     }
 }
 
-/// SIGTERM, and the last answer is put in line for a client that has not read yet what came before it: it has
-/// the time that such a client is given, counted from then and not from the signal.
+/// After SIGTERM the last answer is queued for a client that has not read the answers before it: the client's time to
+/// read them counts from then and not from the signal.
 #[test]
 fn last_answer_after_sigterm_is_written_however_late_it_comes() {
     let mut shutdown = ShutdownWithBacklog::begin();
@@ -137,12 +138,12 @@
     assert!(shutdown.scheduler.wait_for_exit().success());
 }
 
-/// The same client has read, all of a sudden, what kept its requests from being read: they are taken and
-/// answered, and not dropped with the connection because nothing was owed a moment ago.
+/// The same client reads all answers at once, so that the scheduler can read its waiting requests: they are answered,
+/// and not dropped with a connection that had no open request a moment ago.
 #[test]
 fn requests_that_waited_behind_unread_answers_are_answered_before_the_end() {
     let mut shutdown = ShutdownWithBacklog::begin();
-    // In one turn the scheduler can write all that waits and receive the last answer.
+    // In one turn of its event loop the scheduler can then write all that waits and receive the last answer.
     shutdown.scheduler.signal("STOP");
     shutdown.pending.succeed("bGFzdA==");
     let stream = &mut shutdown.reader.stream;
@@ -157,8 +158,8 @@
     assert!(shutdown.scheduler.wait_for_exit().success());
 }
 
-/// SIGTERM with a request queued for a connection that comes up, the discovery service down, reloads good and bad,
-/// SIGTERM again, and a new client with a new request: all that was taken is served, and the end comes then.
+/// SIGTERM with a request queued for a connection that is not established and the discovery service down. Valid and
+/// invalid reloads, a second SIGTERM and a new client with a request follow: both requests are served before the end.
 #[test]
 fn queued_and_late_requests_are_served_through_reloads_after_sigterm() {
     let worker = UnacceptingWorker::new();
@@ -189,7 +190,7 @@
     assert!(scheduler.wait_for_log("ended").contains(" served=2 "));
 }
 
-/// SIGHUP and SIGTERM before the scheduler looks, in either order, and a discovery service that moves with it.
+/// SIGHUP and SIGTERM in the same turn of the event loop, in either order; the reload moves the discovery service.
 #[test]
 fn reload_and_shutdown_in_one_turn_both_happen() {
     for signals in [["HUP", "TERM"], ["TERM", "HUP"]] {
--- a/tests/server/worker_failures.rs
+++ b/tests/server/worker_failures.rs
@@ -1,11 +1,11 @@
-//! Connections to workers that are refused, reset, closed while idle, spoilt or silent, and what becomes of the
-//! requests on them.
+//! Connections to workers that are refused, reset, closed while idle, unreadable or silent, and their requests.
 
 use crate::support::configuration::{default_settings, health_check_settings, large_fleet_settings};
-use crate::support::frames::{FrameClient, request, request_to_function, served};
+use crate::support::frame_client::{FrameClient, request, request_to_function, served};
 use crate::support::raw_worker::{RawWorker, UnacceptingWorker, success_line};
 use crate::support::scheduler_process::SchedulerProcess;
-use crate::support::worker::{CommandKind, ReceivedCommand, StandInWorker, echo};
+use crate::support::worker::{StandInWorker, echo};
+use crate::support::worker_command::{CommandKind, ReceivedCommand};
 use crate::support::{IDEMPOTENT_CLASS, KEYED_CLASS, REQUEST_ID, WAIT_LIMIT, refusing_address, request_id};
 use std::net::Ipv4Addr;
 use std::time::Instant;
@@ -23,7 +23,7 @@
     }
 }
 
-/// Waits until one of two workers has received a command; the command and the other worker.
+/// Waits until one of two workers has received a command, and returns the command and the other worker.
 fn first_command(workers: &[StandInWorker; 2]) -> (ReceivedCommand, &StandInWorker) {
     let [first, second] = workers;
     let start = Instant::now();
@@ -38,7 +38,7 @@
     }
 }
 
-/// A machine that is cut off says nothing: its requests must not wait there for their deadlines.
+/// A machine that is cut off is silent: its requests must not wait for their deadlines.
 #[test]
 fn requests_at_a_silent_worker_are_retried_and_its_late_answer_is_ignored() {
     let workers = [StandInWorker::node_agent(), StandInWorker::node_agent()];
@@ -46,7 +46,7 @@
     let scheduler = SchedulerProcess::start_with_settings(&addresses, health_check_settings());
     let mut client = FrameClient::connect(&scheduler);
     client.send_request(1, &request(KEYED_CLASS, REQUEST_ID, 60_000, b""));
-    // Which of the two is the function's home, the rendezvous order says.
+    // The rendezvous order determines which of the two is the function's home.
     let (mut silent, other) = first_command(&workers);
     let mut retry = other.next_command();
     assert_eq!((retry.kind(), retry.request_id().as_str()), (CommandKind::Run, REQUEST_ID));
@@ -57,8 +57,8 @@
     assert!(scheduler.counter("probes_unanswered") >= 2);
 }
 
-/// What cannot be read, or does not end, leaves nothing of use on its connection: it is closed, and what was
-/// open there does not wait for its deadline. The requests at one worker do not share a connection needlessly.
+/// After a line that cannot be read or does not end, the connection is closed and its request does not wait for its
+/// deadline. In a small fleet each request has a connection of its own, so that others are not affected.
 #[test]
 fn unreadable_line_ends_its_connection_and_the_request_is_retried() {
     let unreadable: [&[u8]; 5] =
@@ -79,11 +79,11 @@
         assert_eq!(client.next_frame().unwrap().payload, vec![79, 0, b'x']);
         two.succeed("eQ==");
         let answer = client.next_frame().unwrap();
-        assert_eq!(answer.payload, vec![79, 0, b'y'], "another connection is none the worse");
+        assert_eq!(answer.payload, vec![79, 0, b'y'], "the other connection is not affected");
     }
 }
 
-/// An answer, and a reset right behind it: what came whole counts.
+/// An answer that arrived completely counts even if a reset follows it at once.
 #[test]
 fn answer_that_comes_with_a_reset_is_forwarded() {
     let worker = RawWorker::new();
@@ -129,8 +129,8 @@
     assert_eq!(scheduler.counter("taken"), scheduler.counter("served"));
 }
 
-/// An answer that cannot be read, with another request open on its connection: both go out again on a new one, and
-/// what the old one still says is ignored.
+/// Two requests share a connection on which an unreadable answer comes: both are sent again on a new one, and further
+/// answers on the old one are ignored.
 #[test]
 fn unreadable_answer_moves_all_requests_of_its_connection_to_another() {
     let worker = StandInWorker::node_agent();
@@ -153,7 +153,7 @@
     client.assert_ready();
 }
 
-/// A connection that never comes up holds a request only as long as the settings allow.
+/// A request waits for a connection that is not established no longer than the connect timeout.
 #[test]
 fn request_leaves_a_connection_that_never_comes_up() {
     let unaccepting = UnacceptingWorker::new();
--- a/tests/support/configuration.rs
+++ b/tests/support/configuration.rs
@@ -29,10 +29,12 @@
         }
     }
 
+    /// Replaces the settings, which are the default ones otherwise.
     pub(crate) fn settings(self, settings: Value) -> Configuration {
         Configuration { settings, ..self }
     }
 
+    /// Replaces the limits on the resources of the process.
     pub(crate) fn limits(self, limits: Value) -> Configuration {
         Configuration { limits, ..self }
     }
--- a/tests/support/discovery.rs
+++ b/tests/support/discovery.rs
@@ -18,16 +18,18 @@
     Changes = 2,
 }
 
-/// The service.
+/// The service, which sends nothing by itself.
 pub(crate) struct StandInDiscovery {
     listener: TcpListener,
 }
 
 impl StandInDiscovery {
+    /// A service on a port that the system chooses.
     pub(crate) fn new() -> StandInDiscovery {
         StandInDiscovery { listener: TcpListener::bind("127.0.0.1:0").unwrap() }
     }
 
+    /// The address to put into the configuration.
     pub(crate) fn address(&self) -> SocketAddr {
         self.listener.local_addr().unwrap()
     }
@@ -49,6 +51,7 @@
 }
 
 impl WatchConnection {
+    /// Sends bytes, which need not be a whole frame.
     pub(crate) fn send(&mut self, bytes: &[u8]) {
         self.stream.write_all(bytes).unwrap();
     }
--- a/tests/support/frames.rs
+++ b/tests/support/frame_client.rs
@@ -1,7 +1,7 @@
 //! A stand-in client of the frame protocol.
 //!
-//! Requests are written by the crate's own encoder. Answers are read here, and their types and codes are written
-//! out as the protocol page gives them, so that a fault in the crate's codec shows.
+//! Requests are encoded by the crate, and one test compares that encoding with literal bytes. Answers are decoded here,
+//! with the types and codes written out as the protocol page defines them, so that a fault in the crate's codec shows.
 
 use super::scheduler_process::SchedulerProcess;
 use super::{FUNCTION, IDEMPOTENCY_KEY, IDEMPOTENT_CLASS, WAIT_LIMIT};
@@ -90,8 +90,8 @@
     payload(&list, body)
 }
 
-/// Encodes the payload of a request with the body `x` to the n-th of a test's functions, which spread over the
-/// workers.
+/// Encodes the payload of a request with the body `x` to this function. Different functions have different homes among
+/// the workers.
 pub(crate) fn request_to_function(function: u32, request_id: &str, allow_ms: u64) -> Vec<u8> {
     let function = format!("{function:016x}");
     let allow_ms = allow_ms.to_string();
@@ -109,7 +109,7 @@
     frames
 }
 
-/// Reads one frame; none at the end of the input.
+/// Reads one frame; returns none at the end of the input.
 fn read_frame(input: &mut impl Read) -> Option<ReceivedFrame> {
     let mut length = [0; 4];
     input.read_exact(&mut length).ok()?;
@@ -126,12 +126,14 @@
 }
 
 impl FrameClient {
+    /// Connects to the scheduler.
     pub(crate) fn connect(scheduler: &SchedulerProcess) -> FrameClient {
         let stream = TcpStream::connect(scheduler.address).unwrap();
         stream.set_read_timeout(Some(WAIT_LIMIT)).unwrap();
         FrameClient { stream }
     }
 
+    /// Sends bytes, which need not be a whole frame.
     pub(crate) fn send_bytes(&mut self, bytes: &[u8]) {
         self.stream.write_all(bytes).unwrap();
     }
@@ -141,10 +143,12 @@
         self.send_bytes(&frame(frame_type::REQUEST, stream, payload));
     }
 
+    /// Cancels the request on a stream.
     pub(crate) fn send_cancel(&mut self, stream: u32) {
         self.send_bytes(&frame(frame_type::CANCEL, stream, &[]));
     }
 
+    /// Asks whether the scheduler is ready.
     pub(crate) fn send_readiness_check(&mut self) {
         self.send_bytes(&frame(frame_type::READINESS_CHECK, READINESS_STREAM, &[0]));
     }
@@ -197,6 +201,7 @@
         assert_eq!(answer, expected, "no other frame has come");
     }
 
+    /// Ends the input of the scheduler, but still reads.
     pub(crate) fn shutdown_write(&mut self) {
         self.stream.shutdown(Shutdown::Write).unwrap();
     }
--- a/tests/support/jsonrpc_client.rs
+++ b/tests/support/jsonrpc_client.rs
@@ -48,12 +48,14 @@
         JsonRpcClient::connect_to(&scheduler.folder.file(SOCKET_NAME))
     }
 
+    /// Connects to the socket at this path.
     pub(crate) fn connect_to(path: &Path) -> JsonRpcClient {
         let stream = UnixStream::connect(path).unwrap();
         stream.set_read_timeout(Some(WAIT_LIMIT)).unwrap();
         JsonRpcClient { reader: BufReader::new(stream) }
     }
 
+    /// Sends bytes, which need not be a whole line.
     pub(crate) fn send_bytes(&mut self, bytes: &[u8]) {
         self.reader.get_mut().write_all(bytes).unwrap();
     }
@@ -63,6 +65,7 @@
         self.send_bytes(format!("{line}\n").as_bytes());
     }
 
+    /// Sends a message.
     pub(crate) fn send(&mut self, message: &Value) {
         self.send_line(&message.to_string());
     }
@@ -80,6 +83,7 @@
         assert_eq!(self.reader.read_line(&mut line).unwrap(), 0, "closed");
     }
 
+    /// Ends the input of the scheduler, but still reads.
     pub(crate) fn shutdown_write(&mut self) {
         self.reader.get_ref().shutdown(Shutdown::Write).unwrap();
     }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -3,13 +3,14 @@
 
 pub(crate) mod configuration;
 pub(crate) mod discovery;
-pub(crate) mod frames;
+pub(crate) mod frame_client;
 pub(crate) mod jsonrpc_client;
 pub(crate) mod policy_harness;
 pub(crate) mod raw_worker;
 pub(crate) mod scheduler_process;
 pub(crate) mod temp_folder;
 pub(crate) mod worker;
+pub(crate) mod worker_command;
 
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::time::Duration;
--- a/tests/support/policy_harness.rs
+++ b/tests/support/policy_harness.rs
@@ -86,6 +86,7 @@
         workers_sent_to(&self.receive(request))
     }
 
+    /// Feeds in an event of the endpoint list.
     pub(crate) fn update_endpoints(&mut self, kind: EndpointUpdateKind, endpoints: Vec<Endpoint>) {
         self.handle(Event::EndpointsUpdated(kind, endpoints));
     }
--- a/tests/support/raw_worker.rs
+++ b/tests/support/raw_worker.rs
@@ -13,10 +13,12 @@
 }
 
 impl RawWorker {
+    /// A worker on a port that the system chooses.
     pub(crate) fn new() -> RawWorker {
         RawWorker { listener: TcpListener::bind("127.0.0.1:0").unwrap() }
     }
 
+    /// The address to put into the configuration.
     pub(crate) fn address(&self) -> SocketAddr {
         self.listener.local_addr().unwrap()
     }
@@ -34,6 +36,7 @@
 }
 
 impl UnacceptingWorker {
+    /// A worker whose queue of new connections is full.
     pub(crate) fn new() -> UnacceptingWorker {
         let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
         socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
@@ -46,6 +49,7 @@
         UnacceptingWorker { listener, _queued: queued }
     }
 
+    /// The address to put into the configuration.
     pub(crate) fn address(&self) -> SocketAddr {
         self.listener.local_addr().unwrap()
     }
--- a/tests/support/scheduler_process.rs
+++ b/tests/support/scheduler_process.rs
@@ -73,6 +73,7 @@
         address.expect("the start is logged with the address").parse().unwrap()
     }
 
+    /// The process id.
     pub(crate) fn process_id(&self) -> u32 {
         self.child.id()
     }
--- a/tests/support/temp_folder.rs
+++ b/tests/support/temp_folder.rs
@@ -9,6 +9,7 @@
 }
 
 impl TempFolder {
+    /// An empty folder.
     pub(crate) fn new() -> TempFolder {
         static NEXT: AtomicU32 = AtomicU32::new(0);
         let number = NEXT.fetch_add(1, Ordering::Relaxed);
--- a/tests/support/worker.rs
+++ b/tests/support/worker.rs
@@ -2,11 +2,12 @@
 //! is handed to the test, which answers it.
 
 use super::WAIT_LIMIT;
-use serde_json::{Value, json};
+use super::worker_command::{CommandKind, ReceivedCommand, WorkerReply, kind_of};
+use serde_json::Value;
 use socket2::Socket;
 use std::collections::BTreeMap;
-use std::io::{BufRead, BufReader, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener};
+use std::io::{BufRead, BufReader};
+use std::net::{SocketAddr, TcpListener};
 use std::os::fd::OwnedFd;
 use std::os::unix::net::UnixListener;
 use std::path::Path;
@@ -15,170 +16,6 @@
 use std::thread;
 use std::time::Duration;
 
-/// What a worker is asked to do, in either protocol.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) enum CommandKind {
-    Run,
-    Cancel,
-    Load,
-    Unload,
-    HealthCheck,
-}
-
-/// How a worker ends a request or a load.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum WorkerStatus {
-    Ok,
-    Miss,
-    Full,
-    Error,
-}
-
-impl WorkerStatus {
-    fn agent_verb(self) -> &'static str {
-        match self {
-            WorkerStatus::Ok => "200",
-            WorkerStatus::Miss => "404",
-            WorkerStatus::Full => "503",
-            WorkerStatus::Error => "500",
-        }
-    }
-
-    /// The JSON-RPC error code; none for success.
-    fn jsonrpc_code(self) -> Option<i32> {
-        match self {
-            WorkerStatus::Ok => None,
-            WorkerStatus::Miss => Some(-32010),
-            WorkerStatus::Full => Some(-32011),
-            WorkerStatus::Error => Some(-32000),
-        }
-    }
-}
-
-/// An answer that a worker gives by itself.
-pub(crate) struct WorkerReply {
-    status: WorkerStatus,
-    body: String,
-}
-
-impl WorkerReply {
-    /// Success with a body in base64.
-    pub(crate) fn ok(body: &str) -> WorkerReply {
-        WorkerReply { status: WorkerStatus::Ok, body: body.to_owned() }
-    }
-
-    /// Any other end.
-    pub(crate) fn failure(status: WorkerStatus) -> WorkerReply {
-        WorkerReply { status, body: String::new() }
-    }
-}
-
-/// A command that a worker has received, with the connection to answer it on.
-pub(crate) struct ReceivedCommand {
-    /// The line as it came.
-    pub(crate) message: Value,
-    /// The number of the connection, counted by the worker from 0.
-    pub(crate) connection: usize,
-    stream: Socket,
-}
-
-impl ReceivedCommand {
-    pub(crate) fn kind(&self) -> CommandKind {
-        kind_of(&self.message)
-    }
-
-    /// The id that an answer has to carry, or that a cancel names.
-    pub(crate) fn request_id(&self) -> String {
-        let message = &self.message;
-        let id = if self.is_jsonrpc() { &message["id"] } else { &message["rid"] };
-        id.as_str().expect("the command has an id").to_owned()
-    }
-
-    fn is_jsonrpc(&self) -> bool {
-        self.message.get("verb").is_none()
-    }
-
-    /// The body of a request in base64.
-    pub(crate) fn body(&self) -> &str {
-        let path = if self.is_jsonrpc() { "/params/body" } else { "/content" };
-        let body = self.message.pointer(path).and_then(Value::as_str);
-        body.expect("the command has a body")
-    }
-
-    /// Writes any bytes on the command's connection.
-    pub(crate) fn send_bytes(&mut self, bytes: &[u8]) {
-        let _ = self.stream.write_all(bytes);
-    }
-
-    /// Writes a line on the command's connection.
-    pub(crate) fn send_line(&mut self, message: &Value) {
-        self.send_bytes(format!("{message}\n").as_bytes());
-    }
-
-    /// Ends the command's connection.
-    pub(crate) fn close_connection(&self) {
-        let _ = self.stream.shutdown(Shutdown::Both);
-    }
-
-    /// Answers with success and a body in base64.
-    pub(crate) fn succeed(&mut self, body: &str) {
-        self.reply(&WorkerReply::ok(body));
-    }
-
-    /// Answers with another status.
-    pub(crate) fn fail(&mut self, status: WorkerStatus) {
-        self.reply(&WorkerReply::failure(status));
-    }
-
-    pub(crate) fn reply(&mut self, reply: &WorkerReply) {
-        let line = if self.is_jsonrpc() { self.jsonrpc_reply(reply) } else { self.agent_reply(reply) };
-        self.send_line(&line);
-    }
-
-    fn agent_reply(&self, reply: &WorkerReply) -> Value {
-        json!({
-            "verb": reply.status.agent_verb(),
-            "rid": self.request_id(),
-            "content": reply.body,
-            "attrs": {"replicas": 1},
-        })
-    }
-
-    fn jsonrpc_reply(&self, reply: &WorkerReply) -> Value {
-        let id = self.request_id();
-        if let Some(code) = reply.status.jsonrpc_code() {
-            let message = reply.status.agent_verb();
-            return json!({"jsonrpc": "2.0", "id": id, "error": {"code": code, "message": message}});
-        }
-        let result = match self.kind() {
-            CommandKind::Load => json!({"copies": 1}),
-            _ => json!({"body": reply.body}),
-        };
-        json!({"jsonrpc": "2.0", "id": id, "result": result})
-    }
-}
-
-fn kind_of(message: &Value) -> CommandKind {
-    if let Some(method) = message.get("method") {
-        return match method.as_str() {
-            Some("call") => CommandKind::Run,
-            Some("cancel") => CommandKind::Cancel,
-            Some("load") => CommandKind::Load,
-            Some("unload") => CommandKind::Unload,
-            Some("probe") => CommandKind::HealthCheck,
-            _ => panic!("unknown method {method}"),
-        };
-    }
-    match message["verb"].as_str() {
-        Some("go") => CommandKind::Run,
-        Some("halt") => CommandKind::Cancel,
-        Some("stage") => CommandKind::Load,
-        Some("purge") => CommandKind::Unload,
-        Some("stat") => CommandKind::HealthCheck,
-        _ => panic!("unknown verb in {message}"),
-    }
-}
-
 /// A worker on a socket of its own.
 pub(crate) struct StandInWorker {
     address: Option<SocketAddr>,
@@ -272,7 +109,7 @@
             let Ok(line) = line else { return };
             let message = serde_json::from_str(&line).expect("every line is JSON");
             let stream = answers.try_clone().unwrap();
-            if sender.send(ReceivedCommand { message, connection, stream }).is_err() {
+            if sender.send(ReceivedCommand::new(message, connection, stream)).is_err() {
                 return;
             }
         }
