--- a/tests/policy/admission.rs
+++ b/tests/policy/admission.rs
@@ -1,8 +1,7 @@
 //! Load shedding: which requests are rejected early, and when.
 
-use crate::support::policy_harness::{
-    PolicyHarness, rejections_and_failures, request, test_settings, workers_sent_to,
-};
+use crate::support::policy_fixtures::{request, test_settings};
+use crate::support::policy_harness::{PolicyHarness, rejections_and_failures, workers_sent_to};
 use function_scheduler::{Action, IncomingRequest, OnMiss, RequestId, Settings, Span, Status};
 
 /// The policy once held requests that no worker could serve until just before their deadline.
--- a/tests/policy/concurrency_limit.rs
+++ b/tests/policy/concurrency_limit.rs
@@ -1,8 +1,7 @@
 //! The adaptive limit on the requests in flight at each worker.
 
-use crate::support::policy_harness::{
-    PolicyHarness, attempt_outcome, request, test_settings, workers_sent_to,
-};
+use crate::support::policy_fixtures::{attempt_outcome, request, test_settings};
+use crate::support::policy_harness::{PolicyHarness, workers_sent_to};
 use function_scheduler::{AttemptOutcome, Event, InstanceState, OnMiss, RequestId, Span, Status};
 
 /// A failed load for lack of memory kept requests away from the worker's loaded instances and cut its limit.
--- a/tests/policy/health.rs
+++ b/tests/policy/health.rs
@@ -1,9 +1,9 @@
 //! Outlier detection: workers that fail or say nothing are avoided, and their requests are placed elsewhere.
 
-use crate::support::policy_harness::{
-    IDEMPOTENT, NON_IDEMPOTENT, PolicyHarness, attempt_outcome, cancel_count, health_check_count,
-    ready_endpoint, request, request_of_class, test_settings, workers_sent_to,
+use crate::support::policy_fixtures::{
+    IDEMPOTENT, NON_IDEMPOTENT, attempt_outcome, ready_endpoint, request, request_of_class, test_settings,
 };
+use crate::support::policy_harness::{PolicyHarness, cancel_count, health_check_count, workers_sent_to};
 use function_scheduler::{
     Action, AttemptOutcome, Endpoint, EndpointUpdateKind, Event, OnMiss, RequestId, Span, Status, WorkerId,
     ZoneId,
--- a/tests/policy/load_rate_limit.rs
+++ b/tests/policy/load_rate_limit.rs
@@ -1,8 +1,7 @@
 //! The rate limit on load orders.
 
-use crate::support::policy_harness::{
-    PolicyHarness, request, requested_loads, test_settings, workers_sent_to,
-};
+use crate::support::policy_fixtures::{request, test_settings};
+use crate::support::policy_harness::{PolicyHarness, requested_loads, workers_sent_to};
 use function_scheduler::{LoadRateLimit, OnMiss, Span, Status, Time};
 
 const LIMIT: LoadRateLimit = LoadRateLimit { burst: 2.0, per_request: 0.1, window: Span::from_millis(5000) };
--- a/tests/policy/placement.rs
+++ b/tests/policy/placement.rs
@@ -1,8 +1,8 @@
 //! To which worker a request goes.
 
+use crate::support::policy_fixtures::{attempt_outcome, ready_endpoint, request, test_settings};
 use crate::support::policy_harness::{
-    PolicyHarness, attempt_outcome, ready_endpoint, rejections_and_failures, request, requested_loads,
-    test_settings, workers_sent_to,
+    PolicyHarness, rejections_and_failures, requested_loads, workers_sent_to,
 };
 use function_scheduler::{
     AttemptOutcome, Endpoint, EndpointState, EndpointUpdateKind, Event, LoadMetric, OnMiss, RequestId,
--- a/tests/policy/prewarm.rs
+++ b/tests/policy/prewarm.rs
@@ -1,8 +1,7 @@
 //! Which functions are loaded ahead of requests, and where.
 
-use crate::support::policy_harness::{
-    PolicyHarness, RequestedLoad, request, requested_loads, test_settings, workers_sent_to,
-};
+use crate::support::policy_fixtures::{request, test_settings};
+use crate::support::policy_harness::{PolicyHarness, RequestedLoad, requested_loads, workers_sent_to};
 use function_scheduler::{FunctionId, OnMiss, Status};
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/tests/policy/retries.rs
+++ b/tests/policy/retries.rs
@@ -1,9 +1,7 @@
 //! Which failed attempts are followed by another, and how a request ends that has no further attempt.
 
-use crate::support::policy_harness::{
-    KEYED, NON_IDEMPOTENT, PolicyHarness, rejections_and_failures, request, request_of_class, test_settings,
-    workers_sent_to,
-};
+use crate::support::policy_fixtures::{KEYED, NON_IDEMPOTENT, request, request_of_class, test_settings};
+use crate::support::policy_harness::{PolicyHarness, rejections_and_failures, workers_sent_to};
 use function_scheduler::{Action, OnMiss, RequestId, Status};
 
 #[test]
--- a/tests/policy/robustness.rs
+++ b/tests/policy/robustness.rs
@@ -1,8 +1,7 @@
 //! Unknown, repeated and absurd events, and determinism.
 
-use crate::support::policy_harness::{
-    IDEMPOTENT, PolicyHarness, rejections_and_failures, request, request_of_class, test_settings,
-};
+use crate::support::policy_fixtures::{IDEMPOTENT, request, request_of_class, test_settings};
+use crate::support::policy_harness::{PolicyHarness, rejections_and_failures};
 use function_scheduler::{
     Action, ClassId, Event, FunctionId, IncomingRequest, OnMiss, RequestId, Span, Status, WorkerId,
 };
--- a/tests/policy/simulated_fleet.rs
+++ b/tests/policy/simulated_fleet.rs
@@ -1,8 +1,7 @@
 //! A fleet of schedulers with more requests than its workers can serve, one of which starts cold.
 
-use crate::support::policy_harness::{
-    PolicyHarness, endpoint_started_at, ready_endpoint, request, test_settings,
-};
+use crate::support::policy_fixtures::{endpoint_started_at, ready_endpoint, request, test_settings};
+use crate::support::policy_harness::PolicyHarness;
 use function_scheduler::{Endpoint, EndpointUpdateKind, OnMiss, RequestId, Settings, Span, Status, WorkerId};
 use std::collections::VecDeque;
 
--- a/tests/policy/slow_start.rs
+++ b/tests/policy/slow_start.rs
@@ -3,9 +3,8 @@
 use crate::simulated_fleet::{
     COLD_WORKER, OVERLOAD_WINDOW_MS, Restart, SCHEDULERS, SimulatedFleet, cold_budget,
 };
-use crate::support::policy_harness::{
-    PolicyHarness, endpoint_started_at, request, test_settings, workers_sent_to,
-};
+use crate::support::policy_fixtures::{endpoint_started_at, request, test_settings};
+use crate::support::policy_harness::{PolicyHarness, workers_sent_to};
 use function_scheduler::{Endpoint, EndpointState, EndpointUpdateKind, OnMiss, Settings, Span, Status, Time};
 
 /// Replaces the endpoint of the cold worker by one that started `age_ms` ago, and returns it.
--- a/tests/server/client_disconnect.rs
+++ b/tests/server/client_disconnect.rs
@@ -99,8 +99,7 @@
         let scheduler = SchedulerProcess::start_with_settings(&[worker.address()], large_fleet_settings());
         let mut client = FrameClient::connect(&scheduler);
         let mut other = FrameClient::connect(&scheduler);
-        client.send_request(1, &request(IDEMPOTENT_CLASS, &request_id(1), 20_000, b""));
-        let command = worker.next_request();
+        let command = client.send_request_to(&worker, 1);
         scheduler.signal("STOP");
         command.close_connection();
         if closes {
@@ -127,8 +126,7 @@
     let scheduler = SchedulerProcess::start(&[worker.address()]);
     let mut client = FrameClient::connect(&scheduler);
     let mut other = FrameClient::connect(&scheduler);
-    client.send_request(1, &request(IDEMPOTENT_CLASS, &request_id(1), 20_000, b""));
-    let mut command = worker.next_request();
+    let mut command = client.send_request_to(&worker, 1);
     client.send_bytes(&[0; 4]);
     assert_eq!(client.next_frame(), Some(failed(0)));
     // The client has not closed the connection: the scheduler cancels the request by itself.
--- a/tests/server/reload.rs
+++ b/tests/server/reload.rs
@@ -67,7 +67,7 @@
     assert_eq!(client.next_frame(), Some(served(1, b"x")));
     let mut config = scheduler.config.clone();
     config["settings"]["bounds"]["idleCloseNs"] = json!(1_000_000_000u64);
-    scheduler.reload(&config.to_string());
+    assert_eq!(scheduler.reload(&config.to_string()), ReloadResult::Applied);
     connection.wait_for_close();
 }
 
@@ -77,13 +77,11 @@
     let worker = StandInWorker::node_agent();
     let scheduler = SchedulerProcess::start_with_settings(&[worker.address()], large_fleet_settings());
     let mut client = FrameClient::connect(&scheduler);
-    client.send_request(1, &request(IDEMPOTENT_CLASS, &request_id(1), 20_000, b""));
-    let first = worker.next_request();
+    let first = client.send_request_to(&worker, 1);
     let mut config = scheduler.config.clone();
     config["settings"]["bounds"]["multiplex"] = json!(1);
-    scheduler.reload(&config.to_string());
-    client.send_request(2, &request(IDEMPOTENT_CLASS, &request_id(2), 20_000, b""));
-    let second = worker.next_request();
+    assert_eq!(scheduler.reload(&config.to_string()), ReloadResult::Applied);
+    let second = client.send_request_to(&worker, 2);
     assert_ne!(first.connection, second.connection);
 }
 
@@ -94,10 +92,8 @@
     let worker = StandInWorker::node_agent();
     let scheduler = SchedulerProcess::start_with_settings(&[worker.address()], large_fleet_settings());
     let mut client = FrameClient::connect(&scheduler);
-    client.send_request(1, &request(IDEMPOTENT_CLASS, &request_id(1), 20_000, b""));
-    let mut first = worker.next_request();
-    client.send_request(2, &request(IDEMPOTENT_CLASS, &request_id(2), 20_000, b""));
-    let second = worker.next_request();
+    let mut first = client.send_request_to(&worker, 1);
+    let second = client.send_request_to(&worker, 2);
     let mut config = scheduler.config.clone();
     let bounds = &mut config["settings"]["bounds"];
     bounds["mostTries"] = json!(1);
@@ -105,7 +101,7 @@
     bounds["retryAfter"] = json!(false);
     config["settings"]["classes"][0]["name"] = json!("other-check");
     config["settings"]["classes"].as_array_mut().unwrap().reverse();
-    scheduler.reload(&config.to_string());
+    assert_eq!(scheduler.reload(&config.to_string()), ReloadResult::Applied);
     first.fail(WorkerStatus::Full);
     assert_eq!(client.next_frame(), Some(rejected(1)), "no further attempt, no retry delay");
     client.send_cancel(2);
--- a/tests/server/shutdown.rs
+++ b/tests/server/shutdown.rs
@@ -200,8 +200,7 @@
         let mut scheduler = Configuration::new(&[worker.address()]).discovery(discovery.address()).start();
         let mut old_watch = discovery.accept();
         let mut client = FrameClient::connect(&scheduler);
-        client.send_request(1, &request(IDEMPOTENT_CLASS, &request_id(1), 20_000, b""));
-        let mut command = worker.next_request();
+        let mut command = client.send_request_to(&worker, 1);
         let mut config = scheduler.config.clone();
         config["bus"] = json!(moved.address().to_string());
         scheduler.write_config(&config.to_string());
--- a/tests/server/worker_failures.rs
+++ b/tests/server/worker_failures.rs
@@ -136,10 +136,8 @@
     let worker = StandInWorker::node_agent();
     let scheduler = SchedulerProcess::start_with_settings(&[worker.address()], large_fleet_settings());
     let mut client = FrameClient::connect(&scheduler);
-    client.send_request(1, &request(IDEMPOTENT_CLASS, &request_id(1), 20_000, b""));
-    let mut first = worker.next_request();
-    client.send_request(2, &request(IDEMPOTENT_CLASS, &request_id(2), 20_000, b""));
-    let second = worker.next_request();
+    let mut first = client.send_request_to(&worker, 1);
+    let second = client.send_request_to(&worker, 2);
     assert_eq!(first.connection, second.connection);
     first.send_bytes(&[&b"\xff{spoilt\n"[..], &success_line(&request_id(2), "bm8=")].concat());
     let mut retries = [worker.next_request(), worker.next_request()];
--- a/tests/support/frame_client.rs
+++ b/tests/support/frame_client.rs
@@ -4,7 +4,9 @@
 //! with the types and codes written out as the protocol page defines them, so that a fault in the crate's codec shows.
 
 use super::scheduler_process::SchedulerProcess;
-use super::{FUNCTION, IDEMPOTENCY_KEY, IDEMPOTENT_CLASS, WAIT_LIMIT};
+use super::worker::StandInWorker;
+use super::worker_command::ReceivedCommand;
+use super::{FUNCTION, IDEMPOTENCY_KEY, IDEMPOTENT_CLASS, WAIT_LIMIT, request_id};
 use function_scheduler::frontend::frame_codec::{encode_fields, encode_raw_frame};
 use std::io::{Read, Write};
 use std::net::{Shutdown, TcpStream};
@@ -143,6 +145,14 @@
         self.send_bytes(&frame(frame_type::REQUEST, stream, payload));
     }
 
+    /// Sends the test's n-th request on the stream of the same number, and waits until the worker has received it.
+    pub(crate) fn send_request_to(&mut self, worker: &StandInWorker, n: u32) -> ReceivedCommand {
+        self.send_request(n, &request(IDEMPOTENT_CLASS, &request_id(n), 20_000, b""));
+        let command = worker.next_request();
+        assert_eq!(command.request_id(), request_id(n));
+        command
+    }
+
     /// Cancels the request on a stream.
     pub(crate) fn send_cancel(&mut self, stream: u32) {
         self.send_bytes(&frame(frame_type::CANCEL, stream, &[]));
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -5,6 +5,7 @@
 pub(crate) mod discovery;
 pub(crate) mod frame_client;
 pub(crate) mod jsonrpc_client;
+pub(crate) mod policy_fixtures;
 pub(crate) mod policy_harness;
 pub(crate) mod raw_worker;
 pub(crate) mod scheduler_process;
