Server: startup, reload, endpoints and errors in modules; a short event loop

The rest of the server was one type that read as start, loop, reload and discovery in one file.

The server no longer holds the operator's file: the acceptor and the leader election know their part. `run` returns a `ServerError` that says what failed; its text is the system's, as before.

--- a/src/main.rs
+++ b/src/main.rs
@@ -2,9 +2,8 @@
 #![forbid(unsafe_code)]
 
 use function_scheduler::config::{ConfigError, ConfigSources};
-use function_scheduler::server;
+use function_scheduler::server::{self, ServerError};
 use std::ffi::OsString;
-use std::io;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use thiserror::Error;
@@ -24,7 +23,7 @@
     #[error(transparent)]
     Configuration(#[from] ConfigError),
     #[error("cannot serve: {0}")]
-    Serve(#[from] io::Error),
+    Serve(#[from] ServerError),
 }
 
 fn main() -> ExitCode {
--- /dev/null
+++ b/src/server/endpoints.rs
@@ -0,0 +1,73 @@
+//! Carries out changes of the endpoint list: addresses go to the connection pool, entries to the scheduler.
+
+use super::Server;
+use crate::backend::{Pool, WorkerAddress};
+use crate::config::{CheckerEndpoint, OperatorConfig};
+use crate::discovery::{AddressChange, EndpointChange, WatchEvent};
+use crate::model::{Endpoint, Site, Time};
+
+impl Server {
+    /// Applies the changes that discovery has received, and has it connect to the event bus when that is due.
+    pub(super) fn poll_discovery(&mut self, now: Time) {
+        while let Some(change) = self.discovery.next_change() {
+            self.apply_endpoint_change(now, change);
+        }
+        self.discovery.poll_watch(now, &mut self.reactor, &mut self.scheduler);
+    }
+
+    /// Makes the statically configured workers known at the start.
+    pub(super) fn apply_initial_endpoints(&mut self) {
+        if let Some(change) = self.discovery.initial_change() {
+            self.apply_endpoint_change(self.reactor.now(), change);
+        }
+    }
+
+    /// Discovery's part of a reload: it continues after the last event, at the configured address.
+    pub(super) fn reload_discovery(&mut self, now: Time, known: Vec<WatchEvent>) {
+        let moved = self.discovery.set_address(self.config.event_bus);
+        self.poll_discovery(now);
+        self.discovery.offer_known(known);
+        if moved {
+            self.discovery.restart_watch(now, &mut self.reactor, &mut self.scheduler);
+        }
+    }
+
+    /// Replaces the statically configured workers.
+    pub(super) fn set_configured_workers(&mut self, now: Time, operator: &OperatorConfig) {
+        let configured = assign_checker_addresses(operator, &self.config.site, &mut self.pool);
+        if let Some(change) = self.discovery.set_configured(configured) {
+            self.apply_endpoint_change(now, change);
+        }
+    }
+
+    fn apply_endpoint_change(&mut self, now: Time, change: EndpointChange) {
+        for address_change in change.address_changes {
+            self.apply_address_change(address_change);
+        }
+        self.scheduler.update_endpoints(now, change.kind, change.endpoints);
+    }
+
+    fn apply_address_change(&mut self, change: AddressChange) {
+        match change {
+            AddressChange::Removed(worker) => self.pool.remove(worker),
+            AddressChange::Assigned { worker, address, started_at } => {
+                let address = WorkerAddress::NodeAgent(address);
+                self.pool.set_address(worker, address, started_at);
+            }
+        }
+    }
+}
+
+/// Gives the pool the addresses of the operator's checkers; their entries in the endpoint list.
+pub(super) fn assign_checker_addresses(
+    operator: &OperatorConfig,
+    site: &Site,
+    pool: &mut Pool,
+) -> Vec<Endpoint> {
+    let mut endpoints = Vec::new();
+    for CheckerEndpoint { endpoint, socket } in operator.checker_endpoints(site) {
+        pool.set_address(endpoint.worker, WorkerAddress::JsonRpc(socket), None);
+        endpoints.push(endpoint);
+    }
+    endpoints
+}
--- a/src/server/leader.rs
+++ b/src/server/leader.rs
@@ -51,6 +51,11 @@
         Ok(LeaderElection { state_machine, config: config.clone(), socket })
     }
 
+    /// The configuration with which the election was joined.
+    pub(super) fn config(&self) -> &VrrpConfig {
+        &self.config
+    }
+
     /// When [`Event::TimerExpired`] is to be given.
     pub(super) fn next_timer(&self) -> Option<Time> {
         self.state_machine.next_timer()
--- a/src/server/limits.rs
+++ b/src/server/limits.rs
@@ -3,6 +3,8 @@
 use crate::backend;
 use crate::config::SchedulerConfig;
 use crate::model::Span;
+use crate::net::Reactor;
+use crate::scheduler::Scheduler;
 
 /// Descriptors kept for the poll, the listeners, the pipes, the watch and the standard streams.
 const RESERVED_DESCRIPTORS: usize = 32;
@@ -14,14 +16,11 @@
 /// The platform allows this much more for a connect than the settings say.
 const CONNECT_TIMEOUT_ALLOWANCE: Span = Span::from_millis(50);
 
-/// The memory that the program may take, in bytes.
-pub(super) fn memory_limit(config: &SchedulerConfig) -> usize {
-    config.memory_mb * BYTES_PER_MEGABYTE
-}
-
-/// The output that may wait to be sent, in bytes.
-pub(super) fn unsent_output_limit(config: &SchedulerConfig) -> usize {
-    memory_limit(config) / UNSENT_OUTPUT_DIVISOR
+/// Limits the memory for the bodies of open requests, and that for output which waits to be sent.
+pub(super) fn limit_memory(config: &SchedulerConfig, scheduler: &mut Scheduler, reactor: &mut Reactor) {
+    let memory_bytes = config.memory_mb * BYTES_PER_MEGABYTE;
+    scheduler.set_memory_limit(memory_bytes);
+    reactor.unsent_limit = memory_bytes / UNSENT_OUTPUT_DIVISOR;
 }
 
 /// The number of connections of any kind from which on no further client is accepted, save in place of an
--- a/src/server/shutdown.rs
+++ b/src/server/shutdown.rs
@@ -5,7 +5,9 @@
 //! some 0.4 s after it and requests for 0.2 s more, and that the program is not killed before every request's
 //! time has run out.
 
+use super::Server;
 use crate::model::{Span, Time};
+use crate::vrrp::Event;
 
 /// Time from the beginning until clients are notified again: those that have connected since.
 const LATE_NOTICE_DELAY: Span = Span::from_millis(750);
@@ -111,3 +113,61 @@
         self.began_at + GRACE_PERIOD
     }
 }
+
+impl Server {
+    /// Begins a graceful shutdown, unless one has begun: the server is no longer ready, and clients are asked
+    /// to send no new requests.
+    pub(super) fn begin_shutdown(&mut self) {
+        if self.shutdown.is_some() {
+            return;
+        }
+        eprintln!(
+            "function-scheduler: ending name={} owed={}",
+            self.config.name,
+            self.scheduler.open_requests()
+        );
+        self.shutdown = Some(Shutdown::new(self.reactor.now()));
+        self.reactor.ready = false;
+        self.update_leader(Event::Shutdown);
+        self.notify_clients();
+    }
+
+    /// Asks all clients to send no new requests on their connections.
+    fn notify_clients(&mut self) {
+        for connection in self.reactor.connection_ids() {
+            self.reactor.with_client(connection, &mut self.scheduler, |client, socket, context| {
+                client.request_leave(socket, context)
+            });
+        }
+    }
+
+    /// When [`Server::advance_shutdown`] has something to do although nothing else happens.
+    pub(super) fn shutdown_timer(&self) -> Option<Time> {
+        let shutdown = self.shutdown.as_ref()?;
+        shutdown.next_timer(self.reactor.now(), self.reactor.has_unsent_output())
+    }
+
+    /// Moves a shutdown on; true once it is complete.
+    pub(super) fn advance_shutdown(&mut self) -> bool {
+        let now = self.reactor.now();
+        while let Some(phase) = self.enter_next_shutdown_phase(now) {
+            match phase {
+                ShutdownPhase::LateRequests => self.notify_clients(),
+                ShutdownPhase::Complete => return true,
+                ShutdownPhase::LateConnections | ShutdownPhase::Draining | ShutdownPhase::Flushing { .. } => {
+                }
+            }
+        }
+        false
+    }
+
+    fn enter_next_shutdown_phase(&mut self, now: Time) -> Option<ShutdownPhase> {
+        let shutdown = self.shutdown.as_mut()?;
+        let activity = Activity {
+            open_requests: self.scheduler.open_requests(),
+            has_unsent_output: self.reactor.has_unsent_output(),
+            last_poll_was_empty: self.reactor.last_poll_was_empty(),
+        };
+        shutdown.advance(now, activity)
+    }
+}
