VRRP and adapter: comments in plain terms, one conversion from centiseconds

The conversion from centiseconds stood in the packet and in the leader election, the preference between two active routers was a comparison of tuples, and some comments were still worded in the earlier style.

The packet's module exports the conversion, the preference is a method of its own, and names of the RFC are marked as such.

--- a/src/bin/function-scheduler-sim/codec/batch.rs
+++ b/src/bin/function-scheduler-sim/codec/batch.rs
@@ -7,9 +7,9 @@
 
 /// Bytes of a batch's header: the clock, the length and the number of records.
 pub(super) const HEADER_LENGTH: usize = 16;
-/// Where the header tells the length of all that follows this field.
+/// Where the header has the length of everything after this field.
 pub(super) const LENGTH_POSITION: usize = 8;
-/// Bytes of the header that the told length includes: the number of records.
+/// Bytes of the header that this length includes: the number of records.
 const COUNT_LENGTH: usize = 4;
 
 /// One batch of event records, not yet decoded.
@@ -17,7 +17,7 @@
 pub(crate) struct Batch {
     /// The simulator's clock, at which all events of the batch happen.
     pub(crate) now: Time,
-    /// How many records `records` holds.
+    /// Number of records in `records`.
     pub(super) record_count: u32,
     /// The records, back to back.
     pub(super) records: Vec<u8>,
--- a/src/bin/function-scheduler-sim/codec/codes.rs
+++ b/src/bin/function-scheduler-sim/codec/codes.rs
@@ -13,7 +13,7 @@
         }
 
         impl EventCode {
-            /// The kind of record with this code, if the page lists it.
+            /// The kind of record with this code, if there is one.
             pub(super) fn from_code(code: u8) -> Option<EventCode> {
                 match code {
                     $($code => Some(EventCode::$variant),)*
@@ -78,12 +78,12 @@
     }
 }
 
-/// A value that a field of one byte tells by a code.
+/// A value that is encoded in a field of one byte.
 pub(super) trait FieldCode: Sized {
     /// What an error calls the field.
     const FIELD: &'static str;
 
-    /// The value with this code, if the page lists it.
+    /// The value with this code, if there is one.
     fn from_code(code: u8) -> Option<Self>;
 }
 
@@ -146,7 +146,7 @@
     const INSTANCE_STATE_BITS: u32 = 3;
     const INSTANCE_STATE_MASK: u8 = (1 << AnswerRemark::INSTANCE_STATE_BITS) - 1;
 
-    /// Whether an instance of the function was loaded; `Unknown` where the answer does not tell.
+    /// Whether an instance of the function was loaded; `Unknown` if the answer does not say.
     pub(super) fn instance_state(self) -> InstanceState {
         match self.0 & AnswerRemark::INSTANCE_STATE_MASK {
             1 => InstanceState::Loaded,
@@ -157,7 +157,7 @@
         }
     }
 
-    /// Requests for the same function that the worker held when this one came.
+    /// Requests for the same function that were in flight at the worker when this one arrived.
     pub(super) fn function_in_flight(self) -> u32 {
         u32::from(self.0 >> AnswerRemark::INSTANCE_STATE_BITS)
     }
--- a/src/bin/function-scheduler-sim/codec/cursor.rs
+++ b/src/bin/function-scheduler-sim/codec/cursor.rs
@@ -78,7 +78,7 @@
         Ok(WorkerId(u64::from_be_bytes(id)))
     }
 
-    /// A code of one byte; one that the page does not list is [`WireError::UnknownCode`].
+    /// A code of one byte; one that is not defined is [`WireError::UnknownCode`].
     pub(super) fn code<T: FieldCode>(&mut self) -> Result<T, WireError> {
         let offset = self.offset;
         let code = self.u8()?;
--- a/src/bin/function-scheduler-sim/codec/error.rs
+++ b/src/bin/function-scheduler-sim/codec/error.rs
@@ -17,21 +17,21 @@
     /// The input ended inside a header.
     #[error("batch header: cut short after {received} of {HEADER_LENGTH} bytes")]
     HeaderCutShort {
-        /// Bytes of the header that were there.
+        /// Bytes of the header that arrived.
         received: usize,
     },
-    /// The header tells a length that does not even hold the rest of the header.
+    /// The length in the header is shorter than the rest of the header.
     #[error("batch header: length {length} at position {LENGTH_POSITION} does not fit")]
     InvalidBatchLength {
-        /// The length as told.
+        /// The length as received.
         length: usize,
     },
     /// The input ended inside the records of a batch.
     #[error("batch: cut short after {received} of {expected} bytes of records")]
     RecordsCutShort {
-        /// Bytes of records that were there.
+        /// Bytes of records that arrived.
         received: usize,
-        /// Bytes of records that the header tells.
+        /// Bytes of records according to the header.
         expected: usize,
     },
     /// The header counts more records than there are.
@@ -42,12 +42,12 @@
         /// Where it should start, in bytes from the start of the batch.
         position: usize,
     },
-    /// A record tells a length that reaches beyond the end of the batch.
+    /// The length of a record reaches beyond the end of the batch.
     #[error("{record}: its length {length} does not fit")]
     InvalidRecordLength {
         /// The record.
         record: RecordLocation,
-        /// The length as told.
+        /// The length as received.
         length: usize,
     },
     /// A record ends inside one of its fields.
@@ -62,14 +62,14 @@
         /// Bytes of all fields of the record.
         available: usize,
     },
-    /// A field holds a code that the page does not list.
+    /// The code in a field is not defined by the protocol.
     #[error("{record}: {field} {code} at its byte {offset} is not known")]
     UnknownCode {
         /// The record.
         record: RecordLocation,
         /// The field.
         field: &'static str,
-        /// The code as told.
+        /// The code as received.
         code: u8,
         /// Where the field is, in bytes from the first field.
         offset: usize,
--- a/src/bin/function-scheduler-sim/codec/records.rs
+++ b/src/bin/function-scheduler-sim/codec/records.rs
@@ -40,16 +40,16 @@
     EndpointList {
         /// Its number.
         list: ListId,
-        /// Its lines.
+        /// Its endpoints.
         endpoints: Vec<Endpoint>,
     },
     /// Discovery reports to an instance.
     EndpointUpdate {
         /// The instance.
         instance: InstanceId,
-        /// How the list relates to the one that the instance holds.
+        /// How the update relates to the endpoints that the instance knows.
         kind: EndpointUpdateKind,
-        /// The list with the lines; without meaning for a failed call.
+        /// The list with the endpoints; without meaning for a failed call.
         list: ListId,
     },
     /// Any other event of an instance.
@@ -67,7 +67,8 @@
 ///
 /// # Errors
 ///
-/// The first record that does not fit its length or holds an unknown code, or bytes after the last record.
+/// The first record that does not match its length or contains an unknown code, or bytes after the last
+/// record.
 pub(crate) fn read_records(batch: &Batch) -> Result<Vec<Record>, WireError> {
     let location = RecordLocation { name: "records", position: HEADER_LENGTH };
     let mut input = FieldCursor::new(&batch.records, location);
@@ -189,7 +190,7 @@
     }))
 }
 
-/// The usual time of a load; zero stands for a time that is not known.
+/// The typical time of a load; zero means that it is unknown.
 fn load_time(milliseconds: f32) -> Option<Span> {
     let nanoseconds = f64::from(milliseconds) * NANOSECONDS_PER_MILLISECOND;
     (milliseconds > 0.0).then_some(Span(nanoseconds as u64))
--- a/src/bin/function-scheduler-sim/codec/reply.rs
+++ b/src/bin/function-scheduler-sim/codec/reply.rs
@@ -10,7 +10,7 @@
 const SUBSCRIBE: u8 = 1;
 /// `mark` of `WAKE_ME`: the policy keeps its own timers and needs no mark.
 const TIMER_MARK: u32 = 0;
-/// Bytes of the field that tells a record's length.
+/// Bytes of the field with a record's length.
 const LENGTH_FIELD: usize = 4;
 
 /// The reply to one batch, under construction.
--- a/src/bin/function-scheduler-sim/host.rs
+++ b/src/bin/function-scheduler-sim/host.rs
@@ -45,7 +45,7 @@
         }
     }
 
-    /// The lines of an update: none for a failed call, whose list number has no meaning.
+    /// The endpoints of an update: none for a failed call, whose list number has no meaning.
     fn endpoints(&self, kind: EndpointUpdateKind, list: ListId) -> Vec<Endpoint> {
         if kind == EndpointUpdateKind::Failed {
             return Vec::new();
--- a/src/server/leader.rs
+++ b/src/server/leader.rs
@@ -4,17 +4,15 @@
 //! travel over UDP between the addresses of the operator's file.
 
 use crate::config::VrrpConfig;
-use crate::model::{Span, Time};
+use crate::model::Time;
 use crate::net::{Reactor, UdpSocketId};
 use crate::scheduler::Scheduler;
-use crate::vrrp::packet::{Advertisement, DecodeError, MAX_MESSAGE_LENGTH};
+use crate::vrrp::packet::{self, Advertisement, DecodeError, MAX_MESSAGE_LENGTH};
 use crate::vrrp::{self, Event, State, StateMachine};
 use std::io;
 use std::net::SocketAddr;
 use thiserror::Error;
 
-const MILLISECONDS_PER_CENTISECOND: u64 = 10;
-
 /// Why a datagram is dropped.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 enum DatagramError {
@@ -41,10 +39,9 @@
     /// The system's, where the address can't be bound.
     pub(super) fn new(config: &VrrpConfig, reactor: &mut Reactor) -> io::Result<LeaderElection> {
         let (socket, address) = reactor.bind_udp(config.bind)?;
-        let interval_milliseconds = u64::from(config.interval_centiseconds) * MILLISECONDS_PER_CENTISECOND;
         let state_machine = StateMachine::new(vrrp::Configuration {
             priority: config.priority,
-            advertisement_interval: Span::from_millis(interval_milliseconds),
+            advertisement_interval: packet::interval_from_centiseconds(config.interval_centiseconds),
             preempt: config.preempt,
             address,
         });
--- a/src/vrrp/packet.rs
+++ b/src/vrrp/packet.rs
@@ -27,6 +27,11 @@
 const MAX_ADDRESSES: usize = u8::MAX as usize;
 const MILLISECONDS_PER_CENTISECOND: u64 = 10;
 
+/// The time between two advertisements from its number of centiseconds, the unit of Max Advertise Interval.
+pub fn interval_from_centiseconds(count: u16) -> Span {
+    Span::from_millis(u64::from(count) * MILLISECONDS_PER_CENTISECOND)
+}
+
 /// Why a datagram is not a valid advertisement (RFC 9568, section 7.1).
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub enum DecodeError {
@@ -70,7 +75,7 @@
 impl Advertisement {
     /// Time between the advertisements of the sender.
     pub fn interval(&self) -> Span {
-        Span::from_millis(u64::from(self.interval_centiseconds) * MILLISECONDS_PER_CENTISECOND)
+        interval_from_centiseconds(self.interval_centiseconds)
     }
 
     /// The message as it is sent.
--- a/src/vrrp/state_machine.rs
+++ b/src/vrrp/state_machine.rs
@@ -1,6 +1,7 @@
 //! The state machine of one virtual router (RFC 9568, section 6).
 
 use crate::model::{Span, Time};
+use std::cmp::Ordering;
 use std::net::SocketAddr;
 
 #[cfg(test)]
@@ -32,9 +33,9 @@
 pub struct Configuration {
     /// Priority in the election: 1 to 254, or [`PRIORITY_ADDRESS_OWNER`].
     pub priority: u8,
-    /// Time between the advertisements of this router while it is active (Advertisement_Interval).
+    /// Time between the advertisements of this router while it is active (`Advertisement_Interval`).
     pub advertisement_interval: Span,
-    /// Whether it takes over from an active router of lower priority (Preempt_Mode).
+    /// Whether it takes over from an active router of lower priority (`Preempt_Mode`).
     pub preempt: bool,
     /// Address of this router: of two routers with the same priority, the one with the higher address wins.
     pub address: SocketAddr,
@@ -72,9 +73,9 @@
 pub struct StateMachine {
     configuration: Configuration,
     state: State,
-    /// Adver_Timer while active, Active_Down_Timer while in backup.
+    /// `Adver_Timer` while active, `Active_Down_Timer` while in backup.
     timer: Option<Time>,
-    /// Time between the advertisements of the active router, as it announces it (Active_Adver_Interval).
+    /// Time between the advertisements of the active router, as it announces it (`Active_Adver_Interval`).
     active_advertisement_interval: Span,
 }
 
@@ -131,14 +132,14 @@
             Event::TimerExpired if self.timer_expired(now) => self.become_active(now),
             Event::TimerExpired => None,
             Event::AdvertisementReceived { priority, interval, .. } => {
-                self.watch_active_router(now, priority, interval);
+                self.handle_advertisement_in_backup(now, priority, interval);
                 None
             }
         }
     }
 
-    /// Takes an advertisement in the backup state as a sign of life of the active router.
-    fn watch_active_router(&mut self, now: Time, priority: u8, interval: Span) {
+    /// Handles an advertisement while in backup: restarts the timer, unless this router is to take over.
+    fn handle_advertisement_in_backup(&mut self, now: Time, priority: u8, interval: Span) {
         if self.owns_address() {
             return;
         }
@@ -162,13 +163,13 @@
             Event::TimerExpired if self.timer_expired(now) => self.advertise(now),
             Event::TimerExpired => None,
             Event::AdvertisementReceived { priority, interval, sender } => {
-                self.contend(now, priority, interval, sender)
+                self.handle_advertisement_in_active(now, priority, interval, sender)
             }
         }
     }
 
-    /// Settles in the active state who stays active when another router advertises, too.
-    fn contend(
+    /// Handles an advertisement while active: steps back if the sender is preferred.
+    fn handle_advertisement_in_active(
         &mut self,
         now: Time,
         priority: u8,
@@ -178,15 +179,24 @@
         if self.owns_address() {
             return None;
         }
-        let own = (self.configuration.priority, self.configuration.address);
-        if priority != PRIORITY_RESIGNED && (priority, sender) > own {
+        if priority != PRIORITY_RESIGNED && self.prefers(priority, sender) {
             self.become_backup(now, interval);
             return None;
         }
-        // The other router shuts down or has to step back: it learns at once who is active.
+        // The sender shuts down or has to step back: it and the backups learn at once who is active.
         self.advertise(now)
     }
 
+    /// Whether another active router is preferred: by its priority, and by its address if these are equal.
+    fn prefers(&self, priority: u8, sender: SocketAddr) -> bool {
+        let own = &self.configuration;
+        match priority.cmp(&own.priority) {
+            Ordering::Greater => true,
+            Ordering::Equal => sender > own.address,
+            Ordering::Less => false,
+        }
+    }
+
     fn become_initialize(&mut self) {
         self.state = State::Initialize;
         self.timer = None;
@@ -218,13 +228,13 @@
         self.configuration.priority == PRIORITY_ADDRESS_OWNER
     }
 
-    /// Skew_Time: the higher the priority, the sooner a backup router takes over.
+    /// `Skew_Time`: the higher the priority, the sooner a backup router takes over.
     fn skew_time(&self) -> Span {
         let missing_priority = PRIORITY_COUNT - u64::from(self.configuration.priority);
         Span(missing_priority * self.active_advertisement_interval.0 / PRIORITY_COUNT)
     }
 
-    /// Active_Down_Interval: how long no advertisement comes before the active router is taken for down.
+    /// `Active_Down_Interval`: how long no advertisement comes before the active router is taken for down.
     fn active_down_interval(&self) -> Span {
         Span(MISSED_ADVERTISEMENTS * self.active_advertisement_interval.0 + self.skew_time().0)
     }
