Scheduler tests: one file a concern, in the field's terms, and cases for the new types

The ten tests moved to src/scheduler/tests/ with every case kept; one that held two cases (one final response whatever comes later, and failure of an unknown class) is two tests now. Where a check only told yes or no, the reason is compared as well. Doc comments are wrapped to 110 columns.

--- a/src/scheduler/command.rs
+++ b/src/scheduler/command.rs
@@ -4,7 +4,7 @@
 use crate::model::{FunctionId, Time, WorkerId};
 use std::rc::Rc;
 
-/// A command to the front ends or the back end; commands are to be carried out in the order in which they are given.
+/// A command to the front ends or the back end. Commands are to be carried out in their order.
 #[derive(Clone, Debug)]
 pub enum Command {
     /// Give a client the final response to its request.
--- a/src/scheduler/completion.rs
+++ b/src/scheduler/completion.rs
@@ -1,5 +1,5 @@
-//! Ends requests, attempts, load orders and health checks: their state and timers are removed, the end is counted,
-//! and the client or the policy gets to know of it.
+//! Ends requests, attempts, load orders and health checks: their state and timers are removed, the end is
+//! counted, and the client or the policy gets to know of it.
 
 use super::request_table::PendingRequest;
 use super::timers::Timer;
--- a/src/scheduler/counters.rs
+++ b/src/scheduler/counters.rs
@@ -4,7 +4,7 @@
 use crate::model::Status;
 use std::fmt;
 
-/// Declares the counters in the order in which they are printed, each with the name under which operators read it.
+/// Declares the counters in the order in which they are printed, each with its printed name.
 macro_rules! counters {
     ($($(#[$doc:meta])* $field:ident => $printed_name:literal,)*) => {
         /// Running totals since the start of the program.
@@ -34,9 +34,9 @@
     responses_rejected => "refused",
     /// Final responses 'failed'.
     responses_failed => "failed",
-    /// Requests rejected by their front end before they reached the scheduler: too many open on the connection.
+    /// Requests rejected by their front end and not submitted: too many open on the connection.
     rejected_by_frontend => "turned_away_refused",
-    /// Requests failed by their front end before they reached the scheduler: fields that cannot be used.
+    /// Requests failed by their front end and not submitted: fields that cannot be used.
     failed_by_frontend => "turned_away_failed",
     /// Requests that the scheduler failed itself because the policy had not ended them by their deadline.
     overdue => "overdue",
--- a/src/scheduler/errors.rs
+++ b/src/scheduler/errors.rs
@@ -3,8 +3,8 @@
 use crate::model::Status;
 use thiserror::Error;
 
-/// How far the bytes of a command had come when its exchange with the worker failed. This alone decides whether a
-/// retry is safe.
+/// How far the bytes of a command had come when its exchange with the worker failed. This alone decides
+/// whether a retry is safe.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum WriteProgress {
     /// No byte was handed to the operating system.
--- a/src/scheduler/health_checks.rs
+++ b/src/scheduler/health_checks.rs
@@ -4,8 +4,8 @@
 use crate::model::{Span, Time, WorkerId};
 use std::collections::BTreeMap;
 
-/// A health check without a response after this time has failed: the simulator's limit, with the 50 ms by which
-/// every time limit is longer on sockets.
+/// A health check without a response after this time has failed: the simulator's limit, with the 50 ms by
+/// which every time limit is longer on sockets.
 const HEALTH_CHECK_TIMEOUT: Span = Span::from_millis(300);
 
 /// A health check that has not ended.
--- a/src/scheduler/load_orders.rs
+++ b/src/scheduler/load_orders.rs
@@ -66,8 +66,8 @@
         self.recent_functions.record(now, function);
     }
 
-    /// Whether a client has requested the function of this order recently. A function that no client ever requested
-    /// must not be loaded.
+    /// Whether a client has requested the function of this order recently. A function that no client ever
+    /// requested must not be loaded.
     pub(super) fn is_for_requested_function(&self, order: &LoadOrder) -> bool {
         self.recent_functions.contains(order.function)
     }
--- a/src/scheduler/load_rate_limiter.rs
+++ b/src/scheduler/load_rate_limiter.rs
@@ -1,9 +1,9 @@
-//! The rate limit on load orders: how many may be written in a sliding window, given the requests received in it.
+//! The rate limit on load orders: how many may be written in a window, given the requests received in it.
 
 use crate::model::{LoadRateLimit, Span, Time};
 use std::collections::VecDeque;
 
-/// How long written load orders are remembered while no limit is configured: a new configuration may bring one.
+/// How long written load orders are remembered while there is no limit: a new configuration may bring one.
 const UNLIMITED_MEMORY: Span = Span::from_millis(60_000);
 
 /// Counts requests and load orders within the limit's window.
--- a/src/scheduler/log_limiter.rs
+++ b/src/scheduler/log_limiter.rs
@@ -8,8 +8,8 @@
 /// Lines that may be logged in one window.
 const LINES_PER_WINDOW: u32 = 10;
 
-/// Counts log lines in windows of one second. Clients at full speed must not keep the scheduler busy with writing
-/// its log, and waiting for whoever reads it.
+/// Counts log lines in windows of one second. Clients at full speed must not keep the scheduler busy with
+/// writing its log, and waiting for whoever reads it.
 #[derive(Debug, Default)]
 pub(super) struct LogLimiter {
     window_start: Time,
--- a/src/scheduler/messages.rs
+++ b/src/scheduler/messages.rs
@@ -1,4 +1,4 @@
-//! What passes between the scheduler, the front ends and the back end: requests, workers' responses, final responses.
+//! Requests, workers' responses and final responses, as front ends, scheduler and back end exchange them.
 
 use super::RequestOrigin;
 use crate::model::{FunctionId, Span, Status, Time};
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -1,18 +1,20 @@
 //! The state of requests round the policy, without sockets or a clock of its own.
 //!
-//! The scheduler guarantees exactly one final response to each accepted request, whatever the policy, the client or
-//! the workers do, unless the client cancels the request.
+//! The scheduler guarantees exactly one final response to each accepted request, whatever the policy, the
+//! client or the workers do, unless the client cancels the request.
 //!
 //! It stands between three parties:
 //!
 //! - Front ends hand in requests ([`Scheduler::submit`], [`Scheduler::cancel`]).
-//! - The back end asks before it writes a command ([`Scheduler::admits_write`], [`Scheduler::admits_load_order`]) and
-//!   reports what becomes of it ([`Scheduler::attempt_written`], [`Scheduler::attempt_ended`] and the like).
+//! - The back end asks before it writes a command ([`Scheduler::admits_write`],
+//!   [`Scheduler::admits_load_order`]) and reports what becomes of it ([`Scheduler::attempt_written`],
+//!   [`Scheduler::attempt_ended`] and the like).
 //! - The event loop reports changes of the endpoint list ([`Scheduler::update_endpoints`]), calls
-//!   [`Scheduler::fire_timers`] when [`Scheduler::next_timer`] has come, and carries out the [`Command`]s in order.
+//!   [`Scheduler::fire_timers`] when [`Scheduler::next_timer`] has come, and carries out the [`Command`]s in
+//!   order.
 //!
-//! Each of these events goes on to the [`Policy`], and the actions that it decides on become commands. Every method
-//! that depends on time takes the present time as `now`, so tests need no clock.
+//! Each of these events goes on to the [`Policy`], and the actions that it decides on become commands. Every
+//! method that depends on time takes the present time as `now`, so tests need no clock.
 
 mod actions;
 mod attempts;
@@ -103,7 +105,8 @@
     attempts: AttemptTable,
     load_orders: LoadOrderTable,
     health_checks: HealthCheckTable,
-    /// Load orders and health checks are numbered in one sequence: the back end makes tags on the wire from it.
+    /// Load orders and health checks are numbered in one sequence: the back end makes tags on the wire from
+    /// it.
     next_tag: u64,
     endpoint_states: EndpointStates,
     load_rate_limiter: LoadRateLimiter,
@@ -153,8 +156,8 @@
         self.requests.set_memory_limit(bytes);
     }
 
-    /// Whether a log line that a client has caused may be written. Lines are limited to ten a second; those beyond
-    /// are only counted.
+    /// Whether a log line that a client has caused may be written. Lines are limited to ten a second; those
+    /// beyond are only counted.
     pub fn may_log(&mut self, now: Time) -> bool {
         let allowed = self.log_limiter.try_acquire(now);
         if !allowed {
@@ -273,8 +276,9 @@
         }
     }
 
-    /// Takes the load report that came with an attempt's response; the response itself is to be reported next. A
-    /// load report that lacks a metric of the settings is ignored, since the policy knows the values by position.
+    /// Takes the load report that came with an attempt's response; the response itself is to be reported
+    /// next. A load report that lacks a metric of the settings is ignored, since the policy knows the values
+    /// by position.
     pub fn record_load_report(&mut self, attempt: AttemptId, report: &[ReportedMetric]) {
         let value_of = |name: &String| {
             let metric = report.iter().find(|metric| metric.name == *name);
@@ -305,8 +309,8 @@
         self.run_policy(now);
     }
 
-    /// An attempt was not written for a local reason: it was no longer admitted, or no connection could be opened
-    /// for it. Unlike a refused connection, this says nothing of the worker.
+    /// An attempt was not written for a local reason: it was no longer admitted, or no connection could be
+    /// opened for it. Unlike a refused connection, this says nothing of the worker.
     pub fn attempt_not_sent(&mut self, now: Time, attempt: AttemptId) {
         self.finish_attempt(now, attempt, Status::Moot);
         self.run_policy(now);
--- /dev/null
+++ b/src/scheduler/tests/final_response.rs
@@ -0,0 +1,56 @@
+//! The guarantee of exactly one final response.
+
+use super::*;
+
+/// Nothing that goes wrong in the policy may leave a request without a final response.
+#[test]
+fn a_request_that_the_policy_has_lost_is_failed_after_its_deadline() {
+    let mut scheduler = test_scheduler();
+    submit(&mut scheduler, 1, IDEMPOTENT_CLASS);
+    scheduler.policy = Policy::new(scheduler.site.settings.clone(), 1);
+    scheduler.fire_timers(at_millis(3019));
+    assert_eq!(scheduler.open_requests(), 1);
+    scheduler.fire_timers(at_millis(3021));
+    let failed = Response { outcome: Outcome::Failed, expired: true };
+    assert_eq!(responses(drain_commands(&mut scheduler)), [failed]);
+    assert_eq!(scheduler.open_requests(), 0);
+    assert_eq!(scheduler.counters().overdue, 1);
+}
+
+#[test]
+fn a_request_has_one_final_response_whatever_comes_later() {
+    let mut scheduler = test_scheduler();
+    let first = sent_attempt(&submit(&mut scheduler, 1, IDEMPOTENT_CLASS));
+    scheduler.attempt_written(at_millis(1), first.id);
+    scheduler.fire_timers(at_millis(2999));
+    assert_eq!(responses(drain_commands(&mut scheduler)).len(), 1, "at its deadline");
+
+    scheduler.attempt_ended(at_millis(3000), first.id, Ok(WorkerResponse::Ok(vec![])));
+    let ready = endpoint_in_state(first.worker, EndpointState::Ready);
+    update_endpoints(&mut scheduler, at_millis(3000), vec![ready]);
+    scheduler.fire_timers(at_millis(9000));
+    assert_eq!(responses(drain_commands(&mut scheduler)), []);
+    assert_eq!(scheduler.open_requests(), 0);
+}
+
+#[test]
+fn a_request_of_an_unknown_class_has_failed_at_once() {
+    let mut scheduler = test_scheduler();
+    let commands = submit(&mut scheduler, 2, "no such class");
+    let is_failure = |response: &Response| response.outcome == Outcome::Failed;
+    assert!(matches!(&commands[..], [Command::Respond { response, .. }] if is_failure(response)));
+}
+
+/// The client is gone: a final response would reach whoever uses its connection next.
+#[test]
+fn a_cancelled_request_gets_no_final_response() {
+    let mut scheduler = test_scheduler();
+    let sent = sent_attempt(&submit(&mut scheduler, 1, IDEMPOTENT_CLASS));
+    scheduler.attempt_written(at_millis(1), sent.id);
+    scheduler.cancel(at_millis(2), origin(1));
+    scheduler.attempt_ended(at_millis(3), sent.id, Ok(WorkerResponse::Ok(vec![])));
+    scheduler.fire_timers(at_millis(9000));
+    assert_eq!(responses(drain_commands(&mut scheduler)), []);
+    assert_eq!(scheduler.open_requests(), 0);
+    assert_eq!(scheduler.counters().cancelled_by_client, 1);
+}
--- /dev/null
+++ b/src/scheduler/tests/request_admission.rs
@@ -0,0 +1,44 @@
+//! The checks on a request before it is accepted.
+
+use super::*;
+use crate::scheduler::request_admission::RequestDenied;
+
+/// The reason why a scheduler that has the request of stream 1 open denies this one.
+fn denied(site: impl FnOnce(&mut Site), change: impl FnOnce(&mut ClientRequest)) -> RequestDenied {
+    let mut scheduler = test_scheduler();
+    submit(&mut scheduler, 1, IDEMPOTENT_CLASS);
+    site(&mut scheduler.site);
+    let mut request = client_request(2, IDEMPOTENT_CLASS);
+    change(&mut request);
+    check_request(at_millis(1), &request, &scheduler.site, &scheduler.requests).unwrap_err()
+}
+
+#[test]
+fn requests_are_denied_for_a_reason() {
+    let unknown_class = denied(|_| {}, |request| request.parameters.class = "none".into());
+    assert_eq!(unknown_class, RequestDenied::UnknownClass);
+    let duplicate = denied(|_| {}, |request| request.correlation_id = format!("{:016x}", 1));
+    assert_eq!(duplicate, RequestDenied::DuplicateCorrelationId);
+    let too_late = denied(|_| {}, |request| request.parameters.deadline = at_millis(1));
+    assert_eq!(too_late, RequestDenied::DeadlinePassed);
+    let too_many = denied(|site| site.max_open_requests = 1, |_| {});
+    assert_eq!(too_many, RequestDenied::TooManyOpen);
+    let same_stream = denied(|_| {}, |request| request.origin = origin(1));
+    assert_eq!(same_stream, RequestDenied::OriginInUse);
+}
+
+#[test]
+fn each_reason_has_its_response() {
+    let retry_after = Span::from_millis(40);
+    let rejected = Outcome::Rejected { retry_after };
+    let cases = [
+        (RequestDenied::UnknownClass, Outcome::Failed, false),
+        (RequestDenied::DuplicateCorrelationId, Outcome::Failed, false),
+        (RequestDenied::DeadlinePassed, rejected.clone(), true),
+        (RequestDenied::TooManyOpen, rejected.clone(), false),
+        (RequestDenied::OriginInUse, rejected, false),
+    ];
+    for (reason, outcome, expired) in cases {
+        assert_eq!(reason.response(retry_after), Response { outcome, expired }, "{reason:?}");
+    }
+}
--- /dev/null
+++ b/src/scheduler/tests/request_table.rs
@@ -0,0 +1,84 @@
+//! The table of pending requests.
+
+use super::*;
+use crate::model::{Idempotency, RequestId};
+
+const MEMORY_LIMIT: usize = 600;
+const BODY_BYTES: usize = 60;
+const MAX_OPEN: usize = 2;
+
+fn pending_request(stream: u64) -> PendingRequest {
+    let payload = RequestPayload {
+        correlation_id: format!("{stream:016x}"),
+        class: IDEMPOTENT_CLASS.into(),
+        function: FUNCTION,
+        key: None,
+        body: vec![0; BODY_BYTES],
+    };
+    PendingRequest::new(origin(stream), payload, Idempotency::Idempotent, DEADLINE)
+}
+
+#[test]
+fn a_removed_request_frees_all_that_it_occupied() {
+    let mut requests = RequestTable::new();
+    let id = requests.insert(pending_request(1));
+    assert_eq!(requests.id_at(origin(1)), Some(id));
+    assert!(requests.has_correlation_id("0000000000000001"));
+
+    assert_eq!(requests.remove(id).unwrap().origin, origin(1));
+    assert!(requests.remove(id).is_none(), "only once");
+    assert_eq!(requests.id_at(origin(1)), None);
+    assert!(!requests.has_correlation_id("0000000000000001"));
+    assert!(!requests.contains(id));
+    assert_eq!(requests.len(), 0);
+}
+
+#[test]
+fn ids_are_not_reused() {
+    let mut requests = RequestTable::new();
+    let first = requests.insert(pending_request(1));
+    requests.remove(first);
+    let second = requests.insert(pending_request(1));
+    assert_eq!((first, second), (RequestId(0), RequestId(1)));
+}
+
+#[test]
+fn bodies_may_take_a_sixth_of_the_memory_limit() {
+    let mut requests = RequestTable::new();
+    requests.set_memory_limit(MEMORY_LIMIT);
+    assert!(requests.has_capacity(MEMORY_LIMIT / 6, MAX_OPEN));
+    assert!(!requests.has_capacity(MEMORY_LIMIT / 6 + 1, MAX_OPEN));
+
+    let id = requests.insert(pending_request(1));
+    assert!(requests.has_capacity(MEMORY_LIMIT / 6 - BODY_BYTES, MAX_OPEN));
+    assert!(!requests.has_capacity(MEMORY_LIMIT / 6 - BODY_BYTES + 1, MAX_OPEN));
+    requests.remove(id);
+    assert!(requests.has_capacity(MEMORY_LIMIT / 6, MAX_OPEN));
+}
+
+#[test]
+fn open_requests_are_limited() {
+    let mut requests = RequestTable::new();
+    requests.insert(pending_request(1));
+    assert!(requests.has_capacity(0, MAX_OPEN));
+    requests.insert(pending_request(2));
+    assert!(!requests.has_capacity(0, MAX_OPEN));
+}
+
+#[test]
+fn only_the_first_write_counts_and_only_its_own_retraction() {
+    let mut request = pending_request(1);
+    request.record_write(at_millis(5));
+    request.record_write(at_millis(9));
+    assert_eq!(request.first_written_at(), Some(at_millis(5)));
+    request.retract_write(Some(at_millis(9)));
+    assert_eq!(request.first_written_at(), Some(at_millis(5)));
+    request.retract_write(Some(at_millis(5)));
+    assert_eq!(request.first_written_at(), None);
+}
+
+#[test]
+fn attempts_are_numbered_from_zero() {
+    let mut request = pending_request(1);
+    assert_eq!([request.start_attempt(), request.start_attempt()], [0, 1]);
+}
--- /dev/null
+++ b/src/scheduler/tests/timers.rs
@@ -0,0 +1,75 @@
+//! The timer queue.
+
+use super::*;
+use crate::model::RequestId;
+
+const REQUEST: RequestId = RequestId(3);
+const ATTEMPT: AttemptId = AttemptId { request: REQUEST, number: 0 };
+
+fn fired(timers: &mut TimerQueue, now: Time) -> Vec<Timer> {
+    std::iter::from_fn(|| timers.pop_expired(now)).collect()
+}
+
+#[test]
+fn timers_fire_in_the_order_of_their_expiry() {
+    let mut timers = TimerQueue::default();
+    timers.schedule(at_millis(2), Timer::Policy);
+    timers.schedule(at_millis(1), Timer::HealthCheck(HealthCheckId(1)));
+    timers.schedule(at_millis(3), Timer::Request(REQUEST));
+    assert_eq!(timers.next_expiry(), Some(at_millis(1)));
+    assert_eq!(fired(&mut timers, at_millis(0)), []);
+    assert_eq!(fired(&mut timers, at_millis(2)), [Timer::HealthCheck(HealthCheckId(1)), Timer::Policy]);
+    assert_eq!(timers.next_expiry(), Some(at_millis(3)));
+}
+
+#[test]
+fn timers_of_one_expiry_fire_by_kind() {
+    let by_kind = [
+        Timer::Policy,
+        Timer::Request(REQUEST),
+        Timer::Attempt(ATTEMPT),
+        Timer::LoadOrder(LoadOrderId(8)),
+        Timer::HealthCheck(HealthCheckId(7)),
+    ];
+    let mut timers = TimerQueue::default();
+    for timer in by_kind.iter().rev() {
+        timers.schedule(at_millis(1), *timer);
+    }
+    assert_eq!(fired(&mut timers, at_millis(1)), by_kind);
+}
+
+#[test]
+fn a_cancelled_timer_does_not_fire() {
+    let mut timers = TimerQueue::default();
+    timers.schedule(at_millis(1), Timer::Request(REQUEST));
+    timers.schedule(at_millis(1), Timer::Attempt(ATTEMPT));
+    timers.cancel(at_millis(1), Timer::Request(REQUEST));
+    timers.cancel(at_millis(9), Timer::Attempt(ATTEMPT));
+    assert_eq!(fired(&mut timers, at_millis(1)), [Timer::Attempt(ATTEMPT)]);
+    assert_eq!(timers.next_expiry(), None);
+}
+
+#[test]
+fn a_timer_scheduled_twice_for_one_time_fires_once() {
+    let mut timers = TimerQueue::default();
+    timers.schedule(at_millis(1), Timer::Policy);
+    timers.schedule(at_millis(1), Timer::Policy);
+    assert_eq!(fired(&mut timers, at_millis(1)), [Timer::Policy]);
+}
+
+/// Timers left behind would keep the event loop awake for nothing.
+#[test]
+fn what_has_ended_leaves_no_timer_behind() {
+    let mut scheduler = test_scheduler();
+    let sent = sent_attempt(&submit(&mut scheduler, 1, IDEMPOTENT_CLASS));
+    let order = start_load_order(&mut scheduler, at_millis(0));
+    scheduler.carry_out(at_millis(0), Action::HealthCheck { worker: sent.worker });
+    let Some(Command::HealthCheck { check, .. }) = scheduler.next_command() else { panic!("no check") };
+
+    scheduler.attempt_ended(at_millis(1), sent.id, Ok(WorkerResponse::Ok(vec![])));
+    let loaded = LoadResult { status: Status::Ok, instances: 1 };
+    scheduler.load_order_ended(at_millis(1), order, Ok(loaded));
+    scheduler.health_check_ended(at_millis(1), check, Ok(()));
+    let timers = fired(&mut scheduler.timers, DEADLINE + Span::from_millis(60_000));
+    assert!(timers.iter().all(|timer| *timer == Timer::Policy), "{timers:?}");
+}
--- a/src/scheduler/write_admission.rs
+++ b/src/scheduler/write_admission.rs
@@ -1,9 +1,9 @@
 //! The last check before the first byte of an attempt or load order goes to a worker.
 //!
-//! The policy decides now, but a command may wait: for its connection to come up, or behind others on it. Meanwhile
-//! its request may end, its worker may begin to drain, the deduplication window of its key may pass, its deadline may
-//! come, or other load orders may use up the rate limit. So the back end asks here immediately before it writes, and
-//! reports a command that is denied as not sent.
+//! The policy decides now, but a command may wait: for its connection to come up, or behind others on it.
+//! Meanwhile its request may end, its worker may begin to drain, the deduplication window of its key may
+//! pass, its deadline may come, or other load orders may use up the rate limit. So the back end asks here
+//! immediately before it writes, and reports a command that is denied as not sent.
 
 use super::request_table::PendingRequest;
 use super::{AttemptId, LoadOrderId, Scheduler};
@@ -81,15 +81,15 @@
         Ok(())
     }
 
-    /// A change of the endpoint list holds from the moment it was published, which may be long before it arrived
-    /// here. So no grace period applies: nothing is written once a worker is known to drain.
+    /// A change of the endpoint list holds from the moment it was published, which may be long before it
+    /// arrived here. So no grace period applies: nothing is written once a worker is known to drain.
     fn check_worker(&self, worker: WorkerId) -> Result<(), WriteDenied> {
         if self.endpoint_states.is_ready(worker) { Ok(()) } else { Err(WriteDenied::WorkerNotReady) }
     }
 }
 
-/// Whether a request may be written again if an earlier attempt may have run. The deduplication window counts from
-/// the first such attempt, not from the latest.
+/// Whether a request may be written again if an earlier attempt may have run. The deduplication window counts
+/// from the first such attempt, not from the latest.
 fn check_retry(now: Time, request: &PendingRequest) -> Result<(), WriteDenied> {
     let Some(first_written_at) = request.first_written_at() else {
         return Ok(());
