--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -1,9 +1,9 @@
 //! The state of requests round the policy, without sockets or a clock of its own.
 //!
-//! The scheduler guarantees exactly one final response to each accepted request, whatever the policy, the
-//! client or the workers do, unless the client cancels the request.
+//! The scheduler guarantees exactly one final response to each submitted request, whatever the policy and the
+//! workers do, unless the client cancels the request.
 //!
-//! It stands between three parties:
+//! Three parties call it:
 //!
 //! - Front ends hand in requests ([`Scheduler::submit`], [`Scheduler::cancel`]).
 //! - The back end asks before it writes a command ([`Scheduler::admits_write`],
@@ -105,8 +105,7 @@
     attempts: AttemptTable,
     load_orders: LoadOrderTable,
     health_checks: HealthCheckTable,
-    /// Load orders and health checks are numbered in one sequence: the back end makes tags on the wire from
-    /// it.
+    /// Load orders and health checks share one sequence: their numbers become tags on the same connections.
     next_tag: u64,
     endpoint_states: EndpointStates,
     load_rate_limiter: LoadRateLimiter,
