--- a/src/discovery/endpoint_list.rs
+++ b/src/discovery/endpoint_list.rs
@@ -1,7 +1,7 @@
 //! The endpoint list: which workers there are and where they listen.
 //!
 //! The list is fed by watch events and by the workers of the operator's file, which the watch knows nothing
-//! of. Each input gives an [`EndpointChange`]: what the scheduler is told and which addresses the connection
+//! of. Each input gives an [`EndpointChange`]: what the scheduler is given and which addresses the connection
 //! pool has to take up or drop.
 
 use super::event::{EndpointRecord, WatchEvent};
@@ -35,7 +35,7 @@
         worker: WorkerId,
         /// Where it listens.
         address: SocketAddr,
-        /// When its process started, if that was told; another start means another process.
+        /// When its process started, if that is known; another start means another process.
         started_at: Option<Time>,
     },
     /// The worker is gone, with its address.
--- a/src/discovery/mod.rs
+++ b/src/discovery/mod.rs
@@ -1,6 +1,6 @@
 //! Service discovery: which workers there are, and where they listen.
 //!
-//! The platform's event bus publishes numbered changes of the endpoint list. [`Discovery`] follows it: it
+//! The platform's event bus publishes numbered changes of the endpoint list. `Discovery` follows it: it
 //! owns the connection, its backoff and its move to another address, and the endpoint list that the events
 //! make up. The server takes changes from it one by one and carries them out. The wire format is in `codec`,
 //! a single connection in `watch_connection`, the list in `endpoint_list`.
@@ -116,7 +116,7 @@
     pub(crate) fn offer_known(&mut self, known: Vec<WatchEvent>) {
         let mut queue = self.queue.borrow_mut();
         for event in known {
-            let is_next = event.offset == queue.last_offset + 1;
+            let is_next = queue.last_offset.checked_add(1) == Some(event.offset);
             let applies = event.kind == EndpointUpdateKind::Full || is_next;
             if event.offset > queue.last_offset && applies {
                 queue.push(event);
--- a/src/discovery/tests/endpoint_list.rs
+++ b/src/discovery/tests/endpoint_list.rs
@@ -16,7 +16,7 @@
     AddressChange::Removed(WorkerId(worker))
 }
 
-/// What the list says of a worker that has lost its address to another one.
+/// The entry of a worker whose address another one has taken over.
 fn replaced(worker: u64) -> Endpoint {
     Endpoint { worker: WorkerId(worker), state: EndpointState::Gone, ..Endpoint::default() }
 }
--- a/src/server/accept.rs
+++ b/src/server/accept.rs
@@ -19,12 +19,12 @@
     /// Its descriptor is needed for workers, and no idle connection could be closed instead.
     #[error("no descriptors left")]
     NoDescriptors,
-    /// The JSON-RPC front has all the clients that the operator's file allows, and none is idle.
+    /// The JSON-RPC frontend has all the clients that the operator's file allows, and none is idle.
     #[error("max_clients")]
     MaxClients,
 }
 
-/// The JSON-RPC front's listener.
+/// The JSON-RPC frontend's listener.
 #[derive(Debug)]
 pub(super) struct JsonRpcListener {
     listener: ListenerId,
@@ -45,7 +45,7 @@
     }
 }
 
-/// What a reload does to the JSON-RPC front. Clients that are connected stay in any case.
+/// What a reload does to the JSON-RPC frontend. Clients that are connected stay in any case.
 #[derive(Debug)]
 pub(super) enum JsonRpcUpdate {
     /// The socket stays, with other limits for clients that are still to come.
@@ -60,7 +60,7 @@
     /// Connections of any kind from which on a client is only taken in place of an idle one.
     max_connections: usize,
     jsonrpc: Option<JsonRpcListener>,
-    /// Clients of the JSON-RPC front, also such as have closed since the last one was accepted.
+    /// Clients of the JSON-RPC frontend, also such as have closed since the last one was accepted.
     jsonrpc_clients: BTreeSet<u64>,
     /// When to accept again from all listeners: the system reports a waiting client only once.
     retry_at: Option<Time>,
@@ -82,7 +82,7 @@
         self.max_connections = max_connections;
     }
 
-    /// Acquires what a new configuration of the JSON-RPC front needs, and leaves the present one in place.
+    /// Acquires what a new configuration of the JSON-RPC frontend needs, and leaves the present one in place.
     ///
     /// # Errors
     ///
--- a/src/server/error.rs
+++ b/src/server/error.rs
@@ -22,7 +22,7 @@
         /// The system's error.
         source: io::Error,
     },
-    /// The JSON-RPC front's Unix socket can't be bound.
+    /// The JSON-RPC frontend's Unix socket can't be bound.
     #[error("{source}")]
     JsonRpcSocket {
         /// The configured path.
--- a/src/server/leader.rs
+++ b/src/server/leader.rs
@@ -1,4 +1,4 @@
-//! Leader election: which of several servers on a host takes requests on the JSON-RPC front.
+//! Leader election: which of several servers on a host takes requests on the JSON-RPC frontend.
 //!
 //! The servers elect the active router of one virtual router by VRRP; see [`crate::vrrp`]. Advertisements
 //! travel over UDP between the addresses of the operator's file.
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -4,7 +4,7 @@
 //! [`run`] serves until a signal ends it. Each turn of the loop waits for sockets, signals and timers, and
 //! then acts on everything that has become due. `startup` sets the server up, `accept` takes clients in,
 //! `endpoints` carries out changes of the endpoint list, `reload` and `shutdown` answer to SIGHUP and
-//! SIGTERM, and `leader` decides by VRRP which of several servers takes requests on the JSON-RPC front.
+//! SIGTERM, and `leader` decides by VRRP which of several servers takes requests on the JSON-RPC frontend.
 
 mod accept;
 mod endpoints;
@@ -53,7 +53,7 @@
     config: SchedulerConfig,
     discovery: Discovery,
     acceptor: Acceptor,
-    /// Without it this server always takes requests on the JSON-RPC front.
+    /// Without it this server always takes requests on the JSON-RPC frontend.
     leader_election: Option<LeaderElection>,
     signals: SignalPipes,
     /// The graceful shutdown, once one has begun.
--- a/src/server/reload.rs
+++ b/src/server/reload.rs
@@ -6,7 +6,7 @@
 use super::accept::JsonRpcUpdate;
 use super::leader::LeaderElection;
 use super::{Server, limits};
-use crate::config::{ConfigError, Configuration, OperatorConfig, SchedulerConfig};
+use crate::config::{ConfigError, Configuration, SchedulerConfig, VrrpConfig};
 use std::io;
 use thiserror::Error;
 
@@ -16,14 +16,14 @@
     /// One of the files can't be read or isn't valid.
     #[error(transparent)]
     Configuration(#[from] ConfigError),
-    /// The JSON-RPC front's socket can't be bound, or its file can't be given its mode.
+    /// The JSON-RPC frontend's socket can't be bound, or its file can't be given its mode.
     #[error(transparent)]
     JsonRpcSocket(io::Error),
 }
 
 /// A setting that only takes effect at a start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum StartupSetting {
+pub(super) enum StartupSetting {
     Listen,
     Name,
     Zones,
@@ -41,7 +41,7 @@
     ];
 
     /// Its name in the log.
-    fn name(self) -> &'static str {
+    pub(super) fn name(self) -> &'static str {
         match self {
             StartupSetting::Listen => "listen",
             StartupSetting::Name => "name",
@@ -52,6 +52,36 @@
     }
 }
 
+/// A configuration, as far as it only takes effect at a start.
+pub(super) struct StartupSettings<'a> {
+    /// The platform's configuration.
+    pub(super) scheduler: &'a SchedulerConfig,
+    /// The operator's virtual router, if there is one.
+    pub(super) vrrp: Option<&'a VrrpConfig>,
+}
+
+impl StartupSettings<'_> {
+    /// The settings that have other values in a requested configuration.
+    pub(super) fn differing_from(&self, requested: &StartupSettings) -> Vec<StartupSetting> {
+        let mut settings = StartupSetting::ALL.to_vec();
+        settings.retain(|setting| self.differs(*setting, requested));
+        settings
+    }
+
+    fn differs(&self, setting: StartupSetting, requested: &StartupSettings) -> bool {
+        let present = self.scheduler;
+        let new = requested.scheduler;
+        match setting {
+            // Port 0 leaves the choice to the system, which has made it.
+            StartupSetting::Listen => new.listen.port() != 0 && new.listen != present.listen,
+            StartupSetting::Name => new.name != present.name,
+            StartupSetting::Zones => new.site.zones != present.site.zones,
+            StartupSetting::Kinds => new.site.kinds != present.site.kinds,
+            StartupSetting::Vrrp => requested.vrrp != self.vrrp,
+        }
+    }
+}
+
 /// A configuration that has passed all checks, and what had to be acquired for it.
 struct ValidReload {
     configuration: Configuration,
@@ -82,7 +112,8 @@
     /// Applies a configuration; the settings that keep their values although the files have others.
     fn apply_reload(&mut self, reload: ValidReload) -> Vec<StartupSetting> {
         let Configuration { scheduler: mut config, operator } = reload.configuration;
-        let kept = self.differing_startup_settings(&config, &operator);
+        let requested = StartupSettings { scheduler: &config, vrrp: operator.vrrp.as_ref() };
+        let kept = self.startup_settings().differing_from(&requested);
         self.keep_startup_settings(&mut config);
         self.acceptor.apply_jsonrpc(reload.jsonrpc, &mut self.reactor);
         let now = self.reactor.now();
@@ -102,28 +133,11 @@
         self.acceptor.set_max_connections(limits::max_connections_with_clients(&self.config));
     }
 
-    /// The settings that have other values in the files than in use.
-    fn differing_startup_settings(
-        &self,
-        config: &SchedulerConfig,
-        operator: &OperatorConfig,
-    ) -> Vec<StartupSetting> {
-        let mut settings = StartupSetting::ALL.to_vec();
-        settings.retain(|setting| self.differs(*setting, config, operator));
-        settings
-    }
-
-    fn differs(&self, setting: StartupSetting, config: &SchedulerConfig, operator: &OperatorConfig) -> bool {
-        match setting {
-            // Port 0 leaves the choice to the system, which has made it.
-            StartupSetting::Listen => config.listen.port() != 0 && config.listen != self.config.listen,
-            StartupSetting::Name => config.name != self.config.name,
-            StartupSetting::Zones => config.site.zones != self.config.site.zones,
-            StartupSetting::Kinds => config.site.kinds != self.config.site.kinds,
-            StartupSetting::Vrrp => {
-                let present = self.leader_election.as_ref().map(LeaderElection::config);
-                operator.vrrp.as_ref() != present
-            }
+    /// The values in use of the settings that only take effect at a start.
+    fn startup_settings(&self) -> StartupSettings<'_> {
+        StartupSettings {
+            scheduler: &self.config,
+            vrrp: self.leader_election.as_ref().map(LeaderElection::config),
         }
     }
 
--- a/src/server/startup.rs
+++ b/src/server/startup.rs
@@ -20,8 +20,10 @@
         let mut reactor = Reactor::new(SystemClock::new()).map_err(ServerError::Reactor)?;
         let signals = SignalPipes::install(&mut reactor).map_err(ServerError::SignalHandlers)?;
         config.listen = listen(config.listen, &mut reactor)?;
-        let jsonrpc = bind_jsonrpc(operator.jsonrpc.as_ref(), &mut reactor)?;
-        let leader_election = join_election(operator.vrrp.as_ref(), &mut reactor)?;
+        let jsonrpc = operator.jsonrpc.as_ref();
+        let jsonrpc = jsonrpc.map(|config| bind_jsonrpc(config, &mut reactor)).transpose()?;
+        let vrrp = operator.vrrp.as_ref();
+        let leader_election = vrrp.map(|config| join_election(config, &mut reactor)).transpose()?;
         reactor.active = leader_election.is_none();
         let mut scheduler = Scheduler::new(config.site.clone(), config.seed);
         limits::limit_memory(&config, &mut scheduler, &mut reactor);
@@ -48,30 +50,14 @@
     reactor.listen_tcp(address).map_err(|source| ServerError::Listen { address, source })
 }
 
-/// Listens for clients of the JSON-RPC front, if there is one.
-fn bind_jsonrpc(
-    config: Option<&JsonRpcConfig>,
-    reactor: &mut Reactor,
-) -> Result<Option<JsonRpcListener>, ServerError> {
-    let Some(config) = config else {
-        return Ok(None);
-    };
-    match JsonRpcListener::bind(config, reactor) {
-        Ok(listener) => Ok(Some(listener)),
-        Err(source) => Err(ServerError::JsonRpcSocket { path: config.socket.clone(), source }),
-    }
+/// Listens for clients of the JSON-RPC frontend.
+fn bind_jsonrpc(config: &JsonRpcConfig, reactor: &mut Reactor) -> Result<JsonRpcListener, ServerError> {
+    JsonRpcListener::bind(config, reactor)
+        .map_err(|source| ServerError::JsonRpcSocket { path: config.socket.clone(), source })
 }
 
-/// Takes part in the leader election, if one is configured.
-fn join_election(
-    config: Option<&VrrpConfig>,
-    reactor: &mut Reactor,
-) -> Result<Option<LeaderElection>, ServerError> {
-    let Some(config) = config else {
-        return Ok(None);
-    };
-    match LeaderElection::new(config, reactor) {
-        Ok(election) => Ok(Some(election)),
-        Err(source) => Err(ServerError::VrrpSocket { address: config.bind, source }),
-    }
+/// Takes part in the leader election.
+fn join_election(config: &VrrpConfig, reactor: &mut Reactor) -> Result<LeaderElection, ServerError> {
+    LeaderElection::new(config, reactor)
+        .map_err(|source| ServerError::VrrpSocket { address: config.bind, source })
 }
