--- a/tests/vrrp.rs
+++ b/tests/vrrp.rs
@@ -133,14 +133,18 @@
     assert_eq!(advertisement.priority, PRIORITY);
     assert_eq!(advertisement.interval_centiseconds, SHORT_INTERVAL);
     scheduler.wait_for_log(BECAME_ACTIVE);
+    let mut client = JsonRpcClient::connect(&scheduler);
+    send_request(&mut client, 1);
+    let mut command = worker.next_command();
     peer.send(address, b"\x31\x07\xff");
     peer.advertise_for(VIRTUAL_ROUTER_ID + 1, address, HIGHER_PRIORITY, LONG_INTERVAL);
     let stranger = StandInRouter::bind();
     stranger.advertise(address, HIGHER_PRIORITY, LONG_INTERVAL);
     scheduler.wait_for_counter("vrrp_dropped", 3);
     assert!(!scheduler.wait_for_log("vrrp").contains(BECAME_BACKUP));
-    let mut client = JsonRpcClient::connect(&scheduler);
-    expect_served(&mut client, &worker, 1);
+    command.succeed("eA==");
+    assert_eq!(client.next_message()["result"]["body"], "eA==");
+    expect_served(&mut client, &worker, 2);
 }
 
 #[test]
