--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -1,15 +1,82 @@
-//! The auditor's limits on the decision module.
+//! The auditor's limits on the decision logic: the files that the deploy file names under `policy`.
+
+use std::collections::BTreeSet;
+use std::fs;
+use std::path::{Path, PathBuf};
+
+/// Most non-blank lines in all policy files together.
+const MAX_LINES: usize = 950;
+/// Most columns in one line.
+const MAX_COLUMNS: usize = 110;
+/// The policy's folder, relative to the root.
+const POLICY_FOLDER: &str = "src/policy";
+/// Where the policy's interface is; named at the head of its main module.
+const INTERFACE: &str = "src/model/mod.rs";
+
+fn root() -> &'static Path {
+    Path::new(env!("CARGO_MANIFEST_DIR"))
+}
+
+/// Files that the deploy file names under `policy`, as written there.
+fn named_files() -> Vec<String> {
+    let text = fs::read_to_string(root().join("deploy/balancer.toml")).expect("the deploy file is readable");
+    let deploy: toml::Table = text.parse().expect("the deploy file is TOML");
+    let files = deploy["policy"].as_array().expect("`policy` is a list");
+    files.iter().map(|file| file.as_str().expect("a path").to_owned()).collect()
+}
+
+fn read(file: &str) -> String {
+    fs::read_to_string(root().join(file)).unwrap_or_else(|error| panic!("{file}: {error}"))
+}
+
+/// All Rust files in a folder and below, relative to the root.
+fn rust_files(folder: &Path) -> Vec<PathBuf> {
+    let mut files = vec![];
+    for entry in fs::read_dir(root().join(folder)).expect("the folder is readable") {
+        let entry = entry.expect("a folder entry");
+        let path = folder.join(entry.file_name());
+        if entry.file_type().expect("a file type").is_dir() {
+            files.extend(rust_files(&path));
+        } else if path.extension().is_some_and(|extension| extension == "rs") {
+            files.push(path);
+        }
+    }
+    files
+}
 
 #[test]
-fn the_module_stays_within_its_limits() {
-    let text = include_str!("../src/policy/mod.rs");
-    let lines = text.lines().filter(|line| !line.trim().is_empty()).count();
-    assert!(lines <= 950, "{lines} non-blank lines");
-    for (number, line) in text.lines().enumerate() {
-        assert!(line.chars().count() <= 110, "line {} is too long", number + 1);
+fn all_policy_files_together_hold_at_most_950_non_blank_lines() {
+    let mut counts = vec![];
+    for file in named_files() {
+        let lines = read(&file).lines().filter(|line| !line.trim().is_empty()).count();
+        counts.push((lines, file));
     }
-    assert!(
-        text.lines().take(3).any(|line| line.contains("src/model/mod.rs")),
-        "the head names the interface"
-    );
+    let total: usize = counts.iter().map(|(lines, _)| lines).sum();
+    assert!(total > 0, "the deploy file names no policy");
+    assert!(total <= MAX_LINES, "{total} non-blank lines: {counts:?}");
+}
+
+#[test]
+fn no_line_of_a_policy_file_is_too_long() {
+    for file in named_files() {
+        for (index, line) in read(&file).lines().enumerate() {
+            let columns = line.chars().count();
+            assert!(columns <= MAX_COLUMNS, "{file}:{}: {columns} columns", index + 1);
+        }
+    }
+}
+
+#[test]
+fn the_deploy_file_names_each_file_of_the_policy_once_and_no_other() {
+    let named = named_files();
+    let named_paths: BTreeSet<PathBuf> = named.iter().map(PathBuf::from).collect();
+    assert_eq!(named_paths.len(), named.len(), "a file is named twice: {named:?}");
+    let found: BTreeSet<PathBuf> = rust_files(Path::new(POLICY_FOLDER)).into_iter().collect();
+    assert_eq!(named_paths, found);
+}
+
+#[test]
+fn the_head_of_the_policy_names_its_interface() {
+    let text = read("src/policy/mod.rs");
+    assert!(text.lines().take(3).any(|line| line.contains(INTERFACE)), "{INTERFACE} is not named");
 }
