Move timers, event logs, counters and backoff state of the policy to generic types

The policy kept its timer queue, time lists, window counts, hysteresis, backoff and cached hash order as loose fields and inline code.

--- a/src/collections/backoff.rs
+++ b/src/collections/backoff.rs
@@ -1,6 +1,6 @@
 //! Exponential backoff.
 
-use crate::model::Span;
+use crate::model::{Span, Time};
 
 /// A delay that doubles with each failure in a row, up to a limit.
 #[derive(Clone, Copy, Debug)]
@@ -20,3 +20,44 @@
         Span(self.initial.0 << earlier_failures.min(self.max_doublings))
     }
 }
+
+/// The failures in a row of one target, and until when it is left alone.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct BackoffTimer {
+    failures: u32,
+    until: Time,
+}
+
+impl BackoffTimer {
+    /// Whether the target is still left alone.
+    pub(crate) fn is_active(&self, now: Time) -> bool {
+        self.until > now
+    }
+
+    /// Failures since the last reset.
+    pub(crate) fn failures(&self) -> u32 {
+        self.failures
+    }
+
+    /// Notes a failure; the wait starts anew, and may so end earlier than the one before.
+    pub(crate) fn restart(&mut self, now: Time, backoff: ExponentialBackoff) {
+        self.until = now + backoff.delay(self.failures);
+        self.failures += 1;
+    }
+
+    /// Notes a failure; a wait that would end later stands.
+    pub(crate) fn extend(&mut self, now: Time, backoff: ExponentialBackoff) {
+        self.extend_until(now + backoff.delay(self.failures));
+        self.failures += 1;
+    }
+
+    /// Waits at least until `until`, with no failure counted.
+    pub(crate) fn extend_until(&mut self, until: Time) {
+        self.until = self.until.max(until);
+    }
+
+    /// Forgets the failures; a wait that is under way stands.
+    pub(crate) fn reset_failures(&mut self) {
+        self.failures = 0;
+    }
+}
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -1,11 +1,14 @@
 //! Every decision of a front end. Its types, events, actions and settings are in `src/model/mod.rs`. Parts:
 //! constants; state; events in; ranking; placement; gates; answers; holds; cold starts.
 
-use crate::collections::{ExponentialBackoff, mix64, weighted_rendezvous_order};
+use crate::collections::{
+    BackoffTimer, BurstCounter, EventLog, ExponentialBackoff, Hysteresis, SlidingWindowCounter, TimerQueue,
+    Versioned, mix64, weighted_rendezvous_order,
+};
 use crate::model::*;
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Time between two rankings; five of them make the moving window of ten seconds (design page).
 const RERANK: Span = Span::from_millis(2000);
@@ -90,12 +93,10 @@
 struct Function {
     memory_mb: f64,
     lanes: u32,
-    counts: [u32; BUCKETS],
-    gold: bool,
-    turns: u8,
+    counts: SlidingWindowCounter<BUCKETS>,
+    gold: Hysteresis,
     since: Time,
-    order: Vec<WorkerId>,
-    listed: u64,
+    order: Versioned<Vec<WorkerId>>,
 }
 
 #[derive(Default)]
@@ -136,8 +137,7 @@
     ordered: Option<Time>,
     in_flight: u32,
     missed: Option<Time>,
-    retry_at: Time,
-    failures: u32,
+    backoff: BackoffTimer,
 }
 
 #[derive(Default)]
@@ -150,10 +150,9 @@
     others: f64,
     slow: f64,
     slow_at: Time,
-    failures: u32,
-    shun_until: Time,
+    ejection: BackoffTimer,
     crammed_until: Time,
-    sends: VecDeque<(Time, f64)>,
+    sends: EventLog,
     strain: f64,
     limit: f64,
     cut_at: Time,
@@ -164,7 +163,7 @@
     /// The part of the calls at standing copies that failed lately.
     errors: f64,
     /// When a connection broke last, and how many in a row with nothing good between.
-    resets: (Time, u32),
+    resets: BurstCounter,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -181,17 +180,16 @@
     now: Time,
     workers: BTreeMap<WorkerId, Worker>,
     /// What went to workers that have left the list lately: one may only have been left out of a late one.
-    parted: BTreeMap<WorkerId, VecDeque<(Time, f64)>>,
+    parted: BTreeMap<WorkerId, EventLog>,
     functions: BTreeMap<FunctionId, Function>,
     requests: BTreeMap<RequestId, Request>,
     attempts: BTreeMap<(RequestId, u16), Attempt>,
-    due: BTreeSet<(Time, Due)>,
-    armed: Option<Time>,
+    timers: TimerQueue<Due>,
     usual: Vec<f64>,
     /// Work done for us lately by all workers, fading.
     done: f64,
-    orders: VecDeque<Time>,
-    arrivals: VecDeque<Time>,
+    orders: EventLog,
+    arrivals: EventLog,
     /// Mean part of the aim that attempts took lately, over all workers; those turned away took all of it.
     strain: f64,
     /// Starts of the window's buckets, the current one first.
@@ -216,12 +214,11 @@
             functions: BTreeMap::new(),
             requests: BTreeMap::new(),
             attempts: BTreeMap::new(),
-            due: BTreeSet::new(),
-            armed: None,
+            timers: TimerQueue::new(),
             usual,
             done: 0.0,
-            orders: VecDeque::new(),
-            arrivals: VecDeque::new(),
+            orders: EventLog::default(),
+            arrivals: EventLog::default(),
             strain: 0.0,
             turned: [Time(0); BUCKETS],
             listed: 0,
@@ -243,8 +240,8 @@
     /// Takes in what happened at `now` and appends what is to be done about it.
     pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
         self.now = self.now.max(now);
-        if self.due.is_empty() {
-            self.due.insert((self.now + HOLD_PACE, Due::Holds));
+        if self.timers.is_empty() {
+            self.timers.schedule(self.now + HOLD_PACE, Due::Holds);
             self.turned = [self.now; BUCKETS];
             self.subscribe(out);
         }
@@ -255,20 +252,17 @@
             Event::ClientDisconnected(id) => self.client_gone(id, out),
             Event::LoadFinished(loaded) => self.loaded(loaded, out),
             Event::HealthCheckFinished(worker, status) => self.probed(worker, status, out),
-            Event::TimerFired => self.armed = None,
+            Event::TimerFired => self.timers.woken_up(),
         }
-        while let Some(&(at, due)) = self.due.first().filter(|(at, _)| *at <= self.now) {
-            self.due.remove(&(at, due));
+        while let Some(due) = self.timers.pop_due(self.now) {
             match due {
                 Due::Holds => self.holds(out),
                 Due::End(id) => self.give_up(id, out),
                 Due::Place(id) => self.place(id, out),
             }
         }
-        let next = self.due.first().map(|(at, _)| *at);
-        if let Some(at) = next.filter(|at| self.armed.is_none_or(|armed| *at < armed)) {
-            self.armed = Some(at);
-            out.push(Action::SetTimer { delay: at - self.now });
+        if let Some(delay) = self.timers.next_wake_up(self.now) {
+            out.push(Action::SetTimer { delay });
         }
     }
 
@@ -306,7 +300,7 @@
 
     fn call(&mut self, call: IncomingRequest, out: &mut Actions) {
         let class = usize::from(call.class.0);
-        self.arrivals.push_back(self.now);
+        self.arrivals.record(self.now, 1.0);
         if class >= self.settings.classes.len() {
             return out.push(Action::Fail { id: call.id });
         }
@@ -314,12 +308,12 @@
         let function = self.functions.entry(call.function).or_default();
         function.memory_mb = call.memory_mb.clamp(0.0, 1e12);
         function.lanes = (call.concurrency.clamp(1.0, 64.0) as u32).max(1);
-        function.counts[0] += 1;
+        function.counts.increment();
         let end = now + call.remaining;
         let aim = self.settings.classes[class].latency_objective.min(call.remaining);
         let request = Request { function: call.function, class, came: now, aim, end, ..Request::default() };
         self.requests.insert(call.id, request);
-        self.due.insert((end - self.settings.tick, Due::End(call.id)));
+        self.timers.schedule(end - self.settings.tick, Due::End(call.id));
         // All workers together are past their limit: the rest is refused at once, before it queues anywhere.
         let over = (self.strain - FELT.1) / (1.0 - FELT.1);
         let shed = if self.worthy(class) { over * 2.0 - 1.0 } else { over };
@@ -337,7 +331,7 @@
     }
 
     fn rerank(&mut self) {
-        let counted: u32 = self.functions.values().map(|f| f.counts[0]).sum();
+        let counted: u32 = self.functions.values().map(|f| f.counts.current()).sum();
         if counted < BUCKET_CALLS || self.now - self.turned[0] < RERANK {
             return;
         }
@@ -356,39 +350,37 @@
             ranks.into_iter().map(|(_, id)| id).take_while(|id| fits(id)).collect();
         let now = self.now;
         for (id, function) in &mut self.functions {
-            function.turns = if top.contains(id) == function.gold { 0 } else { function.turns + 1 };
-            if function.turns >= GOLD_TURNS {
-                (function.gold, function.turns, function.since) = (!function.gold, 0, now);
+            if function.gold.observe(top.contains(id), GOLD_TURNS) {
+                function.since = now;
             }
-            function.counts.rotate_right(1);
-            function.counts[0] = 0;
+            function.counts.advance();
         }
         let keep = self.settings.loading.keep_alive;
         let asked: BTreeSet<FunctionId> = self.requests.values().map(|r| r.function).collect();
-        self.functions.retain(|id, f| f.gold || f.calls() > 0 || asked.contains(id));
+        self.functions.retain(|id, f| f.gold.is_on() || f.calls() > 0 || asked.contains(id));
         for worker in self.workers.values_mut() {
             worker.pairs.retain(|_, p| {
-                p.in_flight > 0 || p.ordered.is_some() || now - p.warm_until < keep || p.retry_at > now
+                p.in_flight > 0
+                    || p.ordered.is_some()
+                    || now - p.warm_until < keep
+                    || p.backoff.is_active(now)
             });
         }
     }
 
     /// Rare: neither gold nor silver, by our calls in the window.
     fn bronze(&self, key: FunctionId) -> bool {
-        self.functions.get(&key).is_none_or(|f| !f.gold && f.calls() < BRONZE_CALLS)
+        self.functions.get(&key).is_none_or(|f| !f.gold.is_on() && f.calls() < BRONZE_CALLS)
     }
 
     /// Workers by weighted rendezvous hashing: all front ends see one order. Kept until the list changes.
     fn hash_order(&mut self, key: FunctionId) -> Vec<WorkerId> {
         let Some(function) = self.functions.get_mut(&key) else { return vec![] };
-        if function.listed != self.listed {
-            let sized = self.settings.weights_are_capacities;
-            let size = |w: &Worker| if sized { w.member.weight.clamp(0.01, 100.0) } else { 1.0 };
-            let nodes = self.workers.iter().map(|(id, worker)| (*id, id.0, size(worker)));
-            function.order = weighted_rendezvous_order(key.0, nodes);
-            function.listed = self.listed;
-        }
-        function.order.clone()
+        let sized = self.settings.weights_are_capacities;
+        let size = |w: &Worker| if sized { w.member.weight.clamp(0.01, 100.0) } else { 1.0 };
+        let nodes = self.workers.iter().map(|(id, worker)| (*id, id.0, size(worker)));
+        let order = function.order.get_or_compute(self.listed, || weighted_rendezvous_order(key.0, nodes));
+        order.clone()
     }
 
     fn place(&mut self, id: RequestId, out: &mut Actions) {
@@ -401,7 +393,7 @@
         let (key, class, missed) = (request.function, request.class, request.missed.clone());
         let Some(function) = self.functions.get(&key) else { return self.give_up(id, out) };
         let lanes = function.lanes;
-        let trust = function.gold && self.now - function.since > GOLD_TRUST;
+        let trust = function.gold.is_on() && self.now - function.since > GOLD_TRUST;
         let (copies, blind) = self.wanted_copies(key, class);
         let able = self.hash_order(key).into_iter().filter(|w| self.may_send(id, *w));
         let mut order = self.healthy(able.collect());
@@ -526,7 +518,7 @@
 
     /// Places a request again after a pause, if it still waits then.
     fn later(&mut self, id: RequestId, pause: Span) {
-        self.due.insert((self.now + pause, Due::Place(id)));
+        self.timers.schedule(self.now + pause, Due::Place(id));
     }
 
     fn pair(&self, key: FunctionId, worker: WorkerId) -> Option<&Pair> {
@@ -581,7 +573,8 @@
 
     /// Leaves out the shunned, unless few would be left, and of the rest the crowded, unless most are.
     fn healthy(&self, order: Vec<WorkerId>) -> Vec<WorkerId> {
-        let kept: Vec<_> = order.iter().copied().filter(|w| self.workers[w].shun_until <= self.now).collect();
+        let kept: Vec<_> =
+            order.iter().copied().filter(|w| !self.workers[w].ejection.is_active(self.now)).collect();
         let order = if kept.len() * 4 >= order.len() { kept } else { order };
         let mean = order.iter().map(|w| self.workers[w].held()).sum::<f64>() / order.len().max(1) as f64;
         let free = |w: &WorkerId| self.workers[w].held() <= mean * CROWD.0 + CROWD.1;
@@ -638,7 +631,7 @@
         self.attempts.insert((id, attempt), Attempt { worker, function, class, place, aim, warm });
         w.in_flight += 1;
         w.pairs.entry(request.function).or_default().in_flight += 1;
-        w.sends.push_back((now, self.usual[request.class]));
+        w.sends.record(now, self.usual[request.class]);
         out.push(Action::Send { id, worker, timeout: request.end - now });
     }
 
@@ -653,13 +646,13 @@
         let pair = self.pair(key, worker).cloned().unwrap_or_default();
         let slots = if self.bronze(key) { 1 } else { LOADS };
         let starts = pair.warm_until > self.now || self.loads_under_way(w) < slots;
-        if pair.ordered.is_some() || pair.retry_at > self.now || !starts {
+        if pair.ordered.is_some() || pair.backoff.is_active(self.now) || !starts {
             return false;
         }
         let Some(ration) = self.settings.safety_limits.load_rate_limit else { return true };
         let since = self.now - ration.window;
-        let orders = self.orders.iter().filter(|at| **at >= since).count() as f64;
-        let calls = self.arrivals.iter().filter(|at| **at > since).count() as f64;
+        let orders = self.orders.count_since(since) as f64;
+        let calls = self.arrivals.count_after(since) as f64;
         orders + 1.0 <= ration.burst + ration.per_request * calls
     }
 
@@ -667,7 +660,7 @@
         let allowed = self.may_load(worker, key);
         let Some(w) = self.workers.get_mut(&worker).filter(|_| allowed) else { return };
         w.pairs.entry(key).or_default().ordered = Some(self.now);
-        self.orders.push_back(self.now);
+        self.orders.record(self.now, 1.0);
         out.push(Action::Load { worker, function: key, instances: 1 });
     }
 
@@ -747,14 +740,16 @@
             let failed = if outcome.status == Status::Error { 1.0 } else { 0.0 };
             w.errors += (failed - w.errors) * ERRORS.0;
             if w.errors > ERRORS.1 {
-                (w.errors, w.shun_until) = (ERRORS.2, w.shun_until.max(now + BACKOFF.delay(w.failures)));
-                w.failures += 1;
+                w.errors = ERRORS.2;
+                w.ejection.extend(now, BACKOFF);
             }
         }
         match outcome.status {
             Status::Ok => {
-                w.failures = if w.errors > ERRORS.2 / 2.0 { w.failures } else { 0 };
-                w.resets.1 = 0;
+                if w.errors <= ERRORS.2 / 2.0 {
+                    w.ejection.reset_failures();
+                }
+                w.resets.reset();
                 pair.stood(now + keep);
                 let usual = &mut self.usual[attempt.class];
                 let latency = outcome.latency.as_secs_f64();
@@ -781,16 +776,13 @@
                 (w.crammed_until, pair.warm_until) = (now + FULL_PAUSE, Time(0));
             }
             Status::Full => {
-                w.shun_until = w.shun_until.max(now + FULL_PAUSE);
+                w.ejection.extend_until(now + FULL_PAUSE);
                 w.cut(now);
             }
             // A connection may break by itself; a dead process shows at the next try, which is refused.
             Status::Reset => {
-                if now - w.resets.0 > RESETS.0 {
-                    w.resets = (now, w.resets.1 + 1);
-                }
-                if w.resets.1 >= RESETS.1 {
-                    w.resets.1 = 0;
+                if w.resets.record(now, RESETS.0) >= RESETS.1 {
+                    w.resets.reset();
                     w.lost(now);
                 }
             }
@@ -853,7 +845,11 @@
                 |a: &Attempt| Some(a.place.since).filter(|at| self.now - *at > a.aim.mul_f64(SILENT.0));
             let waits = |a: &Attempt| a.place.zone == zone && since(a) > here && since(a) < elsewhere;
             let silent: BTreeSet<_> = self.attempts.values().filter(|a| waits(a)).map(|a| a.worker).collect();
-            let enough = if self.workers.values().filter(own).all(|w| w.failures > 0) { 1 } else { SILENT.1 };
+            let enough = if self.workers.values().filter(own).all(|w| w.ejection.failures() > 0) {
+                1
+            } else {
+                SILENT.1
+            };
             let there: Vec<_> = self.workers.values().filter(own).map(|w| w.member.worker).collect();
             for worker in there.into_iter().filter(|_| silent.len() >= enough) {
                 self.workers.entry(worker).and_modify(|w| w.lost(self.now));
@@ -902,14 +898,14 @@
     }
 
     fn holds(&mut self, out: &mut Actions) {
-        self.due.insert((self.now + HOLD_PACE, Due::Holds));
+        self.timers.schedule(self.now + HOLD_PACE, Due::Holds);
         self.prune();
         self.rerank();
         self.suspect(out);
         self.suspect_zones(out);
         let fleet = u64::from(self.settings.fleet_size.max(1));
         let lead = self.settings.loading.keep_alive.mul_f64(RENEW_AT);
-        let gold: Vec<_> = self.functions.iter().filter(|(_, f)| f.gold).map(|(id, _)| *id).collect();
+        let gold: Vec<_> = self.functions.iter().filter(|(_, f)| f.gold.is_on()).map(|(id, _)| *id).collect();
         for key in gold {
             for worker in self.hash_order(key) {
                 if mix64(key.0.rotate_left(32) ^ worker.0) % fleet != u64::from(self.settings.index) {
@@ -917,7 +913,7 @@
                 }
                 let w = &self.workers[&worker];
                 let until = w.pairs.get(&key).map_or(Time(0), |p| p.warm_until);
-                if until > self.now + lead || w.shun_until > self.now {
+                if until > self.now + lead || w.ejection.is_active(self.now) {
                     continue;
                 }
                 // A first hold costs a load: one under way a worker and a function floods nothing.
@@ -932,14 +928,13 @@
     /// Forgets what has left every window.
     fn prune(&mut self) {
         let since = self.now - self.settings.safety_limits.load_rate_limit.map_or(Span(0), |r| r.window);
-        for times in [&mut self.orders, &mut self.arrivals] {
-            times.retain(|at| *at >= since);
-        }
+        self.orders.forget_before(since);
+        self.arrivals.forget_before(since);
         self.look_for_room();
-        let (now, fall) = (self.now, self.settings.safety_limits.overload_window);
-        self.parted.retain(|_, sends| sends.back().is_some_and(|(at, _)| now - *at <= fall));
+        let since = self.now - self.settings.safety_limits.overload_window;
+        self.parted.retain(|_, sends| sends.last().is_some_and(|at| at >= since));
         for w in self.workers.values_mut() {
-            w.sends.retain(|(at, _)| now - *at <= fall);
+            w.sends.forget_before(since);
             w.others *= 0.5f64.powf(HOLD_PACE.as_secs_f64() / SLOW_HALF.as_secs_f64());
         }
         self.done *= (-HOLD_PACE.as_secs_f64() / RATE_SPAN.as_secs_f64()).exp();
@@ -960,7 +955,7 @@
         let rate = self.done / RATE_SPAN.as_secs_f64() / self.workers.len().max(1) as f64;
         let budget = rules.overload_multiple * part * rate * rules.overload_window.as_secs_f64() * COLD.0;
         let since = self.now - rules.overload_window;
-        let spent: f64 = w.sends.iter().filter(|(at, _)| *at >= since).map(|(_, weight)| weight).sum();
+        let spent = w.sends.weight_since(since);
         // One call is more than the share of a front end of many: each draws once for a worker, and what of
         // usual traffic is let in follows its capacity; less under strain, when more than the usual comes.
         let drawn = mix64(w.member.worker.0 ^ mix64(u64::from(id.0) << 32 | u64::from(self.settings.index)));
@@ -972,19 +967,19 @@
 
 impl Function {
     fn calls(&self) -> u32 {
-        self.counts.iter().sum()
+        self.counts.total()
     }
 }
 
 impl Pair {
     /// A copy stood just now.
     fn stood(&mut self, until: Time) {
-        (self.warm_until, self.missed, self.failures) = (until, None, 0);
+        (self.warm_until, self.missed) = (until, None);
+        self.backoff.reset_failures();
     }
 
     fn fail(&mut self, now: Time) {
-        self.retry_at = now + BACKOFF.delay(self.failures);
-        self.failures += 1;
+        self.backoff.restart(now, BACKOFF);
     }
 }
 
@@ -996,9 +991,8 @@
 
     /// It cannot be reached: nothing is believed to stand there.
     fn lost(&mut self, now: Time) {
-        if self.shun_until <= now {
-            self.shun_until = now + BACKOFF.delay(self.failures);
-            self.failures += 1;
+        if !self.ejection.is_active(now) {
+            self.ejection.restart(now, BACKOFF);
         }
         for pair in self.pairs.values_mut() {
             pair.warm_until = Time(0);
