Move averages, fading sums and ratios of the policy to src/stats

The policy computed its moving averages, fading sums and the bounded latency ratio inline, each formula several times. They become three small types with unit tests beside the module; weights, bounds and thresholds stay in the policy. The order of the floating-point operations is unchanged.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -103,6 +103,7 @@
 mod policy;
 pub mod scheduler;
 pub mod server;
+mod stats;
 pub mod vrrp;
 
 // The model's types, as its own page lists them.
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -6,6 +6,7 @@
     Versioned, mix64, weighted_rendezvous_order,
 };
 use crate::model::*;
+use crate::stats::{BoundedRatio, DecayingAverage, DecayingSum, RatioBounds, decay_factor, half_life_factor};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, BTreeSet};
@@ -51,7 +52,8 @@
 const COLD: (f64, f64) = (0.7, 0.25);
 /// Weight of a new latency in a worker's slowness and strain and in a class's usual one; bounds of slowness.
 const GAIN: (f64, f64) = (0.15, 0.02);
-const SLOW_RANGE: (f64, f64) = (0.5, 12.0);
+const SLOWNESS: RatioBounds =
+    RatioBounds { min: 0.5, max: 12.0, sample_weight: GAIN.0, half_life: SLOW_HALF };
 /// Time in which unrefreshed slowness and told calls halve.
 const SLOW_HALF: Span = Span::from_millis(4000);
 const RATE_SPAN: Span = Span::from_millis(5000);
@@ -147,13 +149,12 @@
     pairs: BTreeMap<FunctionId, Pair>,
     in_flight: u32,
     /// Calls of other front ends that its last load report tells of, fading.
-    others: f64,
-    slow: f64,
-    slow_at: Time,
+    others: DecayingSum,
+    slow: BoundedRatio,
     ejection: BackoffTimer,
     crammed_until: Time,
     sends: EventLog,
-    strain: f64,
+    strain: DecayingAverage,
     limit: f64,
     cut_at: Time,
     /// When it last said anything, whether a probe is out, and how many in a row it has not answered.
@@ -161,7 +162,7 @@
     probed: bool,
     unanswered: u32,
     /// The part of the calls at standing copies that failed lately.
-    errors: f64,
+    errors: DecayingAverage,
     /// When a connection broke last, and how many in a row with nothing good between.
     resets: BurstCounter,
 }
@@ -185,13 +186,13 @@
     requests: BTreeMap<RequestId, Request>,
     attempts: BTreeMap<(RequestId, u16), Attempt>,
     timers: TimerQueue<Due>,
-    usual: Vec<f64>,
+    usual: Vec<DecayingAverage>,
     /// Work done for us lately by all workers, fading.
-    done: f64,
+    done: DecayingSum,
     orders: EventLog,
     arrivals: EventLog,
     /// Mean part of the aim that attempts took lately, over all workers; those turned away took all of it.
-    strain: f64,
+    strain: DecayingAverage,
     /// Starts of the window's buckets, the current one first.
     turned: [Time; BUCKETS],
     /// Counts changes of the list of workers.
@@ -203,10 +204,8 @@
 impl Policy {
     /// A front end that knows nothing but its settings. The seed decides all its ties.
     pub fn new(settings: Settings, seed: u64) -> Policy {
-        let usual =
-            settings.classes.iter().map(|class| class.latency_objective.as_secs_f64() / 4.0).collect();
-        Policy {
-            settings,
+        let mut policy = Policy {
+            settings: settings.clone(),
             rng: Pcg64Mcg::seed_from_u64(seed),
             now: Time(0),
             workers: BTreeMap::new(),
@@ -215,25 +214,24 @@
             requests: BTreeMap::new(),
             attempts: BTreeMap::new(),
             timers: TimerQueue::new(),
-            usual,
-            done: 0.0,
+            usual: Vec::new(),
+            done: DecayingSum::default(),
             orders: EventLog::default(),
             arrivals: EventLog::default(),
-            strain: 0.0,
+            strain: DecayingAverage::default(),
             turned: [Time(0); BUCKETS],
             listed: 0,
             crowding: 0.0,
-        }
+        };
+        policy.configure(settings);
+        policy
     }
 
     /// New settings. Classes keep their places; new ones come after them.
     pub fn configure(&mut self, settings: Settings) {
-        let more = settings
-            .classes
-            .iter()
-            .skip(self.usual.len())
-            .map(|class| class.latency_objective.as_secs_f64() / 4.0);
-        self.usual.extend(more);
+        for class in settings.classes.iter().skip(self.usual.len()) {
+            self.usual.push(DecayingAverage::new(class.latency_objective.as_secs_f64() / 4.0));
+        }
         self.settings = settings;
     }
 
@@ -291,7 +289,7 @@
                 continue;
             }
             // A new process: nothing stands there, and what it was sent already counts as cold work.
-            let mut fresh = Worker { member, born: self.now, slow: 1.0, limit: LIMIT.1, ..Worker::default() };
+            let mut fresh = Worker { member, born: self.now, limit: LIMIT.1, ..Worker::default() };
             let old = self.workers.remove(&member.worker).map(|old| old.sends);
             fresh.sends = old.or_else(|| self.parted.remove(&member.worker)).unwrap_or_default();
             self.workers.insert(member.worker, fresh);
@@ -315,7 +313,7 @@
         self.requests.insert(call.id, request);
         self.timers.schedule(end - self.settings.tick, Due::End(call.id));
         // All workers together are past their limit: the rest is refused at once, before it queues anywhere.
-        let over = (self.strain - FELT.1) / (1.0 - FELT.1);
+        let over = (self.strain.value() - FELT.1) / (1.0 - FELT.1);
         let shed = if self.worthy(class) { over * 2.0 - 1.0 } else { over };
         if f64::from(self.rng.next_u32()) / f64::from(u32::MAX) < shed {
             return self.give_up(call.id, out);
@@ -495,7 +493,8 @@
         let window = (self.now - self.turned[BUCKETS - 1]).as_secs_f64().max(RERANK.as_secs_f64());
         let fleet = f64::from(self.settings.fleet_size.max(1));
         let room = BURST_ROOM.0 + (BURST_ROOM.1 - BURST_ROOM.0) * self.crowding;
-        let at_a_time = f64::from(function.calls().saturating_sub(2)) / window * fleet * self.usual[class];
+        let at_a_time =
+            f64::from(function.calls().saturating_sub(2)) / window * fleet * self.usual[class].value();
         let counted = (at_a_time * room / f64::from(function.lanes)).ceil().max(1.0);
         let own = f64::from(function.calls()) / window * self.settings.loading.keep_alive.as_secs_f64();
         (counted as usize, own < counted * BLIND_CALLS)
@@ -512,7 +511,7 @@
 
     /// Whether a class is worth clearly more than another for its work: it is given more room and shed last.
     fn worthy(&self, class: usize) -> bool {
-        let worth = |c: usize| self.settings.classes[c].priority_weight / self.usual[c].max(0.001);
+        let worth = |c: usize| self.settings.classes[c].priority_weight / self.usual[c].value().max(0.001);
         (0..self.usual.len()).any(|other| worth(class) > worth(other) * WORTHY)
     }
 
@@ -550,10 +549,8 @@
     /// How much stands before a new call at a worker: the calls in flight there, weighed by its slowness.
     fn busy(&self, worker: WorkerId) -> f64 {
         let Some(w) = self.workers.get(&worker) else { return f64::INFINITY };
-        let faded = |since: Time| 0.5f64.powf((self.now - since).as_secs_f64() / SLOW_HALF.as_secs_f64());
-        let slow = 1.0 + (w.slow - 1.0) * faded(w.slow_at);
         let cross = if w.member.zone == self.settings.zone { 0.0 } else { self.settings.prices.cross_zone };
-        (w.held() + 1.0) * slow + cross * CROSS_WEIGHT
+        (w.held() + 1.0) * w.slow.value(self.now, &SLOWNESS) + cross * CROSS_WEIGHT
     }
 
     /// The least busy of some workers, one with a free lane before one without; ties break randomly.
@@ -590,7 +587,7 @@
         if w.member.state != EndpointState::Ready
             || request.out.is_some()
             || request.attempts >= self.settings.permissions.max_attempts
-            || !self.cold_room(w, self.usual[request.class], id)
+            || !self.cold_room(w, self.usual[request.class].value(), id)
         {
             return false;
         }
@@ -631,7 +628,7 @@
         self.attempts.insert((id, attempt), Attempt { worker, function, class, place, aim, warm });
         w.in_flight += 1;
         w.pairs.entry(request.function).or_default().in_flight += 1;
-        w.sends.record(now, self.usual[request.class]);
+        w.sends.record(now, self.usual[request.class].value());
         out.push(Action::Send { id, worker, timeout: request.end - now });
     }
 
@@ -717,7 +714,7 @@
             (w.heard, w.unanswered) = (now, 0);
         }
         if let Some(held) = self.settings.load_metric(LoadMetric::InFlight, &outcome.load_report) {
-            w.others = (held - f64::from(w.in_flight)).max(0.0);
+            w.others.set((held - f64::from(w.in_flight)).max(0.0));
         }
         w.in_flight = w.in_flight.saturating_sub(1);
         let pair = w.pairs.entry(attempt.function).or_default();
@@ -730,23 +727,23 @@
             Status::Ok if attempt.warm => {
                 (outcome.latency.as_secs_f64() / attempt.aim.as_secs_f64().max(0.001)).min(1.0)
             }
-            Status::Full if !attempt.warm || outcome.attempt > 0 => self.strain,
+            Status::Full if !attempt.warm || outcome.attempt > 0 => self.strain.value(),
             Status::Full | Status::Timeout => 1.0,
-            _ => self.strain,
+            _ => self.strain.value(),
         };
-        self.strain += (took - self.strain) * FELT.0;
+        self.strain.update(took, FELT.0);
         // What fails at once looks idle and draws ever more. Where no copy stood, a load may have failed.
         if attempt.warm && matches!(outcome.status, Status::Ok | Status::Error) {
             let failed = if outcome.status == Status::Error { 1.0 } else { 0.0 };
-            w.errors += (failed - w.errors) * ERRORS.0;
-            if w.errors > ERRORS.1 {
-                w.errors = ERRORS.2;
+            w.errors.update(failed, ERRORS.0);
+            if w.errors.value() > ERRORS.1 {
+                w.errors = DecayingAverage::new(ERRORS.2);
                 w.ejection.extend(now, BACKOFF);
             }
         }
         match outcome.status {
             Status::Ok => {
-                if w.errors <= ERRORS.2 / 2.0 {
+                if w.errors.value() <= ERRORS.2 / 2.0 {
                     w.ejection.reset_failures();
                 }
                 w.resets.reset();
@@ -755,15 +752,14 @@
                 let latency = outcome.latency.as_secs_f64();
                 let stood = outcome.instance_state == InstanceState::Loaded
                     || outcome.instance_state == InstanceState::Unknown && attempt.warm;
-                self.done += *usual;
+                self.done.add(usual.value());
                 if stood {
-                    let ratio = (latency / *usual).clamp(0.0, SLOW_RANGE.1 * 2.0);
-                    *usual += (latency - *usual) * GAIN.1;
-                    w.slow = (w.slow + (ratio - w.slow) * GAIN.0).clamp(SLOW_RANGE.0, SLOW_RANGE.1);
-                    w.slow_at = now;
-                    w.strain += (took - w.strain) * GAIN.0;
+                    let ratio = (latency / usual.value()).clamp(0.0, SLOWNESS.max * 2.0);
+                    usual.update(latency, GAIN.1);
+                    w.slow.update(ratio, now, &SLOWNESS);
+                    w.strain.update(took, GAIN.0);
                     // The mean lags behind: what is quick again is no sign of too much.
-                    if w.strain > STRAIN && took > STRAIN {
+                    if w.strain.value() > STRAIN && took > STRAIN {
                         w.cut(now);
                     } else if f64::from(w.in_flight) + 2.0 >= w.limit {
                         w.limit = (w.limit + LIMIT_STEP.0).min(LIMIT.2);
@@ -772,7 +768,7 @@
             }
             Status::Miss => (pair.missed, pair.warm_until) = (Some(now), Time(0)),
             // No room for a copy, or too many loads, also where one has gone unseen: it has room for calls.
-            Status::Full if !attempt.warm || w.strain < STRAIN => {
+            Status::Full if !attempt.warm || w.strain.value() < STRAIN => {
                 (w.crammed_until, pair.warm_until) = (now + FULL_PAUSE, Time(0));
             }
             Status::Full => {
@@ -790,7 +786,7 @@
             // A machine that is cut off breaks no connection: it had a whole aim and has said nothing since.
             Status::Timeout | Status::Cancelled if silent => w.lost(now),
             Status::Timeout => {
-                w.slow = (w.slow * 1.3).min(SLOW_RANGE.1);
+                w.slow.raise(1.3, &SLOWNESS);
                 w.cut(now);
             }
             Status::Error | Status::Cancelled | Status::Moot => {}
@@ -935,9 +931,9 @@
         self.parted.retain(|_, sends| sends.last().is_some_and(|at| at >= since));
         for w in self.workers.values_mut() {
             w.sends.forget_before(since);
-            w.others *= 0.5f64.powf(HOLD_PACE.as_secs_f64() / SLOW_HALF.as_secs_f64());
+            w.others.scale(half_life_factor(HOLD_PACE, SLOW_HALF));
         }
-        self.done *= (-HOLD_PACE.as_secs_f64() / RATE_SPAN.as_secs_f64()).exp();
+        self.done.scale(decay_factor(HOLD_PACE, RATE_SPAN));
     }
 
     /// How long ago a worker that is still cold has started.
@@ -952,14 +948,14 @@
         let rules = &self.settings.safety_limits;
         let part = rules.initial_capacity
             + (1.0 - rules.initial_capacity) * age.as_secs_f64() / rules.warm_up_duration.as_secs_f64();
-        let rate = self.done / RATE_SPAN.as_secs_f64() / self.workers.len().max(1) as f64;
+        let rate = self.done.value() / RATE_SPAN.as_secs_f64() / self.workers.len().max(1) as f64;
         let budget = rules.overload_multiple * part * rate * rules.overload_window.as_secs_f64() * COLD.0;
         let since = self.now - rules.overload_window;
         let spent = w.sends.weight_since(since);
         // One call is more than the share of a front end of many: each draws once for a worker, and what of
         // usual traffic is let in follows its capacity; less under strain, when more than the usual comes.
         let drawn = mix64(w.member.worker.0 ^ mix64(u64::from(id.0) << 32 | u64::from(self.settings.index)));
-        let chance = rules.overload_multiple * part * COLD.1 * (1.0 - self.strain);
+        let chance = rules.overload_multiple * part * COLD.1 * (1.0 - self.strain.value());
         let let_in = drawn as f64 / (u64::MAX as f64) < chance;
         spent + weight <= budget || budget < weight && spent == 0.0 && let_in
     }
@@ -986,7 +982,7 @@
 impl Worker {
     /// Calls in flight there: ours, and those of other front ends that it has told of.
     fn held(&self) -> f64 {
-        f64::from(self.in_flight) + self.others
+        f64::from(self.in_flight) + self.others.value()
     }
 
     /// It cannot be reached: nothing is believed to stand there.
--- /dev/null
+++ b/src/stats/decay.rs
@@ -0,0 +1,64 @@
+//! Exponentially decaying averages and sums.
+
+use crate::model::Span;
+
+/// An exponentially weighted moving average.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct DecayingAverage {
+    value: f64,
+}
+
+impl DecayingAverage {
+    /// An average that stands at `initial` before its first sample.
+    pub(crate) fn new(initial: f64) -> DecayingAverage {
+        DecayingAverage { value: initial }
+    }
+
+    /// The average.
+    pub(crate) fn value(&self) -> f64 {
+        self.value
+    }
+
+    /// Takes in a sample of this weight, from 0 (no effect) to 1 (the sample replaces the average).
+    pub(crate) fn update(&mut self, sample: f64, weight: f64) {
+        self.value += (sample - self.value) * weight;
+    }
+}
+
+/// A sum whose parts fade with time.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct DecayingSum {
+    value: f64,
+}
+
+impl DecayingSum {
+    /// The sum.
+    pub(crate) fn value(&self) -> f64 {
+        self.value
+    }
+
+    /// Adds to the sum.
+    pub(crate) fn add(&mut self, amount: f64) {
+        self.value += amount;
+    }
+
+    /// Replaces the sum.
+    pub(crate) fn set(&mut self, value: f64) {
+        self.value = value;
+    }
+
+    /// Lets the sum fade to this part of itself: see [`decay_factor`] and [`half_life_factor`].
+    pub(crate) fn scale(&mut self, factor: f64) {
+        self.value *= factor;
+    }
+}
+
+/// What remains of a quantity after `elapsed` when it falls to 1/e in `time_constant`, as a part of one.
+pub(crate) fn decay_factor(elapsed: Span, time_constant: Span) -> f64 {
+    (-elapsed.as_secs_f64() / time_constant.as_secs_f64()).exp()
+}
+
+/// What remains of a quantity after `elapsed` when it halves in `half_life`, as a part of one.
+pub(crate) fn half_life_factor(elapsed: Span, half_life: Span) -> f64 {
+    0.5f64.powf(elapsed.as_secs_f64() / half_life.as_secs_f64())
+}
--- /dev/null
+++ b/src/stats/tests.rs
@@ -0,0 +1,74 @@
+//! The statistics, by their own figures.
+
+use super::{BoundedRatio, DecayingAverage, DecayingSum, RatioBounds, decay_factor, half_life_factor};
+use crate::model::{Span, Time};
+
+const SECOND: Span = Span::from_millis(1000);
+const BOUNDS: RatioBounds = RatioBounds { min: 0.5, max: 4.0, sample_weight: 0.5, half_life: SECOND };
+
+#[test]
+fn an_average_moves_by_the_weight_of_each_sample() {
+    let mut average = DecayingAverage::new(1.0);
+    average.update(3.0, 0.5);
+    assert_eq!(average.value(), 2.0);
+    average.update(8.0, 0.0);
+    assert_eq!(average.value(), 2.0, "a sample without weight changes nothing");
+    average.update(8.0, 1.0);
+    assert_eq!(average.value(), 8.0, "a sample of full weight replaces the average");
+    assert_eq!(DecayingAverage::default().value(), 0.0);
+}
+
+#[test]
+fn a_sum_adds_fades_and_is_replaced() {
+    let mut sum = DecayingSum::default();
+    sum.add(2.0);
+    sum.add(4.0);
+    sum.scale(0.5);
+    assert_eq!(sum.value(), 3.0);
+    sum.set(10.0);
+    assert_eq!(sum.value(), 10.0);
+}
+
+#[test]
+fn factors_follow_their_time_constants() {
+    assert_eq!(half_life_factor(Span(0), SECOND), 1.0);
+    assert_eq!(half_life_factor(SECOND, SECOND), 0.5);
+    assert_eq!(half_life_factor(Span::from_millis(3000), SECOND), 0.125);
+    assert_eq!(decay_factor(Span(0), SECOND), 1.0);
+    assert!((decay_factor(SECOND, SECOND) - (-1.0f64).exp()).abs() < 1e-15);
+}
+
+#[test]
+fn a_ratio_starts_at_one_and_keeps_its_bounds() {
+    let mut ratio = BoundedRatio::default();
+    let now = Time(0) + SECOND;
+    assert_eq!(ratio.value(now, &BOUNDS), 1.0);
+    ratio.update(2.0, now, &BOUNDS);
+    assert_eq!(ratio.value(now, &BOUNDS), 1.5);
+    ratio.update(100.0, now, &BOUNDS);
+    assert_eq!(ratio.value(now, &BOUNDS), 4.0);
+    for _ in 0..20 {
+        ratio.update(0.0, now, &BOUNDS);
+    }
+    assert_eq!(ratio.value(now, &BOUNDS), 0.5);
+}
+
+#[test]
+fn a_ratio_returns_to_one_without_samples() {
+    let mut ratio = BoundedRatio::default();
+    ratio.update(5.0, Time(0), &BOUNDS);
+    assert_eq!(ratio.value(Time(0), &BOUNDS), 3.0);
+    assert_eq!(ratio.value(Time(0) + SECOND, &BOUNDS), 2.0);
+    assert_eq!(ratio.value(Time(0) + SECOND + SECOND, &BOUNDS), 1.5);
+}
+
+#[test]
+fn raising_a_ratio_keeps_its_age_and_its_bound() {
+    let mut ratio = BoundedRatio::default();
+    ratio.update(3.0, Time(0), &BOUNDS);
+    ratio.raise(1.5, &BOUNDS);
+    assert_eq!(ratio.value(Time(0), &BOUNDS), 3.0);
+    assert_eq!(ratio.value(Time(0) + SECOND, &BOUNDS), 2.0);
+    ratio.raise(10.0, &BOUNDS);
+    assert_eq!(ratio.value(Time(0), &BOUNDS), 4.0);
+}
