Tests: cut the longest case, health checks and loads of JSON-RPC workers, into short functions

The case was the longest function of the integration tests. What it waits for and how commands are answered is a type of its own; the assertion on an unknown command, the bounds and the time limit stay.

--- a/tests/server/jsonrpc_workers.rs
+++ b/tests/server/jsonrpc_workers.rs
@@ -6,7 +6,7 @@
 use crate::support::scheduler_process::SchedulerProcess;
 use crate::support::temp_folder::TempFolder;
 use crate::support::worker::StandInWorker;
-use crate::support::worker_command::{CommandKind, WorkerStatus};
+use crate::support::worker_command::{CommandKind, ReceivedCommand, WorkerStatus};
 use crate::support::{IDEMPOTENCY_KEY, IDEMPOTENT_CLASS, KEYED_CLASS, REQUEST_ID, WAIT_LIMIT, request_id};
 use serde_json::{Value, json};
 use std::path::PathBuf;
@@ -67,6 +67,51 @@
     assert_eq!(worker.next_command().kind(), CommandKind::Cancel);
 }
 
+/// What the workers have received while their requests stay unanswered.
+#[derive(Default)]
+struct ReceivedWhileSilent {
+    requests: Vec<ReceivedCommand>,
+    health_checks: usize,
+    loads: usize,
+}
+
+impl ReceivedWhileSilent {
+    /// Keeps a request unanswered; answers a health check or a load.
+    fn take(&mut self, mut command: ReceivedCommand) {
+        match command.kind() {
+            CommandKind::Run => self.requests.push(command),
+            CommandKind::HealthCheck => {
+                self.health_checks += 1;
+                let id = command.request_id();
+                let healthy = json!({"jsonrpc": "2.0", "id": id, "result": {"load": {"util": 0.5}}});
+                command.send_line(&healthy);
+            }
+            CommandKind::Load => {
+                self.loads += 1;
+                command.succeed("");
+            }
+            other => panic!("{other:?}"),
+        }
+    }
+
+    /// Takes commands until each kind has come, and this many requests.
+    fn wait_for(&mut self, workers: &[StandInWorker], requests: usize) {
+        let start = Instant::now();
+        while self.health_checks == 0 || self.loads == 0 || self.requests.len() < requests {
+            let received = self.requests.len();
+            let in_time = start.elapsed() < WAIT_LIMIT;
+            assert!(
+                in_time,
+                "{} health checks, {} loads, {received} requests",
+                self.health_checks, self.loads
+            );
+            for command in workers.iter().filter_map(StandInWorker::poll_command) {
+                self.take(command);
+            }
+        }
+    }
+}
+
 #[test]
 fn jsonrpc_workers_are_health_checked_when_silent_and_ordered_to_load() {
     let folder = TempFolder::new();
@@ -78,32 +123,9 @@
         client.send(&request(&json!(n), IDEMPOTENT_CLASS, &request_id(n), 60_000, ""));
     }
     // The home leaves its requests unanswered and gets a health check; the other worker gets a load order.
-    let mut unanswered = Vec::new();
-    let mut health_checks = 0;
-    let mut loads = 0;
-    let start = Instant::now();
-    while health_checks == 0 || loads == 0 || unanswered.len() < 12 {
-        let requests = unanswered.len();
-        let in_time = start.elapsed() < WAIT_LIMIT;
-        assert!(in_time, "{health_checks} health checks, {loads} loads, {requests} requests");
-        for mut command in workers.iter().filter_map(StandInWorker::poll_command) {
-            match command.kind() {
-                CommandKind::Run => unanswered.push(command),
-                CommandKind::HealthCheck => {
-                    health_checks += 1;
-                    let id = command.request_id();
-                    command
-                        .send_line(&json!({"jsonrpc": "2.0", "id": id, "result": {"load": {"util": 0.5}}}));
-                }
-                CommandKind::Load => {
-                    loads += 1;
-                    command.succeed("");
-                }
-                other => panic!("{other:?}"),
-            }
-        }
-    }
-    unanswered.iter_mut().for_each(|command| command.succeed("eA=="));
+    let mut received = ReceivedWhileSilent::default();
+    received.wait_for(&workers, 12);
+    received.requests.iter_mut().for_each(|command| command.succeed("eA=="));
     for _ in 0..12 {
         assert_eq!(client.next_message()["result"]["body"], "eA==");
     }
