Front end: codecs cut by requests, responses and errors; texts, codes and numbers pinned by tests

The texts that reach logs and clients, the codes of JSON-RPC errors and the type numbers of frames were named in the code only: three tests now write them out.

--- a/src/frontend/request_figures.rs
+++ b/src/frontend/conversions.rs
@@ -1,4 +1,4 @@
-//! Figures of a request that both protocols write alike.
+//! Conversions between values as both protocols write them and the scheduler's types.
 
 use super::limits::{MAX_ALLOWED_MILLIS, RESPONSE_TRANSIT_TIME};
 use crate::model::{Span, Time};
@@ -16,19 +16,20 @@
     u64::from_str_radix(text, 16).ok()
 }
 
-/// When the response to a request that came at `now` must be sent, by the milliseconds that its client waits.
+/// When the response to a request received at `now` must be sent, if its client waits for so many
+/// milliseconds.
 pub(super) fn response_deadline(now: Time, allowed_millis: u64) -> Time {
     let allowed_nanos = allowed_millis.min(MAX_ALLOWED_MILLIS) * NANOS_PER_MILLI;
     now + Span(allowed_nanos.saturating_sub(RESPONSE_TRANSIT_TIME.0))
 }
 
-/// The usual time to load a function, by its milliseconds; 0 means unknown.
+/// The time that loading a function takes, from milliseconds; 0 means unknown.
 pub(super) fn load_time(millis: f64) -> Option<Span> {
     let span = Span((millis * NANOS_PER_MILLI as f64) as u64);
     (span.0 > 0).then_some(span)
 }
 
-/// A time to wait in whole milliseconds, rounded up.
+/// A span in whole milliseconds, rounded up.
 pub(super) fn millis_rounded_up(span: Span) -> u64 {
     span.0.div_ceil(NANOS_PER_MILLI)
 }
--- /dev/null
+++ b/src/frontend/frame_codec/fields.rs
@@ -0,0 +1,88 @@
+//! The fields of a payload: `count:1`, then for each `size:1 name size:2 value`.
+
+use super::{FrameError, InvalidRequest};
+use crate::frontend::conversions::parse_hex_id;
+
+/// The fields at the start of a payload, and what follows them.
+#[derive(Debug)]
+pub struct Fields<'a> {
+    /// Names and values in their order.
+    pub pairs: Vec<(&'a str, &'a str)>,
+    /// The bytes after the fields.
+    pub rest: &'a [u8],
+}
+
+impl<'a> Fields<'a> {
+    /// The value of the first field of this name.
+    pub fn get(&self, name: &str) -> Option<&'a str> {
+        let field = self.pairs.iter().find(|(other, _)| *other == name);
+        field.map(|(_, value)| *value)
+    }
+
+    pub(super) fn require(&self, name: &'static str) -> Result<&'a str, InvalidRequest> {
+        self.get(name).ok_or(InvalidRequest::MissingField(name))
+    }
+
+    pub(super) fn require_id(&self, name: &'static str) -> Result<u64, InvalidRequest> {
+        parse_hex_id(self.require(name)?).ok_or(InvalidRequest::InvalidId(name))
+    }
+
+    pub(super) fn has_duplicate_names(&self) -> bool {
+        let names = || self.pairs.iter().map(|(name, _)| *name);
+        names().enumerate().any(|(place, name)| names().take(place).any(|earlier| earlier == name))
+    }
+}
+
+/// Takes bytes from the start of a slice; an error where there are too few.
+fn take<'a>(bytes: &mut &'a [u8], count: usize) -> Result<&'a [u8], FrameError> {
+    let (part, rest) = bytes.split_at_checked(count).ok_or(FrameError::TruncatedFields)?;
+    *bytes = rest;
+    Ok(part)
+}
+
+fn take_u8(bytes: &mut &[u8]) -> Result<usize, FrameError> {
+    let part = take(bytes, 1)?;
+    Ok(usize::from(part[0]))
+}
+
+fn take_u16(bytes: &mut &[u8]) -> Result<usize, FrameError> {
+    let part = take(bytes, 2)?;
+    Ok(usize::from(u16::from_be_bytes([part[0], part[1]])))
+}
+
+fn take_text<'a>(bytes: &mut &'a [u8], count: usize) -> Result<&'a str, FrameError> {
+    let part = take(bytes, count)?;
+    std::str::from_utf8(part).map_err(|_| FrameError::FieldNotText)
+}
+
+/// Reads the fields at the start of a payload.
+///
+/// # Errors
+///
+/// [`FrameError::TruncatedFields`] or [`FrameError::FieldNotText`].
+pub fn decode_fields(payload: &[u8]) -> Result<Fields<'_>, FrameError> {
+    let mut rest = payload;
+    let count = take_u8(&mut rest)?;
+    let mut pairs = Vec::with_capacity(count);
+    for _ in 0..count {
+        let name_length = take_u8(&mut rest)?;
+        let name = take_text(&mut rest, name_length)?;
+        let value_length = take_u16(&mut rest)?;
+        let value = take_text(&mut rest, value_length)?;
+        pairs.push((name, value));
+    }
+    Ok(Fields { pairs, rest })
+}
+
+/// Writes fields of these names and values: at most 255, names of at most 255 bytes, values of at most
+/// 65,535.
+pub fn encode_fields(pairs: &[(&str, &str)]) -> Vec<u8> {
+    let mut bytes = vec![pairs.len() as u8];
+    for (name, value) in pairs {
+        bytes.push(name.len() as u8);
+        bytes.extend(name.as_bytes());
+        bytes.extend((value.len() as u16).to_be_bytes());
+        bytes.extend(value.as_bytes());
+    }
+    bytes
+}
--- a/src/frontend/frame_codec/tests.rs
+++ b/src/frontend/frame_codec/tests.rs
@@ -1,4 +1,7 @@
 use super::*;
+use crate::frontend::limits::MAX_BODY_BYTES;
+use crate::model::{FunctionId, Span, Time};
+use crate::scheduler::{Outcome, RequestOrigin};
 
 const ORIGIN: RequestOrigin = RequestOrigin { connection: 1, stream: 1 };
 
@@ -99,3 +102,22 @@
         assert_eq!(frame.encoded_length(), bytes.len());
     }
 }
+
+#[test]
+fn types_keep_their_numbers() {
+    let types = [
+        (FrameType::Request, 0),
+        (FrameType::Response, 1),
+        (FrameType::Cancel, 2),
+        (FrameType::ReadinessRequest, 6),
+        (FrameType::ReadinessResponse, 7),
+        (FrameType::GoAway, 9),
+    ];
+    for (frame_type, number) in types {
+        assert_eq!(frame_type.to_wire(), number);
+        assert_eq!(FrameType::from_wire(number), Some(frame_type));
+    }
+    for number in [3, 4, 5, 8, 10, 255] {
+        assert_eq!(FrameType::from_wire(number), None, "{number}");
+    }
+}
--- a/src/frontend/frame_connection.rs
+++ b/src/frontend/frame_connection.rs
@@ -12,6 +12,9 @@
 use crate::scheduler::{Outcome, RequestOrigin, Response};
 use std::collections::BTreeSet;
 
+#[cfg(test)]
+mod tests;
+
 /// Largest length of a frame that can be of use: a body and its fields. A longer one is not kept, as hundreds
 /// of connections may bring one each: its request has failed once its header is known, and the rest is passed
 /// over.
@@ -43,10 +46,10 @@
     FrameTimedOut,
 }
 
-/// How far a callback has come in its input.
+/// How much of its input a callback has used.
 #[derive(Default)]
 struct ReadProgress {
-    /// Bytes that have been used.
+    /// Bytes used so far.
     consumed: usize,
     /// A frame was consumed, at least its header, so that an incomplete one has only just begun.
     frame_consumed: bool,
@@ -66,7 +69,7 @@
     timers: ConnectionTimers,
     sent_go_away: bool,
     received_frame: bool,
-    /// What is still to be passed over of a frame that is too long.
+    /// Bytes still to come of a frame that is too long; they are skipped.
     bytes_to_skip: usize,
 }
 
@@ -88,7 +91,7 @@
         BUFFER_LIMITS
     }
 
-    /// Acts on the frames that are complete. Of an error, `progress` tells where it was met.
+    /// Handles the frames that are complete. After an error, `progress` is where it occurred.
     fn read_frames(
         &mut self,
         input: &[u8],
@@ -116,7 +119,7 @@
         Ok(())
     }
 
-    /// Passes over the input that belongs to a frame that was too long.
+    /// Skips the input that belongs to a frame that was too long.
     fn skip_oversized(&mut self, input: &[u8]) -> ReadProgress {
         let skipped = self.bytes_to_skip.min(input.len());
         self.bytes_to_skip -= skipped;
@@ -195,7 +198,7 @@
         Ok(())
     }
 
-    /// Tells the client that the connection can't go on; it ends once that has been written.
+    /// Reports an error of the connection to the client; the connection ends once that has been written.
     fn fail_connection(
         &mut self,
         error: ProtocolError,
@@ -256,7 +259,7 @@
     RequestOrigin { connection: socket.id(), stream: u64::from(stream) }
 }
 
-/// Responds to a request that the scheduler doesn't get.
+/// Responds to a request that is not passed to the scheduler.
 fn respond_locally(stream: u32, outcome: &Outcome, socket: &mut BufferedStream, context: &mut Context) {
     context.scheduler.count_local_rejection(outcome);
     socket.enqueue(&encode_response(stream, outcome));
--- a/src/frontend/jsonrpc_codec/tests.rs
+++ b/src/frontend/jsonrpc_codec/tests.rs
@@ -1,4 +1,7 @@
 use super::*;
+use crate::model::Span;
+use crate::scheduler::{Outcome, Response};
+use serde_json::{Value, json};
 
 /// The error response that a line gets.
 fn error_response(line: &str) -> Value {
@@ -61,7 +64,10 @@
 
 #[test]
 fn valid_lines_are_decoded() {
-    let text = r#"{"jsonrpc":"2.0","id":"a","method":"call","params":{"class":"c","function":"7f3a9c21e0b4d655","allow_ms":1500,"key":"k","lanes":2,"body":"aGk="}}"#;
+    let text = concat!(
+        r#"{"jsonrpc":"2.0","id":"a","method":"call","params":{"class":"c","function":"7f3a9c21e0b4d655","#,
+        r#""allow_ms":1500,"key":"k","lanes":2,"body":"aGk="}}"#
+    );
     let Message::Single(Request::Call { id, params }) = decode_line(text.as_bytes()) else {
         panic!("a call")
     };
@@ -113,3 +119,36 @@
         assert_eq!(encode_response(&json!("7"), &Response { outcome, expired }), expected);
     }
 }
+
+/// Clients see these texts and codes.
+#[test]
+fn errors_keep_their_texts_and_codes() {
+    let errors = [
+        (RequestError::NotJson, -32700, "not JSON"),
+        (RequestError::IncompleteLine, -32700, "the line has no end"),
+        (RequestError::LineTooLong, -32600, "line too long"),
+        (RequestError::EmptyBatch, -32600, "an empty batch"),
+        (RequestError::BatchTooLarge, -32600, "too large a batch"),
+        (RequestError::NotAnObject, -32600, "not an object"),
+        (RequestError::InvalidId, -32600, "id is neither text, a number nor null"),
+        (RequestError::UnknownVersion, -32600, "not JSON-RPC 2.0"),
+        (RequestError::MissingMethod, -32600, "no method"),
+        (RequestError::InvalidParamsType, -32600, "params are neither an object nor an array"),
+        (RequestError::CancelWithId, -32600, "cancel is a notification"),
+        (RequestError::IdInUse, -32600, "id is in use"),
+        (RequestError::UnknownMethod, -32601, "no such method"),
+        (ParamsError::Positional.into(), -32602, "params are by name here"),
+        (ParamsError::Missing("class").into(), -32602, "no class"),
+        (ParamsError::NotText("key").into(), -32602, "key is not text"),
+        (ParamsError::NotAnId("ref").into(), -32602, "ref is not 16 hex digits"),
+        (ParamsError::NotWholeNumber("allow_ms").into(), -32602, "allow_ms is no whole number"),
+        (ParamsError::InvalidNumber("lanes").into(), -32602, "odd lanes"),
+        (ParamsError::BodyNotBase64.into(), -32602, "body is not base64"),
+        (ParamsError::BodyTooLarge.into(), -32602, "body too large"),
+    ];
+    for (error, code, text) in errors {
+        let expected = json!({"jsonrpc": "2.0", "id": 7, "error": {"code": code, "message": text}});
+        assert_eq!(encode_error(&json!(7), error), expected);
+    }
+    assert_eq!(encode_cancelled(&json!(7))["error"]["code"], json!(-32004));
+}
--- a/src/frontend/jsonrpc_connection.rs
+++ b/src/frontend/jsonrpc_connection.rs
@@ -1,6 +1,6 @@
 //! A client's connection that speaks JSON-RPC 2.0 over a Unix socket.
 //!
-//! A client that closes the connection, or the half it writes on, waits for nothing more: its calls are
+//! A client that closes the connection, or the half it writes on, no longer waits: its calls are
 //! cancelled.
 
 use super::jsonrpc_codec::{
@@ -39,7 +39,7 @@
     /// The number of the next call or batch.
     next_number: u64,
     line_limit: usize,
-    /// The rest of a line that was too long is passed over.
+    /// The rest of a line that was too long is skipped.
     skipping_line: bool,
     timers: ConnectionTimers,
 }
@@ -62,7 +62,7 @@
         BufferLimits { input: line_limit + 1, output: MAX_UNSENT_BYTES }
     }
 
-    /// Acts on the lines that are complete, while the client reads its responses.
+    /// Handles the lines that are complete, while the client reads its responses.
     ///
     /// What is left over is looked at again once they have been written; see [`Connection::flushed`].
     fn handle_lines(&mut self, socket: &mut BufferedStream, context: &mut Context) {
@@ -95,13 +95,13 @@
         }
     }
 
-    /// Tells the client that a line can't be read.
+    /// Reports to the client that a line can't be read.
     fn reject_line(&mut self, error: RequestError, socket: &mut BufferedStream, context: &mut Context) {
         context.scheduler.counters().malformed += 1;
         enqueue_line(&encode_error(&Value::Null, error), socket);
     }
 
-    /// Tells the client that its last line has no end; the connection ends once that has been written.
+    /// Reports to the client that its last line has no end; the connection ends once that has been written.
     fn fail_incomplete_line(&mut self, socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow {
         self.reject_line(RequestError::IncompleteLine, socket, context);
         self.timers.begin_close(context.now);
@@ -170,7 +170,7 @@
         socket: &mut BufferedStream,
         context: &mut Context,
     ) {
-        // Two open calls of one id could not be told apart, neither by the client nor by a cancel.
+        // Neither the client nor a cancel could tell two open calls of one id apart.
         if self.open_call_number(&id).is_some() {
             return self.respond(batch, encode_error(&id, RequestError::IdInUse), socket);
         }
@@ -188,7 +188,7 @@
         context.scheduler.submit(context.now, request);
     }
 
-    /// Rejects a call that the scheduler doesn't get.
+    /// Rejects a call that is not passed to the scheduler.
     fn reject_call(
         &mut self,
         id: &Value,
@@ -290,7 +290,7 @@
         if socket.input.iter().all(u8::is_ascii_whitespace) || socket.input.contains(&LINE_FEED) {
             return ConnectionFlow::Close;
         }
-        // The client is told, in case it still reads.
+        // Reported in case the client still reads.
         self.fail_incomplete_line(socket, context)
     }
 
--- a/src/frontend/unix_socket.rs
+++ b/src/frontend/unix_socket.rs
@@ -36,12 +36,12 @@
 ///
 /// # Errors
 ///
-/// [`io::ErrorKind::AddrInUse`] where somebody listens at the path, [`io::ErrorKind::AlreadyExists`] where there is
-/// something else than a socket, and any error of the system.
+/// [`io::ErrorKind::AddrInUse`] where somebody listens at the path, [`io::ErrorKind::AlreadyExists`] where
+/// there is something else than a socket, and any error of the system.
 pub fn bind(path: &Path, mode: u32) -> io::Result<(UnixListener, SocketFile)> {
     check_replaceable(path)?;
-    // Created in a folder that nobody else may enter, given its mode, then moved into place in one step: a socket
-    // with the mode that the umask happens to give is never in reach.
+    // Created in a folder that nobody else may enter, given its mode, then moved into place in one step: a
+    // socket with the mode that the umask happens to give is never in reach.
     let name = path.file_name().unwrap_or_default().to_string_lossy();
     let folder = path.with_file_name(format!(".{name}.{}", std::process::id()));
     DirBuilder::new().mode(PRIVATE_FOLDER_MODE).create(&folder)?;
--- a/src/net/clock.rs
+++ b/src/net/clock.rs
@@ -1,4 +1,4 @@
-//! The clock that all deadlines are told by.
+//! The clock against which deadlines are measured.
 
 use crate::model::{Span, Time};
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
--- a/src/net/reactor/connections.rs
+++ b/src/net/reactor/connections.rs
@@ -1,12 +1,12 @@
 //! The reactor's connections: adding, calling and closing them.
 
-use super::super::{
-    BufferLimits, BufferedStream, ClientConnection, Connection, ConnectionFlow, Context, Stream,
-};
 use super::Reactor;
 use super::entry::Entry;
 use super::token::EventSource;
 use crate::model::Time;
+use crate::net::{
+    BufferLimits, BufferedStream, ClientConnection, Connection, ConnectionFlow, Context, Stream,
+};
 use crate::scheduler::Scheduler;
 use std::any::Any;
 
--- a/src/net/reactor/entry.rs
+++ b/src/net/reactor/entry.rs
@@ -1,8 +1,8 @@
 //! A connection as the reactor keeps it: its stream, the object that is called back, and how far its end has
 //! come.
 
-use super::super::{BufferedStream, Connection, ConnectionFlow, Context};
 use crate::model::Time;
+use crate::net::{BufferedStream, Connection, ConnectionFlow, Context};
 use std::io;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 
--- a/src/net/reactor/listeners.rs
+++ b/src/net/reactor/listeners.rs
@@ -1,7 +1,7 @@
 //! The sockets at which clients are accepted.
 
-use super::super::Stream;
 use super::token::EventSource;
+use crate::net::Stream;
 use mio::event::Source;
 use mio::net::{TcpListener, UnixListener};
 use mio::{Interest, Registry};
--- a/src/net/reactor/tests.rs
+++ b/src/net/reactor/tests.rs
@@ -1,5 +1,5 @@
-use super::super::{BufferLimits, BufferedStream, Connection, ConnectionFlow, Context};
 use super::*;
+use crate::net::{BufferLimits, BufferedStream, Connection, ConnectionFlow, Context};
 use std::io::{Read, Write};
 
 /// A site without classes, for tests that send no request.
