--- a/src/frontend/jsonrpc_codec/errors.rs
+++ b/src/frontend/jsonrpc_codec/errors.rs
@@ -37,7 +37,7 @@
     /// A batch has no requests.
     #[error("an empty batch")]
     EmptyBatch,
-    /// A batch has more than [`MAX_BATCH_LENGTH`] requests.
+    /// A batch has more than [`MAX_BATCH_LENGTH`](super::MAX_BATCH_LENGTH) requests.
     #[error("too large a batch")]
     BatchTooLarge,
     /// A request is not a JSON object.
--- a/src/frontend/mod.rs
+++ b/src/frontend/mod.rs
@@ -1,8 +1,8 @@
 //! The client side: two protocols that turn bytes into [`ClientRequest`](crate::scheduler::ClientRequest)s
 //! and responses into bytes.
 //!
-//! Each protocol has a codec and, apart from it, a connection. Binary frames come over TCP, JSON-RPC comes over
-//! a Unix socket.
+//! Each protocol has a codec and, apart from it, a connection. Binary frames come over TCP, JSON-RPC over a
+//! Unix socket.
 
 mod conversions;
 pub mod frame_codec;
--- a/src/net/reactor/connections.rs
+++ b/src/net/reactor/connections.rs
@@ -141,12 +141,7 @@
         };
         self.unsent = self.unsent.saturating_sub(entry.stream.unsent());
         self.timers.replace(id, entry.timer, None);
-        entry.notify_closed(&mut Context {
-            scheduler,
-            now: self.clock.now(),
-            ready: self.ready,
-            active: self.active,
-        });
+        entry.notify_closed(&mut self.context(scheduler));
         entry.stream.deregister(self.poll.registry());
     }
 
@@ -167,6 +162,10 @@
         self.connections.values().any(|entry| entry.stream.is_connected() && entry.stream.unsent() > 0)
     }
 
+    fn context<'a>(&self, scheduler: &'a mut Scheduler) -> Context<'a> {
+        Context { scheduler, now: self.clock.now(), ready: self.ready, active: self.active }
+    }
+
     /// Calls a connection back, and closes it or sets its timer as it wants.
     pub(super) fn call(
         &mut self,
@@ -174,11 +173,10 @@
         scheduler: &mut Scheduler,
         callback: impl FnOnce(&mut Entry, &mut Context) -> ConnectionFlow,
     ) {
+        let mut context = self.context(scheduler);
         let Some(entry) = self.connections.get_mut(&id) else {
             return;
         };
-        let mut context =
-            Context { scheduler, now: self.clock.now(), ready: self.ready, active: self.active };
         let unsent_before = entry.stream.unsent();
         let mut flow = entry.call(&mut context, callback);
         let unsent = entry.stream.unsent();
