--- a/src/frontend/lifecycle.rs
+++ b/src/frontend/lifecycle.rs
@@ -5,6 +5,9 @@
 use crate::net::{BufferedStream, Context};
 use crate::scheduler::RequestOrigin;
 
+#[cfg(test)]
+mod tests;
+
 /// A message of which the end has not come yet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum PartialMessage {
