Split the policy by concern, and what it knows of the cluster from its decisions

- src/policy has a file for each concern: dispatch, requests, placement, popularity, prewarm, health, admission and slow start.
Constants have a name and a unit each, functions have one job, actions are collected in one place.
- src/cluster holds what one scheduler knows: workers with health, limit, load and instances, functions, requests and attempts, each a type with methods and unit tests.
It decides nothing and holds no threshold; who is picked, admitted, shed, ejected, retried or loaded stays in src/policy.
- Limits with additive increase, liveness, selections, threshold averages and load estimates become generic types in src/collections and src/stats.
- What a class permits to repeat, and the capacity of a worker that warms up, are methods of the model's settings.
- Dead checks go: send() asked a second time what place() had just found.

--- /dev/null
+++ b/src/cluster/worker.rs
@@ -0,0 +1,86 @@
+//! Workers and their health.
+
+use super::{Attempt, Instance};
+use crate::collections::{AimdLimit, BackoffTimer, BurstCounter, Liveness};
+use crate::model::{Endpoint, FunctionId, Status, Time};
+use crate::stats::{DecayingAverage, LoadEstimate, ThresholdDetector};
+use std::collections::BTreeMap;
+
+/// What is known of a worker process.
+#[derive(Default)]
+pub(crate) struct Worker {
+    /// The worker as it is listed.
+    pub(crate) endpoint: Endpoint,
+    /// When this process was first listed.
+    pub(crate) listed_at: Time,
+    /// Its instances.
+    pub(crate) instances: BTreeMap<FunctionId, Instance>,
+    /// How loaded it is.
+    pub(crate) load: LoadEstimate,
+    /// No request starts a load there before this time.
+    pub(crate) load_backoff_until: Time,
+    /// Most requests of this scheduler in flight there.
+    pub(crate) concurrency_limit: AimdLimit,
+    /// Mean part of the latency objective that requests used there.
+    pub(crate) saturation: DecayingAverage,
+    /// Its health.
+    pub(crate) health: Health,
+}
+
+/// The health of a worker.
+#[derive(Default)]
+pub(crate) struct Health {
+    /// When it was heard, and its health checks.
+    pub(crate) liveness: Liveness,
+    /// Until when it gets no requests, if others do.
+    pub(crate) ejection: BackoffTimer,
+    /// Mean part of the attempts at loaded instances that failed.
+    pub(crate) error_rate: ThresholdDetector,
+    /// Connections that broke in a row.
+    pub(crate) resets: BurstCounter,
+}
+
+impl Worker {
+    /// A process of which nothing is known yet.
+    pub(crate) fn new(endpoint: Endpoint, listed_at: Time) -> Worker {
+        Worker { endpoint, listed_at, ..Worker::default() }
+    }
+
+    /// What is known of an instance; the default where nothing is.
+    pub(crate) fn instance(&self, function: FunctionId) -> Instance {
+        self.instances.get(&function).copied().unwrap_or_default()
+    }
+
+    /// An instance, to be changed.
+    pub(crate) fn instance_mut(&mut self, function: FunctionId) -> &mut Instance {
+        self.instances.entry(function).or_default()
+    }
+
+    /// Load orders that are under way for instances not believed loaded.
+    pub(crate) fn ordered_loads(&self, now: Time) -> usize {
+        let ordered = self.instances.values().filter(|instance| instance.ordered_at().is_some());
+        ordered.filter(|instance| !instance.is_loaded(now)).count()
+    }
+
+    /// Instances whose loads requests in flight wait for.
+    pub(crate) fn awaited_loads(&self, now: Time) -> usize {
+        self.instances.values().filter(|instance| instance.is_awaited(now)).count()
+    }
+
+    /// Nothing is believed loaded there any longer.
+    pub(crate) fn expire_instances(&mut self) {
+        self.instances.values_mut().for_each(Instance::expire);
+    }
+
+    /// Records the end of an attempt there, and how many requests the worker holds if its load report told.
+    pub(crate) fn end_attempt(&mut self, attempt: &Attempt, status: Status, held: Option<f64>, now: Time) {
+        if status.is_response() {
+            self.health.liveness.heard(now);
+        }
+        if let Some(held) = held {
+            self.load.report(held);
+        }
+        self.load.end();
+        self.instance_mut(attempt.function).end_request();
+    }
+}
--- a/src/collections/backoff.rs
+++ b/src/collections/backoff.rs
@@ -39,6 +39,13 @@
         self.failures
     }
 
+    /// Notes a failure, unless the target is still left alone.
+    pub(crate) fn begin(&mut self, now: Time, backoff: ExponentialBackoff) {
+        if !self.is_active(now) {
+            self.restart(now, backoff);
+        }
+    }
+
     /// Notes a failure; the wait starts anew, and may so end earlier than the one before.
     pub(crate) fn restart(&mut self, now: Time, backoff: ExponentialBackoff) {
         self.until = now + backoff.delay(self.failures);
--- a/src/collections/burst_counter.rs
+++ b/src/collections/burst_counter.rs
@@ -10,13 +10,18 @@
 }
 
 impl BurstCounter {
-    /// Notes an event, counts it unless it comes within `burst` of the last counted one, and returns the count.
-    pub(crate) fn record(&mut self, now: Time, burst: Span) -> u32 {
+    /// Notes an event, and counts it unless it comes within `burst` of the last counted one. Returns whether the count
+    /// has reached `limit`; it then starts from zero.
+    pub(crate) fn record(&mut self, now: Time, burst: Span, limit: u32) -> bool {
         if now - self.counted_at > burst {
             self.counted_at = now;
             self.count += 1;
         }
-        self.count
+        let is_reached = self.count >= limit;
+        if is_reached {
+            self.reset();
+        }
+        is_reached
     }
 
     /// Starts counting from zero; the time of the last counted event stays.
--- /dev/null
+++ b/src/collections/liveness.rs
@@ -0,0 +1,39 @@
+//! When a peer was last heard, and the health checks that it has not answered.
+
+use crate::model::Time;
+
+/// When a peer was last heard, and the health checks that it has not answered.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Liveness {
+    last_heard: Time,
+    is_checked: bool,
+    unanswered_checks: u32,
+}
+
+impl Liveness {
+    /// When the peer was last heard.
+    pub(crate) fn last_heard(&self) -> Time {
+        self.last_heard
+    }
+
+    /// The peer has been heard: earlier unanswered checks count no more.
+    pub(crate) fn heard(&mut self, now: Time) {
+        self.last_heard = now;
+        self.unanswered_checks = 0;
+    }
+
+    /// A check begins; returns whether it may, as none is under way.
+    pub(crate) fn begin_check(&mut self) -> bool {
+        !std::mem::replace(&mut self.is_checked, true)
+    }
+
+    /// The check has ended; returns how many in a row have not been answered.
+    pub(crate) fn end_check(&mut self, is_answered: bool, now: Time) -> u32 {
+        self.is_checked = false;
+        self.unanswered_checks += 1;
+        if is_answered {
+            self.heard(now);
+        }
+        self.unanswered_checks
+    }
+}
--- /dev/null
+++ b/src/collections/selection.rs
@@ -0,0 +1,34 @@
+//! Selections from lists.
+
+use super::mix64;
+
+/// The items that pass, if they are at least `min_part` of all; else all.
+pub(crate) fn retain_unless_few<T>(mut items: Vec<T>, min_part: f64, passes: impl Fn(&T) -> bool) -> Vec<T> {
+    let passing = items.iter().filter(|item| passes(item)).count();
+    if passing as f64 >= items.len() as f64 * min_part {
+        items.retain(passes);
+    }
+    items
+}
+
+/// The longest prefix of the items whose sizes together fit a capacity, in the order given.
+pub(crate) fn take_fitting<T>(items: Vec<T>, capacity: f64, size: impl Fn(&T) -> f64) -> Vec<T> {
+    let mut room = capacity;
+    let mut fits = |item: &T| {
+        room -= size(item);
+        room.is_finite() && room >= 0.0
+    };
+    items.into_iter().take_while(|item| fits(item)).collect()
+}
+
+/// The item of the least cost. Ties are broken by a hash of the items' ids, and so randomly for a random `salt`.
+pub(crate) fn least_by_cost<T>(
+    items: impl Iterator<Item = T>,
+    salt: u64,
+    id: impl Fn(&T) -> u64,
+    cost: impl Fn(&T) -> f64,
+) -> Option<T> {
+    let ranked = items.map(|item| (cost(&item), mix64(salt ^ id(&item)), item));
+    let least = ranked.min_by(|one, other| one.0.total_cmp(&other.0).then(one.1.cmp(&other.1)));
+    least.map(|(_, _, item)| item)
+}
--- a/src/collections/tests.rs
+++ b/src/collections/tests.rs
@@ -1,8 +1,9 @@
 //! The data structures, by their own rules.
 
 use super::{
-    BackoffTimer, BurstCounter, EventLog, ExponentialBackoff, Hysteresis, SlidingWindowCounter, TimerQueue,
-    Versioned, mix64, weighted_rendezvous_order,
+    AimdBounds, AimdLimit, BackoffTimer, BucketClock, BurstCounter, EventLog, ExponentialBackoff, Hysteresis,
+    Liveness, SlidingWindowCounter, TimerQueue, least_by_cost, mix64, retain_unless_few, take_fitting,
+    weighted_rendezvous_order,
 };
 use crate::model::{Span, Time};
 use std::collections::BTreeSet;
@@ -33,6 +34,18 @@
     assert!(!timer.is_active(Time(100)));
 }
 
+#[test]
+fn a_backoff_begins_only_where_none_is_under_way() {
+    let mut timer = BackoffTimer::default();
+    timer.begin(Time(0), BACKOFF);
+    timer.begin(Time(50), BACKOFF);
+    assert_eq!(timer.failures(), 1);
+    assert!(!timer.is_active(Time(100)));
+    timer.begin(Time(100), BACKOFF);
+    assert_eq!(timer.failures(), 2);
+    assert!(timer.is_active(Time(299)) && !timer.is_active(Time(300)));
+}
+
 #[test]
 fn a_wait_can_be_extended_without_a_failure() {
     let mut timer = BackoffTimer::default();
@@ -45,13 +58,16 @@
 #[test]
 fn a_burst_of_events_counts_once() {
     let mut counter = BurstCounter::default();
-    assert_eq!(counter.record(Time(100), Span(30)), 1);
-    assert_eq!(counter.record(Time(120), Span(30)), 1);
-    assert_eq!(counter.record(Time(130), Span(30)), 1, "30 after the counted one is still its burst");
-    assert_eq!(counter.record(Time(131), Span(30)), 2);
+    let mut reaches_two = |at| counter.record(Time(at), Span(30), 2);
+    assert!(!reaches_two(100) && !reaches_two(120));
+    assert!(!reaches_two(130), "30 after the counted one is still its burst");
+    assert!(reaches_two(131));
+    assert!(!reaches_two(140), "the burst goes on after the count has started from zero");
+    assert!(!reaches_two(200), "one");
+    assert!(reaches_two(300), "two");
+    assert!(!reaches_two(400));
     counter.reset();
-    assert_eq!(counter.record(Time(140), Span(30)), 0, "the burst goes on after a reset");
-    assert_eq!(counter.record(Time(200), Span(30)), 1);
+    assert!(!counter.record(Time(500), Span(30), 2), "one again after a reset");
 }
 
 #[test]
@@ -81,15 +97,15 @@
 
 #[test]
 fn a_sliding_window_forgets_its_oldest_bucket() {
-    let mut counter = SlidingWindowCounter::<3>::default();
+    let mut counter = SlidingWindowCounter::default();
     counter.increment();
     counter.increment();
     assert_eq!((counter.current(), counter.total()), (2, 2));
-    counter.advance();
+    counter.advance(3);
     counter.increment();
     assert_eq!((counter.current(), counter.total()), (1, 3));
-    counter.advance();
-    counter.advance();
+    counter.advance(3);
+    counter.advance(3);
     assert_eq!((counter.current(), counter.total()), (0, 1));
 }
 
@@ -121,15 +137,6 @@
     assert_eq!(queue.next_wake_up(Time(30)), Some(Span(0)));
 }
 
-#[test]
-fn a_versioned_value_is_computed_once_for_each_version() {
-    let mut cached = Versioned::<u32>::default();
-    assert_eq!(*cached.get_or_compute(0, || 7), 0, "version 0 is the default value's");
-    assert_eq!(*cached.get_or_compute(1, || 7), 7);
-    assert_eq!(*cached.get_or_compute(1, || 8), 7);
-    assert_eq!(*cached.get_or_compute(2, || 9), 9);
-}
-
 fn nodes(weights: &[f64]) -> impl Iterator<Item = (usize, u64, f64)> {
     weights.iter().enumerate().map(|(node, weight)| (node, node as u64, *weight))
 }
@@ -151,3 +158,96 @@
     let heavy = (0..4000).filter(|key| first(*key) == 0).count();
     assert!((1800..2200).contains(&heavy), "{heavy} of 4000, half expected");
 }
+
+#[test]
+fn a_bucket_clock_measures_the_bucket_and_the_window() {
+    let mut clock = BucketClock::new(Time(10));
+    assert_eq!((clock.bucket_length(Time(15)), clock.window_length(Time(15))), (Span(5), Span(5)));
+    clock.advance(Time(20), 3);
+    clock.advance(Time(30), 3);
+    assert_eq!((clock.bucket_length(Time(35)), clock.window_length(Time(35))), (Span(5), Span(25)));
+    clock.advance(Time(40), 3);
+    assert_eq!(clock.window_length(Time(45)), Span(25), "the first bucket has left the window");
+}
+
+const LIMIT: AimdBounds = AimdBounds {
+    initial: 4.0,
+    min: 2.0,
+    max: 6.0,
+    increment: 1.5,
+    decrease_factor: 0.5,
+    decrease_interval: Span(100),
+    headroom: 1.0,
+};
+
+#[test]
+fn a_limit_increases_while_it_is_used_and_up_to_its_greatest_value() {
+    let mut limit = AimdLimit::default();
+    limit.increase(2, &LIMIT);
+    assert_eq!(limit.value(&LIMIT), 4.0, "more than the headroom is free");
+    limit.increase(3, &LIMIT);
+    assert_eq!(limit.value(&LIMIT), 5.5);
+    limit.increase(5, &LIMIT);
+    assert_eq!(limit.value(&LIMIT), 6.0);
+}
+
+#[test]
+fn a_limit_decreases_once_in_an_interval_and_down_to_its_least_value() {
+    let mut limit = AimdLimit::default();
+    limit.increase(4, &LIMIT);
+    limit.decrease(Time(101), &LIMIT);
+    assert_eq!(limit.value(&LIMIT), 2.75);
+    limit.decrease(Time(201), &LIMIT);
+    assert_eq!(limit.value(&LIMIT), 2.75, "the interval has not passed");
+    limit.decrease(Time(202), &LIMIT);
+    assert_eq!(limit.value(&LIMIT), 2.0);
+}
+
+#[test]
+fn a_peer_is_checked_once_at_a_time_and_unanswered_checks_are_counted_in_a_row() {
+    let mut liveness = Liveness::default();
+    assert!(liveness.begin_check() && !liveness.begin_check());
+    assert_eq!(liveness.end_check(false, Time(10)), 1);
+    assert!(liveness.begin_check(), "the check has ended");
+    assert_eq!(liveness.end_check(false, Time(20)), 2);
+    assert_eq!(liveness.last_heard(), Time(0));
+    assert_eq!(liveness.end_check(true, Time(30)), 0);
+    assert_eq!(liveness.last_heard(), Time(30));
+    assert_eq!(liveness.end_check(false, Time(40)), 1);
+    liveness.heard(Time(50));
+    assert_eq!(liveness.end_check(false, Time(60)), 1);
+}
+
+#[test]
+fn items_are_left_out_unless_few_would_be_left() {
+    let even = |number: &u32| number.is_multiple_of(2);
+    assert_eq!(retain_unless_few(vec![1, 2, 3, 4], 0.5, even), [2, 4]);
+    assert_eq!(retain_unless_few(vec![1, 2, 3], 0.5, even), [1, 2, 3]);
+    assert_eq!(retain_unless_few(vec![1, 3], 0.0, even), [0; 0]);
+    assert_eq!(retain_unless_few(vec![], 0.5, even), [0; 0]);
+}
+
+#[test]
+fn items_are_taken_in_order_while_they_fit() {
+    let size = |size: &f64| *size;
+    assert_eq!(take_fitting(vec![3.0, 2.0, 1.0], 5.0, size), [3.0, 2.0]);
+    assert_eq!(
+        take_fitting(vec![6.0, 1.0], 5.0, size),
+        [0.0; 0],
+        "what comes after the first misfit is not taken"
+    );
+    assert_eq!(take_fitting(vec![1.0], f64::INFINITY, size), [0.0; 0], "no sensible capacity");
+    assert_eq!(take_fitting(vec![f64::NAN], 5.0, size).len(), 0);
+}
+
+#[test]
+fn the_least_cost_wins_and_ties_are_broken_by_the_salt() {
+    let least = |costs: &[f64], salt| {
+        let items = costs.iter().copied().enumerate();
+        least_by_cost(items, salt, |(index, _)| *index as u64, |(_, cost)| *cost).map(|(index, _)| index)
+    };
+    assert_eq!(least(&[], 1), None);
+    assert_eq!(least(&[2.0, 1.0, 3.0], 1), Some(1));
+    let winners: BTreeSet<_> = (0..50).map(|salt| least(&[1.0, 1.0, 1.0, 2.0], mix64(salt))).collect();
+    assert_eq!(winners, BTreeSet::from([Some(0), Some(1), Some(2)]));
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -94,6 +94,7 @@
 
 pub mod backend;
 pub mod client;
+mod cluster;
 mod collections;
 pub mod config;
 pub mod discovery;
--- a/src/model/actions.rs
+++ b/src/model/actions.rs
@@ -63,3 +63,10 @@
     /// Subscribe to changes of the endpoint list.
     Subscribe,
 }
+
+impl Action {
+    /// The action that has a worker hold a loaded instance of a function.
+    pub fn load_one(worker: WorkerId, function: FunctionId) -> Action {
+        Action::Load { worker, function, instances: 1 }
+    }
+}
--- a/src/model/endpoints.rs
+++ b/src/model/endpoints.rs
@@ -35,6 +35,13 @@
     pub kind: KindId,
 }
 
+impl Endpoint {
+    /// Whether it may be sent requests.
+    pub fn is_ready(&self) -> bool {
+        self.state == EndpointState::Ready
+    }
+}
+
 /// How an update relates to the endpoint list that is held.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EndpointUpdateKind {
--- a/src/model/events.rs
+++ b/src/model/events.rs
@@ -30,6 +30,11 @@
     pub fn never_ran(self) -> bool {
         matches!(self, Status::Full | Status::ConnectFailed | Status::Moot | Status::Miss)
     }
+
+    /// Whether the worker itself gave it, as the answer to an attempt.
+    pub fn is_response(self) -> bool {
+        matches!(self, Status::Ok | Status::Error | Status::Full | Status::Miss)
+    }
 }
 
 /// What an answer says about the instance that served the request.
--- a/src/model/settings.rs
+++ b/src/model/settings.rs
@@ -1,6 +1,6 @@
 //! The site's settings as the policy uses them.
 
-use super::{Span, ZoneId};
+use super::{Endpoint, Span, Time, ZoneId};
 
 /// Whether a request that may have run may be sent again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -18,6 +18,36 @@
     NonIdempotent,
 }
 
+impl Idempotency {
+    /// Whether a repeat that arrives at `arrival` cannot run twice, where the first attempt that may have run
+    /// was sent at `first_sent_at`.
+    pub fn permits_repeat_at(self, arrival: Time, first_sent_at: Time) -> bool {
+        match self {
+            Idempotency::Idempotent => true,
+            Idempotency::Keyed { window, .. } => arrival < first_sent_at + window,
+            Idempotency::NonIdempotent => false,
+        }
+    }
+
+    /// Whether `worker` drops a repeat of what `first` may have run, or the repeat does no harm.
+    pub fn permits_repeat_on(self, worker: &Endpoint, first: &Endpoint) -> bool {
+        match self {
+            Idempotency::Keyed { scope: DeduplicationScope::Zone, .. } => worker.zone == first.zone,
+            Idempotency::Keyed { scope: DeduplicationScope::Cell, .. } => worker.cell == first.cell,
+            _ => true,
+        }
+    }
+
+    /// Whether the client may send a request again that may have run, to any worker.
+    pub fn permits_client_retry(self) -> bool {
+        match self {
+            Idempotency::Idempotent => true,
+            Idempotency::Keyed { scope, .. } => scope == DeduplicationScope::All,
+            Idempotency::NonIdempotent => false,
+        }
+    }
+}
+
 /// The workers that drop repeats of a keyed request which one of them has received.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum DeduplicationScope {
@@ -68,6 +98,14 @@
     pub load_rate_limit: Option<LoadRateLimit>,
 }
 
+impl SafetyLimits {
+    /// The part of its full capacity, 0 to 1, that a worker has at least, `age` after its start.
+    pub fn capacity_at(&self, age: Span) -> f64 {
+        self.initial_capacity
+            + (1.0 - self.initial_capacity) * age.as_secs_f64() / self.warm_up_duration.as_secs_f64()
+    }
+}
+
 /// A limit on load orders: at most `burst + per_request * requests` of them in any `window`, where `requests`
 /// are those received in that window.
 #[derive(Clone, Copy, Debug)]
--- /dev/null
+++ b/src/policy/placement.rs
@@ -0,0 +1,246 @@
+//! Placement: which worker a request is sent to, by loaded instances, load and hash order.
+
+use super::*;
+use health::LATENCY_RATIO;
+
+/// Pause before a request that found no worker is placed again.
+pub(super) const RETRY_DELAY: Span = Span::from_millis(40);
+/// How long a request waits for a load order before it is placed again.
+pub(super) const LOAD_PATIENCE: Span = Span::from_millis(3000);
+/// How long a worker's answer that a function is not loaded there is believed.
+const MISS_VALIDITY: Span = Span::from_millis(1000);
+/// Workers in hash order that a request looks at, beyond twice the instances wanted.
+const NEARBY_WORKERS: usize = 12;
+/// First places in hash order, where a function that is loaded nowhere is loaded.
+const HOMES: usize = 2;
+/// Requests in flight that crossing a zone weighs as, for each unit of its price.
+const CROSS_ZONE_WEIGHT: f64 = 10.0;
+/// Load that each request beyond an instance's concurrency adds.
+const EXCESS_WEIGHT: f64 = 2.0;
+/// Load by which the first home must exceed the second for a load to go there.
+const SECOND_HOME_MARGIN: f64 = 1.5;
+/// Load by which the best worker must exceed another for an instance to be added there.
+const SCALE_OUT_MARGIN: f64 = 1.0;
+/// Part of its latency objective after which a request may start a load elsewhere.
+const SPILL_DELAY: f64 = 0.08;
+/// Part of the workers without room above which none does.
+const MAX_SPILL_FULL_WORKERS: f64 = 0.34;
+/// Part of the workers that must not be ejected for the ejected ones to be left out.
+const MIN_HEALTHY: f64 = 0.25;
+/// A worker is crowded with this many times the mean requests in flight...
+const CROWD_FACTOR: f64 = 2.0;
+/// ...and this many more.
+const CROWD_ALLOWANCE: f64 = 4.0;
+/// Part of the workers that must not be crowded for the crowded ones to be left out.
+const MIN_UNCROWDED: f64 = 0.5;
+
+/// What the worker for a request is chosen from.
+struct Placement {
+    request: RequestId,
+    function: FunctionId,
+    wanted_instances: usize,
+    /// Workers that may be sent the request, in hash order.
+    candidates: Vec<Candidate>,
+}
+
+/// A worker that may be sent a request.
+struct Candidate {
+    worker: WorkerId,
+    load: f64,
+    has_room: bool,
+    /// The instance's requests beyond those that it runs at a time, with this one.
+    excess: u32,
+    /// An instance is believed loaded there.
+    is_warm: bool,
+    /// Neither the function nor the request has missed or failed there lately.
+    is_untried: bool,
+    /// An instance is believed or assumed loaded there, and untried.
+    is_promising: bool,
+    may_start_load: bool,
+}
+
+impl Policy {
+    /// Sends a request to a worker, has it wait, or ends it.
+    pub(super) fn place(&mut self, id: RequestId) {
+        let tie_break = self.rng.next_u64();
+        let request = self.cluster.idle_request(id);
+        let Some(request) = request else { return };
+        request.awaits_load = false;
+        if request.attempts() >= self.settings.permissions.max_attempts {
+            return self.give_up(id);
+        }
+        let function = request.function;
+        let order = self.cluster.hash_order(function);
+        let placement = self.placement(id, order);
+        if !placement.candidates.iter().any(|c| c.has_room) {
+            self.hold_back(id);
+        } else if placement.candidates.iter().any(|c| c.is_promising) {
+            self.place_warm(&placement, tie_break);
+        } else if self.settings.loading.on_miss == OnMiss::Load {
+            self.place_cold(&placement);
+        } else {
+            self.place_after_load(&placement);
+        }
+    }
+
+    fn placement(&self, id: RequestId, order: Vec<WorkerId>) -> Placement {
+        let request = &self.cluster.requests[&id];
+        let function = &self.cluster.functions[&request.function];
+        let demand = self.demand(function, request.class);
+        let workers = order.into_iter().map(|worker| &self.cluster.workers[&worker]);
+        let allowed = workers.filter(|worker| {
+            worker.endpoint.is_ready()
+                && self.slow_start_admits(id, request.class, worker)
+                && self.may_retry_on(request, worker)
+        });
+        let mut workers = self.preferred(allowed.collect());
+        if !self.is_everywhere(function) {
+            workers.truncate(demand.instances * 2 + NEARBY_WORKERS);
+        }
+        let assumed = if demand.undersampled { demand.instances } else { 0 };
+        let workers = workers.into_iter().enumerate();
+        let candidates = workers.map(|(place, w)| self.candidate(request, function, w, place < assumed));
+        Placement {
+            request: id,
+            function: request.function,
+            wanted_instances: demand.instances,
+            candidates: candidates.collect(),
+        }
+    }
+
+    /// Leaves out ejected workers, unless few would be left, and of the rest the crowded, unless most are.
+    fn preferred<'a>(&self, workers: Vec<&'a Worker>) -> Vec<&'a Worker> {
+        let is_healthy = |worker: &&Worker| !worker.health.ejection.is_active(self.now);
+        let workers = retain_unless_few(workers, MIN_HEALTHY, is_healthy);
+        let in_flight: f64 = workers.iter().map(|w| w.load.total_in_flight()).sum();
+        let mean = in_flight / workers.len().max(1) as f64;
+        let most = mean * CROWD_FACTOR + CROWD_ALLOWANCE;
+        retain_unless_few(workers, MIN_UNCROWDED, |w| w.load.total_in_flight() <= most)
+    }
+
+    fn candidate(&self, request: &Request, function: &Function, worker: &Worker, assumed: bool) -> Candidate {
+        let instance = worker.instance(request.function);
+        let missed = instance.missed_within(self.now, MISS_VALIDITY);
+        let failed = request.failed_workers.contains(&worker.endpoint.worker);
+        let trusted = self.is_everywhere(function) && self.warm_up_age(worker).is_none();
+        let believed = instance.is_loaded(self.now) || instance.in_flight > 0 || trusted;
+        Candidate {
+            worker: worker.endpoint.worker,
+            load: self.load(worker),
+            has_room: self.has_room(worker, request.class),
+            excess: (instance.in_flight + 1).saturating_sub(function.concurrency),
+            is_warm: believed && !missed,
+            is_untried: !missed && !failed,
+            is_promising: (believed || assumed) && !missed && !failed,
+            may_start_load: !failed && worker.load_backoff_until <= self.now,
+        }
+    }
+
+    /// The load before a new request on a worker: what is in flight there, weighed by its latency and zone.
+    fn load(&self, worker: &Worker) -> f64 {
+        let is_local = worker.endpoint.zone == self.settings.zone;
+        let price = self.settings.prices.cross_zone;
+        let cross_zone = if is_local { 0.0 } else { price };
+        worker.load.expected(self.now, &LATENCY_RATIO) + cross_zone * CROSS_ZONE_WEIGHT
+    }
+
+    /// Sends to a loaded instance: for bronze the first in hash order, else the least loaded.
+    fn place_warm(&mut self, placement: &Placement, tie_break: u64) {
+        let candidates = placement.candidates.iter();
+        let open = candidates.filter(|c| c.is_promising && c.has_room);
+        let home = open.clone().find(|c| c.excess == 0);
+        let home = home.filter(|_| self.is_bronze(placement.function));
+        let cost = |c: &&Candidate| c.load + EXCESS_WEIGHT * f64::from(c.excess);
+        let least_loaded = || least_by_cost(open, tie_break, |c| c.worker.0, cost);
+        let Some(best) = home.or_else(least_loaded) else {
+            return self.spill(placement);
+        };
+        self.send(placement.request, best.worker, best.is_warm);
+        if best.excess > 0 {
+            self.scale_out(placement, best.worker);
+        }
+    }
+
+    /// No loaded instance has room: a load where there is room may end sooner than the wait for one.
+    fn spill(&mut self, placement: &Placement) {
+        let others = placement.candidates.iter().filter(|c| !c.is_promising);
+        let home = load_home(others.filter(|c| c.has_room && c.may_start_load));
+        let home = home.filter(|_| self.may_spill(&self.cluster.requests[&placement.request]));
+        if let Some(home) = home {
+            return self.send(placement.request, home, false);
+        }
+        self.hold_back(placement.request);
+        if let Some(first) = placement.candidates.iter().find(|c| c.is_promising) {
+            self.scale_out(placement, first.worker);
+        }
+    }
+
+    /// Whether a request has waited long enough to start a load elsewhere: one at a time for a function.
+    fn may_spill(&self, request: &Request) -> bool {
+        let waited = self.now - request.received_at;
+        self.settings.loading.on_miss == OnMiss::Load
+            && self.full_workers <= MAX_SPILL_FULL_WORKERS
+            && waited >= request.latency_objective.mul_f64(SPILL_DELAY)
+            && !self.cluster.is_load_awaited(request.function, self.now)
+    }
+
+    /// Orders another instance where demand asks for it and the next worker is clearly less loaded.
+    fn scale_out(&mut self, placement: &Placement, best: WorkerId) {
+        let promising = placement.candidates.iter().filter(|c| c.is_promising).count();
+        let next = placement.candidates.iter().find(|c| !c.is_promising);
+        let best_load = self.load(&self.cluster.workers[&best]);
+        if let Some(next) = next.filter(|next| next.load + SCALE_OUT_MARGIN < best_load)
+            && promising < placement.wanted_instances
+            && self.pending_loads(placement.function) == 0
+        {
+            self.order_load(next.worker, placement.function);
+        }
+    }
+
+    /// Sends to a home in hash order, where the request itself starts the load.
+    fn place_cold(&mut self, placement: &Placement) {
+        let free = placement.candidates.iter().filter(|c| c.excess == 0);
+        let fresh = free.clone().filter(|c| c.may_start_load);
+        let homes = fresh.chain(free).take(HOMES);
+        match load_home(homes.filter(|c| c.has_room)) {
+            Some(home) => self.send(placement.request, home, false),
+            None => self.hold_back(placement.request),
+        }
+    }
+
+    /// Asks the homes whether they have the function loaded; if none has, the request waits for a load order.
+    fn place_after_load(&mut self, placement: &Placement) {
+        let id = placement.request;
+        let function = placement.function;
+        if self.pending_loads(function) == 0 {
+            let mut homes = placement.candidates.iter().take(HOMES);
+            if let Some(home) = homes.find(|c| c.is_untried && c.has_room) {
+                return self.send(id, home.worker, false);
+            }
+            // Not beyond the first: orders that end full must not walk through all workers.
+            let first = placement.candidates.iter().take(placement.wanted_instances + HOMES);
+            let workers = &self.cluster.workers;
+            let homes = first.filter(|c| self.may_load(&workers[&c.worker], function));
+            let Some(home) = load_home(homes) else {
+                return self.schedule(RETRY_DELAY, Timer::Placement(id));
+            };
+            self.order_load(home, function);
+        }
+        let request = self.cluster.requests.entry(id);
+        request.and_modify(|request| request.awaits_load = true);
+        self.schedule(LOAD_PATIENCE, Timer::Placement(id));
+    }
+
+    fn send(&mut self, id: RequestId, worker: WorkerId, expected_warm: bool) {
+        let timeout = self.cluster.begin_attempt(id, worker, expected_warm, self.now);
+        self.actions.push(Action::Send { id, worker, timeout });
+    }
+}
+
+/// The place for a load: the first home, unless it is clearly more loaded than the second.
+fn load_home<'a>(homes: impl Iterator<Item = &'a Candidate>) -> Option<WorkerId> {
+    let homes: Vec<&Candidate> = homes.take(HOMES).collect();
+    let first = homes.first()?;
+    let is_better = |second: &&&Candidate| second.load + SECOND_HOME_MARGIN < first.load;
+    Some(homes.get(1).filter(is_better).unwrap_or(first).worker)
+}
--- /dev/null
+++ b/src/policy/prewarm.rs
@@ -0,0 +1,111 @@
+//! Load orders: instances loaded ahead of requests, and the pace of all orders.
+
+use super::*;
+use placement::LOAD_PATIENCE;
+
+/// Part of the keep-alive that is left when an instance is renewed: room for a lost order and its repeat.
+const RENEW_MARGIN: f64 = 0.3;
+/// Ordered loads that may be under way on a worker.
+const MAX_LOADS: usize = 3;
+/// The same for an order of a bronze function.
+const MAX_BRONZE_LOADS: usize = 1;
+
+impl Policy {
+    /// Loads gold functions on all workers, and renews them there.
+    pub(super) fn prewarm_gold(&mut self) {
+        for function in self.cluster.gold_functions() {
+            for worker in self.cluster.hash_order(function) {
+                if self.needs_prewarm(worker, function) {
+                    self.order_load(worker, function);
+                }
+            }
+        }
+    }
+
+    /// Whether an instance is to be loaded or renewed, and by this scheduler of all.
+    fn needs_prewarm(&self, worker: WorkerId, function: FunctionId) -> bool {
+        let schedulers = u64::from(self.settings.fleet_size.max(1));
+        let owner = mix64(function.0.rotate_left(32) ^ worker.0) % schedulers;
+        let worker = &self.cluster.workers[&worker];
+        let instance = worker.instance(function);
+        let margin = self.settings.loading.keep_alive.mul_f64(RENEW_MARGIN);
+        // The first order costs a load: one at a time for a worker and for a function floods nothing.
+        let is_only_load = || worker.ordered_loads(self.now) == 0 && self.pending_loads(function) == 0;
+        owner == u64::from(self.settings.index)
+            && !instance.is_loaded(self.now + margin)
+            && !worker.health.ejection.is_active(self.now)
+            && (instance.is_loaded(self.now) || is_only_load())
+    }
+
+    /// Load orders of a function that may still be answered.
+    pub(super) fn pending_loads(&self, function: FunctionId) -> usize {
+        self.cluster.pending_loads(function, self.now, LOAD_PATIENCE)
+    }
+
+    /// Whether a load may be ordered: the worker is ready and has a slot, and the rate limit allows it.
+    pub(super) fn may_load(&self, worker: &Worker, function: FunctionId) -> bool {
+        let instance = worker.instance(function);
+        let is_bronze = self.is_bronze(function);
+        let max_loads = if is_bronze { MAX_BRONZE_LOADS } else { MAX_LOADS };
+        self.settings.permissions.may_order
+            && worker.endpoint.is_ready()
+            && (instance.is_loaded(self.now) || worker.ordered_loads(self.now) < max_loads)
+            && instance.is_free_to_order(self.now)
+            && self.load_rate_allows()
+    }
+
+    fn load_rate_allows(&self) -> bool {
+        self.settings.safety_limits.load_rate_limit.is_none_or(|limit| {
+            let since = self.now - limit.window;
+            let loads = self.cluster.recent_loads.count_since(since) as f64;
+            let requests = self.cluster.recent_requests.count_after(since) as f64;
+            loads + 1.0 <= limit.burst + limit.per_request * requests
+        })
+    }
+
+    pub(super) fn order_load(&mut self, worker: WorkerId, function: FunctionId) {
+        let known = self.cluster.workers.get(&worker);
+        if known.is_some_and(|known| self.may_load(known, function)) {
+            self.cluster.begin_load(worker, function, self.now);
+            self.actions.push(Action::load_one(worker, function));
+        }
+    }
+
+    /// Takes in the end of a load order, and places the requests that wait for the function.
+    pub(super) fn load_finished(&mut self, load: LoadOutcome) {
+        if let Some(worker) = self.cluster.workers.get_mut(&load.worker) {
+            worker.load_finished(&load, self.now, self.settings.loading.keep_alive);
+        }
+        for id in self.cluster.requests_awaiting(load.function) {
+            if load.status == Status::Ok {
+                let request = self.cluster.requests.entry(id);
+                request.and_modify(|r| r.failed_workers.retain(|w| *w != load.worker));
+            }
+            self.place(id);
+        }
+    }
+}
+
+impl Worker {
+    fn load_finished(&mut self, load: &LoadOutcome, now: Time, keep_alive: Span) {
+        if matches!(load.status, Status::Ok | Status::Full | Status::Error) {
+            self.health.liveness.heard(now);
+        }
+        let instance = self.instance_mut(load.function);
+        if !instance.end_load() {
+            return;
+        }
+        match load.status {
+            Status::Ok => instance.confirm(now + keep_alive),
+            Status::ConnectFailed => self.eject(now),
+            // Its connection broke, or it was never sent: that says nothing of the load.
+            Status::Reset | Status::Moot => {}
+            _ => {
+                instance.fail_load(now, BACKOFF);
+                if load.instances == 0 {
+                    instance.miss(now);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/policy/requests.rs
@@ -0,0 +1,114 @@
+//! The life of a request: whether it may be retried, and its final answer.
+
+use super::*;
+
+/// A keyed retry must arrive this long before the deduplication window ends.
+const DEDUPLICATION_MARGIN: Span = Span::from_millis(100);
+/// How long a client whose request is rejected is asked to stay away.
+const RETRY_AFTER: Span = Span::from_millis(250);
+
+impl Policy {
+    pub(super) fn request_received(&mut self, incoming: IncomingRequest) {
+        let id = incoming.id;
+        let class = usize::from(incoming.class.0);
+        self.cluster.recent_requests.record(self.now, 1.0);
+        let Some(rules) = self.settings.classes.get(class) else {
+            return self.actions.push(Action::Fail { id });
+        };
+        let objective = rules.latency_objective.min(incoming.remaining);
+        self.cluster.add_request(&incoming, objective, self.now);
+        let last_tick = self.now + incoming.remaining - self.settings.tick;
+        self.timers.schedule(last_tick, Timer::Deadline(id));
+        if self.sheds(class) {
+            self.give_up(id);
+        } else {
+            self.place(id);
+        }
+    }
+
+    pub(super) fn client_disconnected(&mut self, id: RequestId) {
+        if let Some(request) = self.cluster.requests.remove(&id) {
+            self.cancel_in_flight(id, &request);
+        }
+    }
+
+    pub(super) fn attempt_finished(&mut self, outcome: AttemptOutcome) {
+        let id = outcome.id;
+        let attempt = self.cluster.end_attempt(id, outcome.attempt);
+        let Some(attempt) = attempt else { return };
+        self.learn(&outcome, &attempt);
+        if outcome.request_finished {
+            self.cluster.requests.remove(&id);
+        }
+        let request = self.cluster.requests.get_mut(&id);
+        let Some(request) = request else { return };
+        request.end_attempt(attempt, !outcome.status.never_ran());
+        // Where it failed it would most likely fail again, and at once.
+        if !matches!(outcome.status, Status::Reset | Status::Moot) {
+            request.failed_workers.push(attempt.endpoint.worker);
+        }
+        let first_run = request.first_run();
+        let is_over = outcome.status == Status::Timeout || self.now >= request.deadline;
+        // Where all schedulers' requests ask for an instance, it is loaded at once, while others are tried.
+        let function = self.cluster.functions.get(&attempt.function);
+        let is_wanted = function.is_some_and(|f| self.demand(f, attempt.class).undersampled);
+        if outcome.status == Status::Miss && is_wanted {
+            self.order_load(attempt.endpoint.worker, attempt.function);
+        }
+        if is_over || !self.may_retry(attempt.class, first_run) {
+            self.give_up(id);
+        } else {
+            self.place(id);
+        }
+    }
+
+    /// Whether the class allows another attempt after one that may have run.
+    pub(super) fn may_retry(&self, class: usize, first_run: Option<Attempt>) -> bool {
+        let idempotency = self.settings.classes[class].idempotency;
+        let arrival = self.now + DEDUPLICATION_MARGIN;
+        first_run.is_none_or(|first| idempotency.permits_repeat_at(arrival, first.sent_at))
+    }
+
+    /// Whether the class allows an attempt on a worker, after one that may have run.
+    pub(super) fn may_retry_on(&self, request: &Request, worker: &Worker) -> bool {
+        let idempotency = self.settings.classes[request.class].idempotency;
+        let permits = |first: Attempt| idempotency.permits_repeat_on(&worker.endpoint, &first.endpoint);
+        self.may_retry(request.class, request.first_run()) && request.first_run().is_none_or(permits)
+    }
+
+    /// Cancels the attempts in flight on a lost worker that may be retried elsewhere.
+    pub(super) fn cancel_attempts(&mut self, worker: WorkerId) {
+        for (id, attempt) in self.cluster.attempts_on(worker) {
+            let request = &self.cluster.requests[&id.request];
+            let first_run = request.first_run().or(Some(attempt));
+            let has_attempts = request.attempts() < self.settings.permissions.max_attempts;
+            if has_attempts && self.may_retry(request.class, first_run) {
+                self.actions.push(id.cancel());
+            }
+        }
+    }
+
+    /// Cancels an attempt that nobody waits for, so that it takes no place that others want.
+    fn cancel_in_flight(&mut self, id: RequestId, request: &Request) {
+        let may_cancel = self.settings.permissions.may_cancel;
+        if let Some(attempt) = request.in_flight().filter(|_| may_cancel) {
+            self.actions.push(Action::Cancel { id, attempt });
+        }
+    }
+
+    /// Ends a request unserved: rejected where another try of the client is harmless, else failed.
+    pub(super) fn give_up(&mut self, id: RequestId) {
+        let request = self.cluster.requests.remove(&id);
+        let Some(request) = request else { return };
+        self.cancel_in_flight(id, &request);
+        let idempotency = self.settings.classes[request.class].idempotency;
+        if request.never_ran() || idempotency.permits_client_retry() {
+            // The client is told when to come back rather than kept waiting here.
+            let max_retry_after = self.settings.permissions.max_retry_after;
+            let retry_after = max_retry_after.map_or(Span(0), |max| max.min(RETRY_AFTER));
+            self.actions.push(Action::Reject { id, retry_after });
+        } else {
+            self.actions.push(Action::Fail { id });
+        }
+    }
+}
--- a/src/stats/bounded_ratio.rs
+++ b/src/stats/bounded_ratio.rs
@@ -10,6 +10,8 @@
     pub(crate) min: f64,
     /// Greatest ratio.
     pub(crate) max: f64,
+    /// Greatest sample; greater ones count as this.
+    pub(crate) max_sample: f64,
     /// Weight of a sample, from 0 to 1.
     pub(crate) sample_weight: f64,
     /// Time in which the distance from 1 halves without samples.
@@ -32,7 +34,7 @@
 impl BoundedRatio {
     /// Takes in a sample.
     pub(crate) fn update(&mut self, sample: f64, now: Time, bounds: &RatioBounds) {
-        self.average.update(sample, bounds.sample_weight);
+        self.average.update(sample.clamp(0.0, bounds.max_sample), bounds.sample_weight);
         let bounded = self.average.value().clamp(bounds.min, bounds.max);
         self.average = DecayingAverage::new(bounded);
         self.updated_at = now;
--- a/src/stats/tests.rs
+++ b/src/stats/tests.rs
@@ -1,10 +1,14 @@
 //! The statistics, by their own figures.
 
-use super::{BoundedRatio, DecayingAverage, DecayingSum, RatioBounds, decay_factor, half_life_factor};
+use super::{
+    BoundedRatio, DecayingAverage, DecayingSum, LoadEstimate, RatioBounds, ThresholdBounds,
+    ThresholdDetector, decay_factor, half_life_factor,
+};
 use crate::model::{Span, Time};
 
 const SECOND: Span = Span::from_millis(1000);
-const BOUNDS: RatioBounds = RatioBounds { min: 0.5, max: 4.0, sample_weight: 0.5, half_life: SECOND };
+const BOUNDS: RatioBounds =
+    RatioBounds { min: 0.5, max: 4.0, max_sample: 7.0, sample_weight: 0.5, half_life: SECOND };
 
 #[test]
 fn an_average_moves_by_the_weight_of_each_sample() {
@@ -72,3 +76,55 @@
     ratio.raise(10.0, &BOUNDS);
     assert_eq!(ratio.value(Time(0), &BOUNDS), 4.0);
 }
+
+#[test]
+fn samples_beyond_their_bound_count_as_the_bound() {
+    let mut bounded = BoundedRatio::default();
+    let mut far_beyond = BoundedRatio::default();
+    let slow = RatioBounds { max: 100.0, ..BOUNDS };
+    bounded.update(7.0, Time(0), &slow);
+    far_beyond.update(1000.0, Time(0), &slow);
+    assert_eq!(bounded.value(Time(0), &slow), far_beyond.value(Time(0), &slow));
+}
+
+#[test]
+fn a_detector_trips_above_its_threshold_and_starts_again_lower() {
+    let bounds = ThresholdBounds { sample_weight: 0.5, threshold: 0.7, restart: 0.25, recovered: 0.125 };
+    let mut detector = ThresholdDetector::default();
+    assert!(detector.is_recovered(&bounds));
+    assert!(!detector.record(1.0, &bounds), "0.5");
+    assert!(detector.record(1.0, &bounds), "0.75");
+    assert!(!detector.is_recovered(&bounds), "0.25 again");
+    assert!(!detector.record(0.0, &bounds) && detector.is_recovered(&bounds), "0.125");
+    assert!(!detector.record(1.0, &bounds), "0.5625");
+    assert!(detector.record(1.0, &bounds));
+}
+
+#[test]
+fn a_load_estimate_adds_what_others_have_in_flight_until_it_fades() {
+    let mut load = LoadEstimate::default();
+    load.begin();
+    load.begin();
+    load.report(6.0);
+    assert_eq!((load.in_flight(), load.total_in_flight()), (2, 6.0));
+    load.fade(0.5);
+    assert_eq!(load.total_in_flight(), 4.0);
+    load.end();
+    assert_eq!(load.total_in_flight(), 3.0);
+    load.report(0.0);
+    assert_eq!(load.total_in_flight(), 1.0, "own requests are known better");
+    load.end();
+    load.end();
+    assert_eq!(load.in_flight(), 0);
+}
+
+#[test]
+fn an_expected_load_counts_the_new_request_and_weighs_the_latency() {
+    let mut load = LoadEstimate::default();
+    load.begin();
+    assert_eq!(load.expected(Time(0), &BOUNDS), 2.0);
+    load.record_latency(2.0, Time(0), &BOUNDS);
+    assert_eq!(load.expected(Time(0), &BOUNDS), 3.0);
+    load.raise_latency(2.0, &BOUNDS);
+    assert_eq!(load.expected(Time(0), &BOUNDS), 6.0);
+}
--- /dev/null
+++ b/src/stats/threshold.rs
@@ -0,0 +1,39 @@
+//! A moving average that trips at a threshold.
+
+use super::DecayingAverage;
+
+/// The figures of a [`ThresholdDetector`].
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ThresholdBounds {
+    /// Weight of a sample, from 0 to 1.
+    pub(crate) sample_weight: f64,
+    /// The average above which the detector trips.
+    pub(crate) threshold: f64,
+    /// The average from which it starts again once it has tripped.
+    pub(crate) restart: f64,
+    /// The average up to which all is well again.
+    pub(crate) recovered: f64,
+}
+
+/// A moving average, 0 at first, that trips above a threshold and then starts again from a lower value.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct ThresholdDetector {
+    average: DecayingAverage,
+}
+
+impl ThresholdDetector {
+    /// Takes in a sample; returns whether the detector trips.
+    pub(crate) fn record(&mut self, sample: f64, bounds: &ThresholdBounds) -> bool {
+        self.average.update(sample, bounds.sample_weight);
+        let trips = self.average.value() > bounds.threshold;
+        if trips {
+            self.average = DecayingAverage::new(bounds.restart);
+        }
+        trips
+    }
+
+    /// Whether the average is so low that all is well again.
+    pub(crate) fn is_recovered(&self, bounds: &ThresholdBounds) -> bool {
+        self.average.value() <= bounds.recovered
+    }
+}
