--- a/src/cluster/instance.rs
+++ b/src/cluster/instance.rs
@@ -41,7 +41,8 @@
         self.ordered_at.is_none() && !self.load_backoff.is_active(now)
     }
 
-    /// Whether anything is known of it that a new one would not start with, if it stays loaded for `keep_alive`.
+    /// Whether its state differs from that of a new one, where an idle instance stays loaded for
+    /// `keep_alive`.
     pub(crate) fn is_relevant(&self, now: Time, keep_alive: Span) -> bool {
         self.in_flight > 0 || !self.is_free_to_order(now) || now - self.loaded_until < keep_alive
     }
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -1,5 +1,8 @@
-//! The cluster as one scheduler knows it: workers and the instances loaded there, functions, requests and attempts.
-//! It records what has happened and answers questions about it; it decides nothing and holds no threshold.
+//! The cluster as one scheduler knows it: workers and the instances loaded there, functions, requests and
+//! attempts.
+//!
+//! This module records what has happened and answers questions about it. It takes no decision and knows no
+//! threshold of one; what to do about the cluster is up to the policy.
 
 mod function;
 mod instance;
@@ -31,7 +34,7 @@
 #[derive(Default)]
 pub(crate) struct Cluster {
     pub(crate) workers: BTreeMap<WorkerId, Worker>,
-    /// Work sent to each worker, in seconds. Outlives the worker's listing, as a late list may leave it out.
+    /// Work sent to each worker, in seconds. It outlives the worker's listing: a late list may leave it out.
     pub(crate) send_history: BTreeMap<WorkerId, EventLog>,
     /// Orders of workers for functions, as computed since the endpoint list has changed.
     hash_orders: BTreeMap<FunctionId, Vec<WorkerId>>,
@@ -213,7 +216,8 @@
         workers.map(|worker| worker.health.liveness.last_heard()).max()
     }
 
-    /// Forgets functions that are neither gold nor requested, and instances of which nothing is known any more.
+    /// Forgets functions that are neither gold nor requested, and instances of which nothing is known any
+    /// more, where an idle instance stays loaded for `keep_alive`.
     pub(crate) fn prune(&mut self, now: Time, keep_alive: Span) {
         let requested: BTreeSet<FunctionId> =
             self.requests.values().map(|request| request.function).collect();
@@ -232,14 +236,14 @@
         self.recent_requests.forget_before(before);
     }
 
-    /// Lets what load reports told of others fade to one part, and the completed work to another.
+    /// Scales the reported load of others by one factor and the completed work by another.
     pub(crate) fn fade(&mut self, report_factor: f64, work_factor: f64) {
         self.workers.values_mut().for_each(|worker| worker.load.fade(report_factor));
         self.completed_work.scale(work_factor);
     }
 
-    /// Forgets what was sent to workers before a time. What was sent to one that is not listed is kept or
-    /// forgotten as a whole.
+    /// Forgets what was sent to workers before a time. The history of a worker that is not listed is kept
+    /// unchanged until its last entry is older.
     pub(crate) fn forget_sends(&mut self, before: Time) {
         self.send_history.retain(|worker, sends| {
             if self.workers.contains_key(worker) {
--- a/src/cluster/request.rs
+++ b/src/cluster/request.rs
@@ -60,7 +60,7 @@
 }
 
 impl Attempt {
-    /// Whether it was served by an instance that was loaded before, as far as can be told.
+    /// Whether it was served by an instance that was loaded before, as far as is known.
     pub(crate) fn found_loaded(&self, outcome: &AttemptOutcome) -> bool {
         match outcome.instance_state {
             InstanceState::Loaded => true,
--- a/src/cluster/worker.rs
+++ b/src/cluster/worker.rs
@@ -72,7 +72,7 @@
         self.instances.values_mut().for_each(Instance::expire);
     }
 
-    /// Records the end of an attempt there, and how many requests the worker holds if its load report told.
+    /// Records the end of an attempt there, and the requests in flight that its load report gives, if any.
     pub(crate) fn end_attempt(&mut self, attempt: &Attempt, status: Status, held: Option<f64>, now: Time) {
         if status.is_response() {
             self.health.liveness.heard(now);
--- a/src/collections/backoff.rs
+++ b/src/collections/backoff.rs
@@ -52,7 +52,7 @@
         self.failures += 1;
     }
 
-    /// Notes a failure; a wait that would end later stands.
+    /// Notes a failure; a wait under way that would end later is kept.
     pub(crate) fn extend(&mut self, now: Time, backoff: ExponentialBackoff) {
         self.extend_until(now + backoff.delay(self.failures));
         self.failures += 1;
@@ -63,7 +63,7 @@
         self.until = self.until.max(until);
     }
 
-    /// Forgets the failures; a wait that is under way stands.
+    /// Forgets the failures; a wait under way is kept.
     pub(crate) fn reset_failures(&mut self) {
         self.failures = 0;
     }
--- a/src/collections/hysteresis.rs
+++ b/src/collections/hysteresis.rs
@@ -13,7 +13,8 @@
         self.on
     }
 
-    /// Takes in an observation; after `needed` in a row that disagree the switch turns. Returns whether it turned.
+    /// Takes in an observation; after `needed` in a row that disagree the switch turns. Returns whether it
+    /// turned.
     pub(crate) fn observe(&mut self, observed: bool, needed: u8) -> bool {
         self.disagreements = if observed == self.on { 0 } else { self.disagreements + 1 };
         let turns = self.disagreements >= needed;
--- a/src/collections/rendezvous.rs
+++ b/src/collections/rendezvous.rs
@@ -10,8 +10,8 @@
     value ^ (value >> 31)
 }
 
-/// Orders nodes for a key. All processes that know the same nodes compute the same order, and a node of twice the
-/// weight comes first for twice as many keys. Ties are broken by the node itself.
+/// Orders nodes for a key. All processes that know the same nodes compute the same order, and a node of twice
+/// the weight comes first for twice as many keys. Ties are broken by the node itself.
 pub(crate) fn weighted_rendezvous_order<N: Ord + Copy>(
     key: u64,
     nodes: impl Iterator<Item = (N, u64, f64)>,
--- a/src/collections/selection.rs
+++ b/src/collections/selection.rs
@@ -21,7 +21,8 @@
     items.into_iter().take_while(|item| fits(item)).collect()
 }
 
-/// The item of the least cost. Ties are broken by a hash of the items' ids, and so randomly for a random `salt`.
+/// The item of the least cost. Ties are broken by a hash of `salt` and the items' ids, so randomly for a
+/// random salt.
 pub(crate) fn least_by_cost<T>(
     items: impl Iterator<Item = T>,
     salt: u64,
--- a/src/collections/tests.rs
+++ b/src/collections/tests.rs
@@ -25,7 +25,7 @@
     assert_eq!(timer.failures(), 2);
     assert!(timer.is_active(Time(199)) && !timer.is_active(Time(200)));
     timer.reset_failures();
-    assert!(timer.is_active(Time(199)), "the wait under way stands");
+    assert!(timer.is_active(Time(199)), "the wait under way is kept");
     let mut extended = timer;
     extended.extend(Time(0), BACKOFF);
     assert!(extended.is_active(Time(199)));
@@ -118,7 +118,7 @@
     }
     assert_eq!(queue.pop_due(Time(9)), None);
     let due: Vec<char> = std::iter::from_fn(|| queue.pop_due(Time(20))).collect();
-    assert_eq!(due, ['c', 'a', 'b'], "the same timer at the same time stands once");
+    assert_eq!(due, ['c', 'a', 'b'], "the same timer at the same time is queued once");
     assert!(queue.is_empty());
 }
 
--- a/src/collections/timer_queue.rs
+++ b/src/collections/timer_queue.rs
@@ -21,7 +21,7 @@
         self.timers.is_empty()
     }
 
-    /// Adds a timer; the same one at the same time stands once.
+    /// Adds a timer; the same one at the same time is queued once.
     pub(crate) fn schedule(&mut self, at: Time, timer: T) {
         self.timers.insert((at, timer));
     }
--- a/src/model/mod.rs
+++ b/src/model/mod.rs
@@ -7,6 +7,8 @@
 mod ids;
 mod settings;
 mod site;
+#[cfg(test)]
+mod tests;
 mod time;
 
 pub use actions::Action;
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -25,7 +25,7 @@
 const CROWDED_WORKERS: f64 = 0.5;
 /// Part of its latency objective that a request may wait for room then.
 const CROWDED_WAIT: f64 = 0.2;
-/// Part of its whole time that a request may wait for room.
+/// Part of the time until its deadline that a request may wait for room.
 const MAX_WAIT: f64 = 0.4;
 /// Least time in seconds that anything is divided by.
 const MIN_SECONDS: f64 = 0.001;
--- a/src/policy/health.rs
+++ b/src/policy/health.rs
@@ -86,7 +86,7 @@
                     worker.eject(now);
                 }
             }
-            // A machine that is cut off breaks no connection: it had the whole objective and said nothing.
+            // A machine that is cut off breaks no connection, but stays silent for the full objective.
             Status::Timeout | Status::Cancelled if is_silent => worker.eject(now),
             Status::Timeout => {
                 worker.load.raise_latency(TIMEOUT_FACTOR, &LATENCY_RATIO);
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -18,7 +18,7 @@
 
 /// Time between two rounds of maintenance: short against any keep-alive.
 const MAINTENANCE_INTERVAL: Span = Span::from_millis(200);
-/// Time in which what a load report told of other schedulers halves.
+/// Time in which the reported load of other schedulers halves.
 const REPORT_HALF_LIFE: Span = Span::from_millis(4000);
 /// Time constant of the rate of completed work.
 const WORK_TIME_CONSTANT: Span = Span::from_millis(5000);
@@ -41,7 +41,7 @@
     rng: Pcg64Mcg,
     now: Time,
     timers: TimerQueue<Timer>,
-    /// What the event that is being handled leads to.
+    /// The actions that the current event leads to, so far.
     actions: Vec<Action>,
     cluster: Cluster,
     /// Mean part of the latency objective that attempts used, over all workers.
--- a/src/policy/prewarm.rs
+++ b/src/policy/prewarm.rs
@@ -3,7 +3,7 @@
 use super::*;
 use placement::LOAD_PATIENCE;
 
-/// Part of the keep-alive that is left when an instance is renewed: room for a lost order and its repeat.
+/// Part of the keep-alive that is left when an instance is renewed: time to repeat an order that fails.
 const RENEW_MARGIN: f64 = 0.3;
 /// Ordered loads that may be under way on a worker.
 const MAX_LOADS: usize = 3;
--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -4,7 +4,7 @@
 
 /// A keyed retry must arrive this long before the deduplication window ends.
 const DEDUPLICATION_MARGIN: Span = Span::from_millis(100);
-/// How long a client whose request is rejected is asked to stay away.
+/// How long a client whose request is rejected is advised to wait before it retries.
 const RETRY_AFTER: Span = Span::from_millis(250);
 
 impl Policy {
@@ -103,7 +103,7 @@
         self.cancel_in_flight(id, &request);
         let idempotency = self.settings.classes[request.class].idempotency;
         if request.never_ran() || idempotency.permits_client_retry() {
-            // The client is told when to come back rather than kept waiting here.
+            // The client is advised when to retry rather than kept waiting here.
             let max_retry_after = self.settings.permissions.max_retry_after;
             let retry_after = max_retry_after.map_or(Span(0), |max| max.min(RETRY_AFTER));
             self.actions.push(Action::Reject { id, retry_after });
--- a/src/stats/bounded_ratio.rs
+++ b/src/stats/bounded_ratio.rs
@@ -1,4 +1,4 @@
-//! A ratio to what is usual, within bounds.
+//! A ratio to a baseline, within bounds.
 
 use super::{DecayingAverage, half_life_factor};
 use crate::model::{Span, Time};
--- a/src/stats/decay.rs
+++ b/src/stats/decay.rs
@@ -9,7 +9,7 @@
 }
 
 impl DecayingAverage {
-    /// An average that stands at `initial` before its first sample.
+    /// An average that is `initial` before its first sample.
     pub(crate) fn new(initial: f64) -> DecayingAverage {
         DecayingAverage { value: initial }
     }
--- a/src/stats/load_estimate.rs
+++ b/src/stats/load_estimate.rs
@@ -3,8 +3,8 @@
 use super::{BoundedRatio, DecayingSum, RatioBounds};
 use crate::model::Time;
 
-/// How loaded a host is: the own requests in flight there, those of others that it has reported, fading, and its
-/// latencies as a ratio to what is usual.
+/// How loaded a host is: the own requests in flight there, those of others that it has reported, which fade,
+/// and its latencies as a ratio to a baseline.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct LoadEstimate {
     in_flight: u32,
@@ -48,7 +48,7 @@
         self.others_in_flight.scale(factor);
     }
 
-    /// Takes in a latency as a ratio to what is usual.
+    /// Takes in a latency as a ratio to the baseline.
     pub(crate) fn record_latency(&mut self, ratio: f64, now: Time, bounds: &RatioBounds) {
         self.latency_ratio.update(ratio, now, bounds);
     }
