--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -62,6 +62,7 @@
     pub(super) fn sheds(&mut self, class: usize) -> bool {
         let excess = (self.saturation.value() - SHED_SATURATION) / (1.0 - SHED_SATURATION);
         let is_high = self.is_high_priority(class);
+        // High priority is shed only from half of the excess on.
         let probability = if is_high { excess * 2.0 - 1.0 } else { excess };
         f64::from(self.rng.next_u32()) / f64::from(u32::MAX) < probability
     }
@@ -96,8 +97,7 @@
         let has_waited = |wait: Span| self.now > request.received_at + wait;
         let is_crowded = self.full_workers > CROWDED_WORKERS;
         let is_late = is_crowded && has_waited(request.latency_objective.mul_f64(CROWDED_WAIT));
-        let total = request.deadline - request.received_at;
-        let is_hopeless = has_waited(total.mul_f64(MAX_WAIT));
+        let is_hopeless = has_waited((request.deadline - request.received_at).mul_f64(MAX_WAIT));
         if is_late || is_hopeless || !self.may_retry(request.class, request.first_run()) {
             self.give_up(id);
         } else {
