--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -21,7 +21,7 @@
     Endpoint, EndpointState, EndpointUpdateKind, FunctionId, IncomingRequest, RequestId, Span, Time,
     WorkerId, ZoneId,
 };
-use crate::stats::{DecayingAverage, DecayingSum};
+use crate::stats::{DecayingAverage, DecayingSum, decay_factor, half_life_factor};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -236,10 +236,15 @@
         self.recent_requests.forget_before(before);
     }
 
-    /// Scales the reported load of others by one factor and the completed work by another.
-    pub(crate) fn fade(&mut self, report_factor: f64, work_factor: f64) {
-        self.workers.values_mut().for_each(|worker| worker.load.fade(report_factor));
-        self.completed_work.scale(work_factor);
+    /// Lets the reported load of others fade for a time, in which it halves every `half_life`.
+    pub(crate) fn fade_reports(&mut self, elapsed: Span, half_life: Span) {
+        let factor = half_life_factor(elapsed, half_life);
+        self.workers.values_mut().for_each(|worker| worker.load.fade(factor));
+    }
+
+    /// Lets the completed work fade for a time, in which it falls to 1/e every `time_constant`.
+    pub(crate) fn fade_work(&mut self, elapsed: Span, time_constant: Span) {
+        self.completed_work.scale(decay_factor(elapsed, time_constant));
     }
 
     /// Forgets what was sent to workers before a time. The history of a worker that is not listed is kept
--- a/src/cluster/tests.rs
+++ b/src/cluster/tests.rs
@@ -145,10 +145,11 @@
     let worker = cluster.process_of(&attempt).expect("a listed worker");
     assert_eq!((worker.load.in_flight(), worker.instance(FUNCTION).in_flight), (1, 1));
     assert_eq!(worker.awaited_loads(Time(20)), 1);
-    worker.end_attempt(&attempt, Status::Timeout, None, Time(30));
+    assert!(worker.end_attempt(&attempt, Status::Timeout, None, Time(30)), "nothing was heard");
     assert_eq!((worker.load.in_flight(), worker.instance(FUNCTION).in_flight), (0, 0));
     assert_eq!(worker.health.liveness.last_heard(), Time(0));
     worker.end_attempt(&attempt, Status::Miss, Some(5.0), Time(40));
+    assert!(!worker.end_attempt(&attempt, Status::Timeout, None, Time(50)), "it was heard at 40");
     assert_eq!(worker.health.liveness.last_heard(), Time(40));
     assert_eq!(worker.load.total_in_flight(), 5.0);
     assert_eq!(cluster.last_heard(|worker| worker.endpoint.zone == ZoneId(1)), Some(Time(40)));
@@ -231,6 +232,17 @@
     assert!(cluster.send_history.is_empty());
 }
 
+#[test]
+fn reports_and_work_fade_with_time() {
+    let mut cluster = cluster();
+    cluster.workers.get_mut(&WorkerId(1)).expect("a listed worker").load.report(8.0);
+    cluster.fade_reports(SECOND, SECOND);
+    assert_eq!(cluster.workers[&WorkerId(1)].load.total_in_flight(), 4.0);
+    cluster.completed_work.add(1.0);
+    cluster.fade_work(SECOND, SECOND);
+    assert!((cluster.completed_work.value() - (-1.0f64).exp()).abs() < 1e-12);
+}
+
 #[test]
 fn functions_are_ranked_by_requests_and_then_by_id() {
     let mut cluster = cluster();
--- a/src/cluster/worker.rs
+++ b/src/cluster/worker.rs
@@ -73,7 +73,15 @@
     }
 
     /// Records the end of an attempt there, and the requests in flight that its load report gives, if any.
-    pub(crate) fn end_attempt(&mut self, attempt: &Attempt, status: Status, held: Option<f64>, now: Time) {
+    /// Returns whether the worker has been silent since the attempt was sent, up to this end.
+    pub(crate) fn end_attempt(
+        &mut self,
+        attempt: &Attempt,
+        status: Status,
+        held: Option<f64>,
+        now: Time,
+    ) -> bool {
+        let was_silent = self.health.liveness.last_heard() < attempt.sent_at;
         if status.is_response() {
             self.health.liveness.heard(now);
         }
@@ -82,5 +90,6 @@
         }
         self.load.end();
         self.instance_mut(attempt.function).end_request();
+        was_silent
     }
 }
--- a/src/policy/health.rs
+++ b/src/policy/health.rs
@@ -43,14 +43,33 @@
         self.expire_instances();
     }
 
-    fn record_rejection(&mut self, attempt: &Attempt, now: Time) {
-        if attempt.expected_warm && self.saturation.value() >= WORKER_SATURATION {
-            self.health.ejection.extend_until(now + REJECTION_PAUSE);
-            self.concurrency_limit.decrease(now, &CONCURRENCY_LIMIT);
-        } else {
+    fn record_status(&mut self, status: Status, attempt: &Attempt, is_silent: bool, now: Time) {
+        let is_saturated = attempt.expected_warm && self.saturation.value() >= WORKER_SATURATION;
+        match status {
+            Status::Miss => self.instance_mut(attempt.function).miss(now),
+            Status::Full if is_saturated => {
+                self.health.ejection.extend_until(now + REJECTION_PAUSE);
+                self.concurrency_limit.decrease(now, &CONCURRENCY_LIMIT);
+            }
             // No memory for an instance, or too many loads, also where one was unloaded unnoticed.
-            self.load_backoff_until = now + REJECTION_PAUSE;
-            self.instance_mut(attempt.function).expire();
+            Status::Full => {
+                self.load_backoff_until = now + REJECTION_PAUSE;
+                self.instance_mut(attempt.function).expire();
+            }
+            Status::ConnectFailed => self.eject(now),
+            // One connection may break by itself; a dead process shows at the next attempt, which is refused.
+            Status::Reset => {
+                if self.health.resets.record(now, RESET_BURST, MAX_RESETS) {
+                    self.eject(now);
+                }
+            }
+            // A machine that is cut off breaks no connection, but stays silent for the full objective.
+            Status::Timeout | Status::Cancelled if is_silent => self.eject(now),
+            Status::Timeout => {
+                self.load.raise_latency(TIMEOUT_FACTOR, &LATENCY_RATIO);
+                self.concurrency_limit.decrease(now, &CONCURRENCY_LIMIT);
+            }
+            Status::Ok | Status::Error | Status::Cancelled | Status::Moot => {}
         }
     }
 }
@@ -64,9 +83,8 @@
         let held = settings.load_metric(LoadMetric::InFlight, &outcome.load_report);
         let worker = self.cluster.process_of(attempt);
         let Some(worker) = worker else { return };
-        let last_heard = worker.health.liveness.last_heard();
-        let is_silent = last_heard < attempt.sent_at && outcome.latency >= objective;
-        worker.end_attempt(attempt, outcome.status, held, now);
+        let was_silent = worker.end_attempt(attempt, outcome.status, held, now);
+        let is_silent = was_silent && outcome.latency >= objective;
         if outcome.instance_state == InstanceState::LoadFailed {
             worker.instance_mut(attempt.function).fail_load(now, BACKOFF);
         }
@@ -76,24 +94,7 @@
         if is_served && worker.health.error_rate.record(error, &ERROR_RATE) {
             worker.health.ejection.extend(now, BACKOFF);
         }
-        match outcome.status {
-            Status::Miss => worker.instance_mut(attempt.function).miss(now),
-            Status::Full => worker.record_rejection(attempt, now),
-            Status::ConnectFailed => worker.eject(now),
-            // One connection may break by itself; a dead process shows at the next attempt, which is refused.
-            Status::Reset => {
-                if worker.health.resets.record(now, RESET_BURST, MAX_RESETS) {
-                    worker.eject(now);
-                }
-            }
-            // A machine that is cut off breaks no connection, but stays silent for the full objective.
-            Status::Timeout | Status::Cancelled if is_silent => worker.eject(now),
-            Status::Timeout => {
-                worker.load.raise_latency(TIMEOUT_FACTOR, &LATENCY_RATIO);
-                worker.concurrency_limit.decrease(now, &CONCURRENCY_LIMIT);
-            }
-            Status::Ok | Status::Error | Status::Cancelled | Status::Moot => {}
-        }
+        worker.record_status(outcome.status, attempt, is_silent, now);
         let used = objective_used(attempt, outcome).unwrap_or(self.saturation.value());
         self.saturation.update(used, SATURATION_WEIGHT);
         if outcome.status == Status::Ok {
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -137,8 +137,7 @@
         let rate_window = limits.load_rate_limit.map_or(Span(0), |limit| limit.window);
         self.cluster.forget_traffic(self.now - rate_window);
         self.cluster.forget_sends(self.now - limits.overload_window);
-        let report_factor = half_life_factor(MAINTENANCE_INTERVAL, REPORT_HALF_LIFE);
-        let work_factor = decay_factor(MAINTENANCE_INTERVAL, WORK_TIME_CONSTANT);
-        self.cluster.fade(report_factor, work_factor);
+        self.cluster.fade_reports(MAINTENANCE_INTERVAL, REPORT_HALF_LIFE);
+        self.cluster.fade_work(MAINTENANCE_INTERVAL, WORK_TIME_CONSTANT);
     }
 }
