Let the last write check use the model's rule on repeats; cut two codec tests

Whether a request may be repeated at a time stood in the policy's path (model) and in write_admission; one rule serves both.

--- a/src/frontend/frame_codec/tests.rs
+++ b/src/frontend/frame_codec/tests.rs
@@ -40,17 +40,19 @@
     assert_eq!(decode_frame(&262_144u32.to_be_bytes()), Ok(None));
 }
 
+/// The fields of a request that can be used.
+const VALID_FIELDS: [(&str, &str); 5] = [
+    ("service", "call"),
+    ("ref", "9b1f03aa5c7e2d41"),
+    ("allow", "1500"),
+    ("lookup", "7f3a9c21e0b4d655"),
+    ("spec", "memory_mb:512;lanes:2;load_ms:640"),
+];
+
 #[test]
 fn requests_are_decoded() {
-    let good = [
-        ("service", "call"),
-        ("ref", "9b1f03aa5c7e2d41"),
-        ("allow", "1500"),
-        ("lookup", "7f3a9c21e0b4d655"),
-        ("spec", "memory_mb:512;lanes:2;load_ms:640"),
-    ];
     let call = decode_request(
-        &[encode_fields(&good), b"body".to_vec()].concat(),
+        &[encode_fields(&VALID_FIELDS), b"body".to_vec()].concat(),
         ORIGIN,
         Time(0),
     )
@@ -68,6 +70,10 @@
         (call.function, call.key),
         (FunctionId(0x7f3a_9c21_e0b4_d655), None)
     );
+}
+
+#[test]
+fn requests_without_usable_fields_are_invalid() {
     let cases = [
         ("service", None),
         ("ref", None),
@@ -86,7 +92,7 @@
         ("spec", Some("memory_mb:-1")),
     ];
     for (name, value) in cases {
-        let list: Vec<_> = good
+        let list: Vec<_> = VALID_FIELDS
             .iter()
             .copied()
             .filter(|(n, _)| *n != name)
@@ -98,15 +104,23 @@
             "{name} {value:?}: {got:?}"
         );
     }
-    let twice: Vec<_> = good.iter().copied().chain([("allow", "9")]).collect();
+}
+
+#[test]
+fn requests_with_duplicate_fields_or_too_large_a_body_are_invalid() {
+    let twice: Vec<_> = VALID_FIELDS.iter().copied().chain([("allow", "9")]).collect();
     let got = decode_request(&encode_fields(&twice), ORIGIN, Time(0)).unwrap_err();
     assert_eq!(got, RequestError::Invalid(InvalidRequest::DuplicateField));
-    let large = [encode_fields(&good), vec![0; MAX_BODY_BYTES + 1]].concat();
+    let large = [encode_fields(&VALID_FIELDS), vec![0; MAX_BODY_BYTES + 1]].concat();
     assert_eq!(
         decode_request(&large, ORIGIN, Time(0)).unwrap_err(),
         RequestError::Invalid(InvalidRequest::BodyTooLarge)
     );
-    let fields = encode_fields(&good);
+}
+
+#[test]
+fn requests_with_truncated_or_binary_fields_are_malformed() {
+    let fields = encode_fields(&VALID_FIELDS);
     for cut in 0..fields.len() {
         let got = decode_request(&fields[..cut], ORIGIN, Time(0));
         assert_eq!(
--- a/src/frontend/jsonrpc_codec/tests.rs
+++ b/src/frontend/jsonrpc_codec/tests.rs
@@ -11,9 +11,19 @@
     }
 }
 
+/// Checks the error code and the id, as JSON text, that a line is answered with.
+fn assert_rejected(line: &str, expected: ErrorCode, id: &str) {
+    let response = error_response(line);
+    assert_eq!(
+        response["error"]["code"].as_i64(),
+        Some(expected as i64),
+        "{line}"
+    );
+    assert_eq!(response["id"].to_string(), id, "{line}");
+}
+
 #[test]
 fn invalid_lines_get_their_codes_and_ids() {
-    let call = r#"{"jsonrpc":"2.0","id":1,"method":"call","params":"#;
     let cases = [
         ("{".to_owned(), ErrorCode::ParseError, "null"),
         ("\u{0}".to_owned(), ErrorCode::ParseError, "null"),
@@ -59,46 +69,26 @@
             ErrorCode::InvalidRequest,
             "2",
         ),
-        (format!("{call}[1]}}"), ErrorCode::InvalidParams, "1"),
-        (
-            format!(r#"{call}{{"class":"c","function":"7f","allow_ms":1}}}}"#),
-            ErrorCode::InvalidParams,
-            "1",
-        ),
-        (
-            format!(r#"{call}{{"class":"c","function":"7f3a9c21e0b4d655"}}}}"#),
-            ErrorCode::InvalidParams,
-            "1",
-        ),
-        (
-            format!(r#"{call}{{"class":"c","function":"7f3a9c21e0b4d655","allow_ms":-1}}}}"#),
-            ErrorCode::InvalidParams,
-            "1",
-        ),
-        (
-            format!(r#"{call}{{"class":"c","function":"7f3a9c21e0b4d655","allow_ms":9,"body":"%"}}}}"#),
-            ErrorCode::InvalidParams,
-            "1",
-        ),
-        (
-            format!(r#"{call}{{"class":"c","function":"7f3a9c21e0b4d655","allow_ms":9,"ref":"x"}}}}"#),
-            ErrorCode::InvalidParams,
-            "1",
-        ),
-        (
-            format!(r#"{call}{{"class":"c","function":"7f3a9c21e0b4d655","allow_ms":9,"lanes":1e999}}}}"#),
-            ErrorCode::InvalidParams,
-            "1",
-        ),
     ];
-    for (text, expected, id) in cases {
-        let response = error_response(&text);
-        assert_eq!(
-            response["error"]["code"].as_i64(),
-            Some(expected as i64),
-            "{text}"
-        );
-        assert_eq!(response["id"].to_string(), id, "{text}");
+    for (line, expected, id) in cases {
+        assert_rejected(&line, expected, id);
+    }
+}
+
+#[test]
+fn calls_with_invalid_params_get_their_code_and_id() {
+    let call = r#"{"jsonrpc":"2.0","id":1,"method":"call","params":"#;
+    let lines = [
+        format!("{call}[1]}}"),
+        format!(r#"{call}{{"class":"c","function":"7f","allow_ms":1}}}}"#),
+        format!(r#"{call}{{"class":"c","function":"7f3a9c21e0b4d655"}}}}"#),
+        format!(r#"{call}{{"class":"c","function":"7f3a9c21e0b4d655","allow_ms":-1}}}}"#),
+        format!(r#"{call}{{"class":"c","function":"7f3a9c21e0b4d655","allow_ms":9,"body":"%"}}}}"#),
+        format!(r#"{call}{{"class":"c","function":"7f3a9c21e0b4d655","allow_ms":9,"ref":"x"}}}}"#),
+        format!(r#"{call}{{"class":"c","function":"7f3a9c21e0b4d655","allow_ms":9,"lanes":1e999}}}}"#),
+    ];
+    for line in lines {
+        assert_rejected(&line, ErrorCode::InvalidParams, "1");
     }
 }
 
--- a/src/scheduler/write_admission.rs
+++ b/src/scheduler/write_admission.rs
@@ -98,10 +98,12 @@
     let Some(first_written_at) = request.first_written_at() else {
         return Ok(());
     };
+    let retry_at = now + DEDUPLICATION_MARGIN;
+    if request.idempotency.permits_repeat_at(retry_at, first_written_at) {
+        return Ok(());
+    }
     match request.idempotency {
-        Idempotency::Idempotent => Ok(()),
         Idempotency::NonIdempotent => Err(WriteDenied::MayHaveRun),
-        Idempotency::Keyed { window, .. } if now + DEDUPLICATION_MARGIN < first_written_at + window => Ok(()),
-        Idempotency::Keyed { .. } => Err(WriteDenied::DeduplicationWindowPassed),
+        Idempotency::Idempotent | Idempotency::Keyed { .. } => Err(WriteDenied::DeduplicationWindowPassed),
     }
 }
