--- a/tests/config.rs
+++ b/tests/config.rs
@@ -500,5 +500,5 @@
     let example = parse_scheduler_config(include_bytes!("../deploy/example-config.json")).unwrap();
     assert_eq!(example.listen, "127.0.0.1:10080".parse().unwrap());
     assert_eq!(example.known_events[0].endpoints.len(), 1);
-    assert_eq!(example.site.class("lookup"), Some(0));
+    assert_eq!(example.site.class_index("lookup"), Some(0));
 }
