--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -1,4 +1,4 @@
-//! The auditor's limits on the decision logic: the files that the deploy file names under `policy`.
+//! Limits on the size of the policy: the files that the deploy file names under `policy`.
 
 use std::collections::BTreeSet;
 use std::fs;
