One timer queue for the policy, the scheduler and the reactor

The same ordered set of expiries with the same operations stood three times, in collections/, scheduler/timers.rs and net/reactor/timers.rs. The generic one in collections/ serves all three; the scheduler keeps its kinds of timers. Order and ties are as before.

--- a/src/collections/tests.rs
+++ b/src/collections/tests.rs
@@ -114,13 +114,13 @@
 
 #[test]
 fn timers_come_out_in_order_and_only_when_due() {
-    let mut queue = TimerQueue::new();
-    assert!(queue.is_empty() && queue.pop_due(Time(100)).is_none());
+    let mut queue = TimerQueue::default();
+    assert!(queue.is_empty() && queue.pop_expired(Time(100)).is_none());
     for (at, timer) in [(20, 'b'), (10, 'c'), (20, 'a'), (20, 'a')] {
         queue.schedule(Time(at), timer);
     }
-    assert_eq!(queue.pop_due(Time(9)), None);
-    let due: Vec<char> = std::iter::from_fn(|| queue.pop_due(Time(20))).collect();
+    assert_eq!(queue.pop_expired(Time(9)), None);
+    let due: Vec<char> = std::iter::from_fn(|| queue.pop_expired(Time(20))).collect();
     assert_eq!(
         due,
         ['c', 'a', 'b'],
@@ -131,7 +131,7 @@
 
 #[test]
 fn a_wake_up_is_asked_for_once_unless_an_earlier_timer_comes() {
-    let mut queue = TimerQueue::new();
+    let mut queue = TimerQueue::default();
     assert_eq!(queue.next_wake_up(Time(0)), None);
     queue.schedule(Time(50), 'a');
     assert_eq!(queue.next_wake_up(Time(10)), Some(Span(40)));
--- a/src/net/reactor/connections.rs
+++ b/src/net/reactor/connections.rs
@@ -142,7 +142,7 @@
             return;
         };
         self.unsent = self.unsent.saturating_sub(entry.stream.unsent());
-        self.timers.replace(id, entry.timer, None);
+        self.timers.reschedule(id, entry.timer, None);
         entry.notify_closed(&mut self.context(scheduler));
         entry.stream.deregister(self.poll.registry());
     }
@@ -203,7 +203,7 @@
         }
         let deadline = entry.connection.deadline();
         if deadline != entry.timer {
-            self.timers.replace(id, entry.timer, deadline);
+            self.timers.reschedule(id, entry.timer, deadline);
             entry.timer = deadline;
         }
     }
--- a/src/net/reactor/mod.rs
+++ b/src/net/reactor/mod.rs
@@ -6,7 +6,6 @@
 mod pipes;
 #[cfg(test)]
 mod tests;
-mod timers;
 mod token;
 mod udp_sockets;
 
@@ -15,6 +14,7 @@
 pub use udp_sockets::UdpSocketId;
 
 use super::{Stream, SystemClock};
+use crate::collections::TimerQueue;
 use crate::model::{Span, Time};
 use crate::scheduler::Scheduler;
 use entry::Entry;
@@ -27,7 +27,6 @@
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::Path;
 use std::time::Duration;
-use timers::Timers;
 use token::EventSource;
 use udp_sockets::UdpSockets;
 
@@ -65,7 +64,8 @@
     udp_sockets: UdpSockets,
     connections: HashMap<u64, Entry>,
     next_connection: u64,
-    timers: Timers,
+    /// At most one timer for each connection, by its id.
+    timers: TimerQueue<u64>,
     last_poll_was_empty: bool,
     /// Bytes of output that wait to be written, on all connections together.
     unsent: usize,
@@ -94,7 +94,7 @@
             udp_sockets: UdpSockets::default(),
             connections: HashMap::new(),
             next_connection: token::FIRST_CONNECTION,
-            timers: Timers::default(),
+            timers: TimerQueue::default(),
             last_poll_was_empty: false,
             unsent: 0,
             unsent_limit: usize::MAX,
@@ -216,7 +216,7 @@
 
     /// Waits for events, the first timer or `until`.
     fn wait(&mut self, until: Option<Time>) -> io::Result<()> {
-        let wake_up = self.timers.next().into_iter().chain(until).min();
+        let wake_up = self.timers.next_expiry().into_iter().chain(until).min();
         let mut timeout = wake_up.map(|time| {
             let remaining = time - self.clock.now();
             Duration::from_nanos(remaining.0 + TIMER_ROUNDING.0)
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -57,7 +57,7 @@
             settings: settings.clone(),
             rng: Pcg64Mcg::seed_from_u64(seed),
             now: Time(0),
-            timers: TimerQueue::new(),
+            timers: TimerQueue::default(),
             actions: Vec::new(),
             cluster: Cluster::default(),
             saturation: DecayingAverage::default(),
@@ -96,7 +96,7 @@
             Event::HealthCheckFinished(worker, status) => self.health_check_finished(worker, status),
             Event::TimerFired => self.timers.woken_up(),
         }
-        while let Some(timer) = self.timers.pop_due(self.now) {
+        while let Some(timer) = self.timers.pop_expired(self.now) {
             match timer {
                 Timer::Maintenance => self.maintain(),
                 Timer::Deadline(id) => self.give_up(id),
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -47,6 +47,7 @@
     WorkerResponse,
 };
 
+use crate::collections::TimerQueue;
 use crate::model::{
     ClassId, Endpoint, EndpointUpdateKind, Event, IncomingRequest, Site, Span, Status, TenantId, Time,
 };
@@ -60,7 +61,7 @@
 use request_admission::check_request;
 use request_table::{PendingRequest, RequestTable};
 use std::collections::VecDeque;
-use timers::{Timer, TimerQueue};
+use timers::Timer;
 
 /// The scheduler's state and its way from events to commands; see the [module's page](self).
 ///
@@ -110,7 +111,7 @@
     endpoint_states: EndpointStates,
     load_rate_limiter: LoadRateLimiter,
     log_limiter: LogLimiter,
-    timers: TimerQueue,
+    timers: TimerQueue<Timer>,
     /// Events that the policy has not been told of yet.
     pending_events: VecDeque<Event>,
     commands: VecDeque<Command>,
--- a/src/scheduler/tests/timers.rs
+++ b/src/scheduler/tests/timers.rs
@@ -9,7 +9,7 @@
     number: 0,
 };
 
-fn fired(timers: &mut TimerQueue, now: Time) -> Vec<Timer> {
+fn fired(timers: &mut TimerQueue<Timer>, now: Time) -> Vec<Timer> {
     std::iter::from_fn(|| timers.pop_expired(now)).collect()
 }
 
