State the load rate limit's formula once, at the setting

The policy and the scheduler's last check each spelt out how many load orders the limit allows for so many requests. The windows that each counts are its own and stay as they are.

--- a/src/model/settings.rs
+++ b/src/model/settings.rs
@@ -124,6 +124,13 @@
     pub window: Span,
 }
 
+impl LoadRateLimit {
+    /// Whether one more load order is allowed after so many load orders and requests in the window.
+    pub fn allows(&self, load_orders: usize, requests: usize) -> bool {
+        load_orders as f64 + 1.0 <= self.burst + self.per_request * requests as f64
+    }
+}
+
 /// What a site permits a scheduler to do.
 #[derive(Clone, Debug)]
 pub struct Permissions {
--- a/src/policy/prewarm.rs
+++ b/src/policy/prewarm.rs
@@ -57,9 +57,9 @@
     fn load_rate_allows(&self) -> bool {
         self.settings.safety_limits.load_rate_limit.is_none_or(|limit| {
             let since = self.now - limit.window;
-            let loads = self.cluster.recent_loads.count_since(since) as f64;
-            let requests = self.cluster.recent_requests.count_after(since) as f64;
-            loads + 1.0 <= limit.burst + limit.per_request * requests
+            let loads = self.cluster.recent_loads.count_since(since);
+            let requests = self.cluster.recent_requests.count_after(since);
+            limit.allows(loads, requests)
         })
     }
 
--- a/src/scheduler/load_rate_limiter.rs
+++ b/src/scheduler/load_rate_limiter.rs
@@ -35,8 +35,7 @@
     fn has_capacity(&mut self, now: Time, limit: LoadRateLimit) -> bool {
         let window_start = now - limit.window;
         self.requests.retain(|received_at| *received_at > window_start);
-        let capacity = limit.burst + limit.per_request * self.requests.len() as f64;
-        self.load_orders.len() as f64 + 1.0 <= capacity
+        limit.allows(self.load_orders.len(), self.requests.len())
     }
 
     /// Forgets requests that have left the limit's window; all of them without a limit.
