Convert milliseconds in one place

Four modules had the constant and the rounding of their own; Span converts from and to milliseconds now. from_millis saturates, which the watch's start times relied on already.

--- a/src/backend/codec.rs
+++ b/src/backend/codec.rs
@@ -5,8 +5,6 @@
 use serde::Serialize;
 use thiserror::Error;
 
-const NANOSECONDS_PER_MILLISECOND: u64 = 1_000_000;
-
 /// The wire format of one kind of worker: pure functions from commands to lines and from lines to messages.
 ///
 /// Every encoded line ends with its line feed; [`Codec::decode`] gets lines without it.
@@ -147,6 +145,5 @@
 /// The time until a deadline as the wires give it, in milliseconds rounded up. It is at least 1, because a
 /// worker could read 0 as no deadline.
 pub(super) fn remaining_milliseconds(now: Time, deadline: Time) -> u64 {
-    let remaining = deadline - now;
-    remaining.0.div_ceil(NANOSECONDS_PER_MILLISECOND).max(1)
+    (deadline - now).as_millis_rounded_up().max(1)
 }
--- a/src/bin/function-scheduler-sim/codec/records.rs
+++ b/src/bin/function-scheduler-sim/codec/records.rs
@@ -9,8 +9,6 @@
     KindId, LoadOutcome, RequestId, Span, TenantId, Time, ZoneId,
 };
 
-const NANOSECONDS_PER_MILLISECOND: f64 = 1e6;
-
 /// Number of an instance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct InstanceId(pub(crate) u16);
@@ -206,8 +204,7 @@
 
 /// The typical time of a load; zero means that it is unknown.
 fn load_time(milliseconds: f32) -> Option<Span> {
-    let nanoseconds = f64::from(milliseconds) * NANOSECONDS_PER_MILLISECOND;
-    (milliseconds > 0.0).then_some(Span(nanoseconds as u64))
+    (milliseconds > 0.0).then_some(Span::from_millis_f64(f64::from(milliseconds)))
 }
 
 fn attempt_finished(fields: &mut FieldCursor) -> Result<Event, WireError> {
--- a/src/discovery/event.rs
+++ b/src/discovery/event.rs
@@ -1,10 +1,8 @@
 //! Events of the endpoint watch, as published by the event bus or given in the configuration file.
 
-use crate::model::{Endpoint, EndpointUpdateKind, Time};
+use crate::model::{Endpoint, EndpointUpdateKind, Span, Time};
 use std::net::SocketAddr;
 
-const NANOSECONDS_PER_MILLISECOND: u64 = 1_000_000;
-
 /// A worker as one event describes it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct EndpointRecord {
@@ -28,6 +26,5 @@
 /// The start of a worker's process, given as a Unix time in milliseconds; `None` for zero, which stands for a
 /// start long ago.
 pub fn started_at(unix_milliseconds: u64) -> Option<Time> {
-    let unix_nanoseconds = unix_milliseconds.saturating_mul(NANOSECONDS_PER_MILLISECOND);
-    (unix_milliseconds > 0).then_some(Time(unix_nanoseconds))
+    (unix_milliseconds > 0).then_some(Time(0) + Span::from_millis(unix_milliseconds))
 }
--- a/src/frontend/conversions.rs
+++ b/src/frontend/conversions.rs
@@ -5,7 +5,6 @@
 
 /// Digits of an id in hexadecimal.
 const HEX_ID_DIGITS: usize = 16;
-const NANOS_PER_MILLI: u64 = 1_000_000;
 
 /// Reads an id of 16 hex digits.
 pub(super) fn parse_hex_id(text: &str) -> Option<u64> {
@@ -19,17 +18,12 @@
 /// When the response to a request received at `now` must be sent, if its client waits for so many
 /// milliseconds.
 pub(super) fn response_deadline(now: Time, allowed_millis: u64) -> Time {
-    let allowed_nanos = allowed_millis.min(MAX_ALLOWED_MILLIS) * NANOS_PER_MILLI;
-    now + Span(allowed_nanos.saturating_sub(RESPONSE_TRANSIT_TIME.0))
+    let allowed = Span::from_millis(allowed_millis.min(MAX_ALLOWED_MILLIS));
+    now + Span(allowed.0.saturating_sub(RESPONSE_TRANSIT_TIME.0))
 }
 
 /// The time that loading a function takes, from milliseconds; 0 means unknown.
 pub(super) fn load_time(millis: f64) -> Option<Span> {
-    let span = Span((millis * NANOS_PER_MILLI as f64) as u64);
+    let span = Span::from_millis_f64(millis);
     (span.0 > 0).then_some(span)
 }
-
-/// A span in whole milliseconds, rounded up.
-pub(super) fn millis_rounded_up(span: Span) -> u64 {
-    span.0.div_ceil(NANOS_PER_MILLI)
-}
--- a/src/frontend/frame_codec/response.rs
+++ b/src/frontend/frame_codec/response.rs
@@ -1,7 +1,6 @@
 //! The payload of a response.
 
 use super::{FrameType, encode_fields, encode_frame};
-use crate::frontend::conversions::millis_rounded_up;
 use crate::scheduler::Outcome;
 
 /// The encoding of no fields.
@@ -34,7 +33,7 @@
             encode_response_parts(stream, ResponseCode::Rejected, NO_FIELDS, &[])
         }
         Outcome::Rejected { retry_after } => {
-            let millis = millis_rounded_up(*retry_after).to_string();
+            let millis = retry_after.as_millis_rounded_up().to_string();
             let fields = encode_fields(&[("cooldown", &millis)]);
             encode_response_parts(stream, ResponseCode::Rejected, &fields, &[])
         }
--- a/src/frontend/jsonrpc_codec/response.rs
+++ b/src/frontend/jsonrpc_codec/response.rs
@@ -1,7 +1,6 @@
 //! Lines that clients get.
 
 use super::{ErrorCode, RequestError, VERSION};
-use crate::frontend::conversions::millis_rounded_up;
 use crate::model::Span;
 use crate::scheduler::{Outcome, Response};
 use base64::Engine;
@@ -19,7 +18,7 @@
 }
 
 fn encode_rejected(id: &Value, retry_after: Span, expired: bool) -> Value {
-    let millis = millis_rounded_up(retry_after);
+    let millis = retry_after.as_millis_rounded_up();
     if expired {
         return encode_deadline_exceeded(id, json!({"outcome": "refused", "cooldown_ms": millis}));
     }
--- a/src/model/time.rs
+++ b/src/model/time.rs
@@ -41,9 +41,20 @@
 }
 
 impl Span {
-    /// A duration of this many milliseconds.
+    /// A duration of this many milliseconds; the longest one where that cannot be represented.
     pub const fn from_millis(milliseconds: u64) -> Span {
-        Span(milliseconds * NANOSECONDS_PER_MILLISECOND)
+        Span(milliseconds.saturating_mul(NANOSECONDS_PER_MILLISECOND))
+    }
+
+    /// A duration of this many milliseconds, rounded down to nanoseconds; zero where it is negative or not a
+    /// number.
+    pub fn from_millis_f64(milliseconds: f64) -> Span {
+        Span((milliseconds * NANOSECONDS_PER_MILLISECOND as f64) as u64)
+    }
+
+    /// The duration in whole milliseconds, rounded up.
+    pub fn as_millis_rounded_up(self) -> u64 {
+        self.0.div_ceil(NANOSECONDS_PER_MILLISECOND)
     }
 
     /// The duration in seconds.
