--- /dev/null
+++ b/src/bin/function-scheduler-sim/codec/codes.rs
@@ -0,0 +1,161 @@
+//! The numbers of the wire: one table for the event records, one for the action records, one for each coded field.
+
+use function_scheduler::{Action, EndpointState, EndpointUpdateKind, InstanceState, Status};
+
+/// Declares the event records: for each its code, its name on the wire page, and its variant.
+macro_rules! event_codes {
+    ($($code:literal $name:literal => $variant:ident,)*) => {
+        /// Kinds of the records that the simulator sends, under their names on the wire page.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+        pub(super) enum EventCode {
+            $($variant,)*
+        }
+
+        impl EventCode {
+            /// The kind of record with this code, if the page lists it.
+            pub(super) fn from_code(code: u8) -> Option<EventCode> {
+                match code {
+                    $($code => Some(EventCode::$variant),)*
+                    _ => None,
+                }
+            }
+
+            /// The name on the wire page.
+            pub(super) fn name(self) -> &'static str {
+                match self {
+                    $(EventCode::$variant => $name,)*
+                }
+            }
+        }
+    };
+}
+
+event_codes! {
+    1 "OPEN_INSTANCE" => OpenInstance,
+    2 "SYNC" => Sync,
+    3 "ACCEPT" => Accept,
+    4 "STARTED" => Started,
+    5 "ANSWER" => Answer,
+    6 "CANCELLED_BY_CLIENT" => CancelledByClient,
+    7 "TIMER" => Timer,
+    8 "PROBE_RESULT" => ProbeResult,
+    9 "NOTE_FROM" => NoteFrom,
+    10 "KILL" => Kill,
+    11 "STANDS" => Stands,
+    12 "ROSTER" => Roster,
+}
+
+/// Kinds of the records that the adapter sends, under their names on the wire page; the others are not used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[repr(u8)]
+pub(super) enum ActionCode {
+    Forward = 1,
+    Fault = 3,
+    DropAttempt = 4,
+    Mount = 5,
+    Touch = 6,
+    Track = 8,
+    TurnAway = 9,
+    RespondError = 10,
+    FreeUp = 11,
+    WakeMe = 13,
+}
+
+impl From<&Action> for ActionCode {
+    fn from(action: &Action) -> ActionCode {
+        match action {
+            Action::Send { .. } => ActionCode::Forward,
+            Action::Cancel { .. } => ActionCode::DropAttempt,
+            Action::Reject { .. } => ActionCode::TurnAway,
+            Action::Fail { .. } => ActionCode::RespondError,
+            Action::Load { .. } => ActionCode::Mount,
+            Action::Unload { .. } => ActionCode::FreeUp,
+            Action::HealthCheck { .. } => ActionCode::Touch,
+            Action::SetTimer { .. } => ActionCode::WakeMe,
+            Action::Subscribe => ActionCode::Track,
+        }
+    }
+}
+
+/// A value that a field of one byte tells by a code.
+pub(super) trait FieldCode: Sized {
+    /// What an error calls the field.
+    const FIELD: &'static str;
+
+    /// The value with this code, if the page lists it.
+    fn from_code(code: u8) -> Option<Self>;
+}
+
+/// `status` of `ANSWER`, `PROBE_RESULT` and `STANDS`.
+impl FieldCode for Status {
+    const FIELD: &'static str = "status";
+
+    fn from_code(code: u8) -> Option<Status> {
+        match code {
+            0 => Some(Status::Ok),
+            1 => Some(Status::Cancelled),
+            4 => Some(Status::Timeout),
+            5 => Some(Status::Miss),
+            8 => Some(Status::Full),
+            9 => Some(Status::Moot),
+            10 => Some(Status::Reset),
+            13 => Some(Status::Error),
+            14 => Some(Status::ConnectFailed),
+            _ => None,
+        }
+    }
+}
+
+/// `how` of `SYNC`.
+impl FieldCode for EndpointUpdateKind {
+    const FIELD: &'static str = "list kind";
+
+    fn from_code(code: u8) -> Option<EndpointUpdateKind> {
+        match code {
+            0 => Some(EndpointUpdateKind::Delta),
+            1 => Some(EndpointUpdateKind::Full),
+            2 => Some(EndpointUpdateKind::Cached),
+            3 => Some(EndpointUpdateKind::Failed),
+            _ => None,
+        }
+    }
+}
+
+/// `mode` of an entry of `ROSTER`.
+impl FieldCode for EndpointState {
+    const FIELD: &'static str = "mode";
+
+    fn from_code(code: u8) -> Option<EndpointState> {
+        match code {
+            0 => Some(EndpointState::Ready),
+            1 => Some(EndpointState::Draining),
+            2 => Some(EndpointState::Gone),
+            _ => None,
+        }
+    }
+}
+
+/// `remark` of `ANSWER`: the instance's state in the low bits, the requests in flight above them.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct AnswerRemark(pub(super) u8);
+
+impl AnswerRemark {
+    const INSTANCE_STATE_BITS: u32 = 3;
+    const INSTANCE_STATE_MASK: u8 = (1 << AnswerRemark::INSTANCE_STATE_BITS) - 1;
+
+    /// Whether an instance of the function was loaded; `Unknown` where the answer does not tell.
+    pub(super) fn instance_state(self) -> InstanceState {
+        match self.0 & AnswerRemark::INSTANCE_STATE_MASK {
+            1 => InstanceState::Loaded,
+            2 => InstanceState::LoadStarted,
+            3 => InstanceState::LoadAwaited,
+            4 => InstanceState::LoadFailed,
+            _ => InstanceState::Unknown,
+        }
+    }
+
+    /// Requests for the same function that the worker held when this one came.
+    pub(super) fn function_in_flight(self) -> u32 {
+        u32::from(self.0 >> AnswerRemark::INSTANCE_STATE_BITS)
+    }
+}
--- /dev/null
+++ b/src/bin/function-scheduler-sim/codec/cursor.rs
@@ -0,0 +1,88 @@
+//! Reading the fields of one record in their order.
+
+use super::codes::FieldCode;
+use super::error::{RecordLocation, WireError};
+use function_scheduler::WorkerId;
+
+/// The fields of one record, and how far they have been read.
+///
+/// Each method reads the next field and fails with [`WireError::RecordCutShort`] where the record ends inside it.
+pub(super) struct FieldCursor<'a> {
+    bytes: &'a [u8],
+    offset: usize,
+    location: RecordLocation,
+}
+
+impl<'a> FieldCursor<'a> {
+    /// A cursor before the first field; errors name `location`.
+    pub(super) fn new(bytes: &'a [u8], location: RecordLocation) -> FieldCursor<'a> {
+        FieldCursor { bytes, offset: 0, location }
+    }
+
+    /// Bytes read so far.
+    pub(super) fn offset(&self) -> usize {
+        self.offset
+    }
+
+    /// Bytes not read yet.
+    pub(super) fn remaining(&self) -> usize {
+        self.bytes.len() - self.offset
+    }
+
+    /// The next `count` bytes.
+    pub(super) fn bytes(&mut self, count: usize) -> Result<&'a [u8], WireError> {
+        let rest = &self.bytes[self.offset..];
+        let Some(field) = rest.get(..count) else {
+            return Err(WireError::RecordCutShort {
+                record: self.location,
+                wanted: count,
+                offset: self.offset,
+                available: self.bytes.len(),
+            });
+        };
+        self.offset += count;
+        Ok(field)
+    }
+
+    fn array<const N: usize>(&mut self) -> Result<[u8; N], WireError> {
+        let mut array = [0; N];
+        array.copy_from_slice(self.bytes(N)?);
+        Ok(array)
+    }
+
+    pub(super) fn u8(&mut self) -> Result<u8, WireError> {
+        self.array().map(u8::from_be_bytes)
+    }
+
+    pub(super) fn u16(&mut self) -> Result<u16, WireError> {
+        self.array().map(u16::from_be_bytes)
+    }
+
+    pub(super) fn u32(&mut self) -> Result<u32, WireError> {
+        self.array().map(u32::from_be_bytes)
+    }
+
+    pub(super) fn u64(&mut self) -> Result<u64, WireError> {
+        self.array().map(u64::from_be_bytes)
+    }
+
+    pub(super) fn f32(&mut self) -> Result<f32, WireError> {
+        self.array().map(f32::from_be_bytes)
+    }
+
+    /// A worker: four bytes of address and two of port, together its id.
+    pub(super) fn worker(&mut self) -> Result<WorkerId, WireError> {
+        let address_and_port: [u8; 6] = self.array()?;
+        let mut id = [0; 8];
+        id[2..].copy_from_slice(&address_and_port);
+        Ok(WorkerId(u64::from_be_bytes(id)))
+    }
+
+    /// A code of one byte; one that the page does not list is [`WireError::UnknownCode`].
+    pub(super) fn code<T: FieldCode>(&mut self) -> Result<T, WireError> {
+        let offset = self.offset;
+        let code = self.u8()?;
+        let unknown = WireError::UnknownCode { record: self.location, field: T::FIELD, code, offset };
+        T::from_code(code).ok_or(unknown)
+    }
+}
--- /dev/null
+++ b/src/bin/function-scheduler-sim/codec/mod.rs
@@ -0,0 +1,17 @@
+//! Codec of the simulator's pipe: batches of event records in, one reply of action records per batch out.
+//!
+//! The format is that of the page `WIRE-dykecove.md`. Everything is big-endian and without padding. A record is a
+//! code of one byte, the length of its fields in four bytes, and the fields back to back. Names of the page are used
+//! in this module only: behind it stand the types of the library's model.
+
+mod batch;
+mod codes;
+mod cursor;
+mod error;
+mod records;
+mod reply;
+
+pub(crate) use batch::read_batch;
+pub(crate) use error::WireError;
+pub(crate) use records::{InstanceId, ListId, Record, read_records};
+pub(crate) use reply::Reply;
--- /dev/null
+++ b/src/bin/function-scheduler-sim/codec/records.rs
@@ -0,0 +1,243 @@
+//! Decoding of the event records of a batch, one function for each kind of record.
+
+use super::batch::{Batch, HEADER_LENGTH};
+use super::codes::{AnswerRemark, EventCode};
+use super::cursor::FieldCursor;
+use super::error::{RecordLocation, WireError};
+use function_scheduler::{
+    AttemptOutcome, CellId, ClassId, Endpoint, EndpointUpdateKind, Event, FunctionId, IncomingRequest,
+    KindId, LoadOutcome, RequestId, Span, TenantId, Time, ZoneId,
+};
+
+const NANOSECONDS_PER_MILLISECOND: f64 = 1e6;
+
+/// Number of an instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct InstanceId(pub(crate) u16);
+
+/// Number of an endpoint list; the simulator reuses it for later lists.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct ListId(pub(crate) u16);
+
+/// A record of a batch.
+#[derive(Debug)]
+pub(crate) enum Record {
+    /// An instance starts, with an empty state.
+    OpenInstance {
+        /// The instance.
+        instance: InstanceId,
+        /// Seed of its random numbers.
+        seed: u64,
+        /// Its settings, as JSON text.
+        settings: Vec<u8>,
+    },
+    /// An instance was killed; its state is void.
+    CloseInstance {
+        /// The instance.
+        instance: InstanceId,
+    },
+    /// An endpoint list for later updates of any instance; it replaces an earlier one of the same number.
+    EndpointList {
+        /// Its number.
+        list: ListId,
+        /// Its lines.
+        endpoints: Vec<Endpoint>,
+    },
+    /// Discovery reports to an instance.
+    EndpointUpdate {
+        /// The instance.
+        instance: InstanceId,
+        /// How the list relates to the one that the instance holds.
+        kind: EndpointUpdateKind,
+        /// The list with the lines; without meaning for a failed call.
+        list: ListId,
+    },
+    /// Any other event of an instance.
+    Event {
+        /// The instance.
+        instance: InstanceId,
+        /// What has happened.
+        event: Event,
+    },
+    /// A record that the adapter has no use for.
+    Ignored,
+}
+
+/// Decodes all records of a batch.
+///
+/// # Errors
+///
+/// The first record that does not fit its length or holds an unknown code, or bytes after the last record.
+pub(crate) fn read_records(batch: &Batch) -> Result<Vec<Record>, WireError> {
+    let location = RecordLocation { name: "records", position: HEADER_LENGTH };
+    let mut input = FieldCursor::new(&batch.records, location);
+    let mut records = Vec::new();
+    for index in 0..batch.record_count {
+        records.push(read_record(&mut input, index)?);
+    }
+    match input.remaining() {
+        0 => Ok(records),
+        length => Err(WireError::TrailingBytes { length, count: batch.record_count }),
+    }
+}
+
+fn read_record(input: &mut FieldCursor, index: u32) -> Result<Record, WireError> {
+    let position = HEADER_LENGTH + input.offset();
+    let code = input.u8().map_err(|_| WireError::MissingRecord { index, position })?;
+    let length = input.u32()? as usize;
+    let event = EventCode::from_code(code);
+    let name = event.map_or("record", EventCode::name);
+    let location = RecordLocation { name, position };
+    let fields =
+        input.bytes(length).map_err(|_| WireError::InvalidRecordLength { record: location, length })?;
+    match event {
+        Some(event) => decode_record(event, &mut FieldCursor::new(fields, location)),
+        None => Ok(Record::Ignored),
+    }
+}
+
+fn decode_record(event: EventCode, fields: &mut FieldCursor) -> Result<Record, WireError> {
+    match event {
+        EventCode::OpenInstance => open_instance(fields),
+        EventCode::Kill => close_instance(fields),
+        EventCode::Roster => endpoint_list(fields),
+        EventCode::Sync => endpoint_update(fields),
+        EventCode::Accept => instance_event(fields, request_received),
+        EventCode::Answer => instance_event(fields, attempt_finished),
+        EventCode::CancelledByClient => instance_event(fields, client_disconnected),
+        EventCode::Timer => instance_event(fields, |_| Ok(Event::TimerFired)),
+        EventCode::ProbeResult => instance_event(fields, health_check_finished),
+        EventCode::Stands => instance_event(fields, load_finished),
+        EventCode::Started | EventCode::NoteFrom => Ok(Record::Ignored),
+    }
+}
+
+fn open_instance(fields: &mut FieldCursor) -> Result<Record, WireError> {
+    let instance = InstanceId(fields.u16()?);
+    let seed = fields.u64()?;
+    let settings_length = fields.u32()? as usize;
+    let settings = fields.bytes(settings_length)?.to_vec();
+    Ok(Record::OpenInstance { instance, seed, settings })
+}
+
+fn close_instance(fields: &mut FieldCursor) -> Result<Record, WireError> {
+    let instance = InstanceId(fields.u16()?);
+    Ok(Record::CloseInstance { instance })
+}
+
+fn endpoint_list(fields: &mut FieldCursor) -> Result<Record, WireError> {
+    let list = ListId(fields.u16()?);
+    let count = fields.u32()?;
+    let mut endpoints = Vec::new();
+    for _ in 0..count {
+        endpoints.push(endpoint(fields)?);
+    }
+    Ok(Record::EndpointList { list, endpoints })
+}
+
+fn endpoint(fields: &mut FieldCursor) -> Result<Endpoint, WireError> {
+    // The fields of a literal are evaluated as they are written here: in their order on the wire.
+    Ok(Endpoint {
+        zone: ZoneId(fields.u8()?),
+        cell: CellId(fields.u16()?),
+        state: fields.code()?,
+        worker: fields.worker()?,
+        weight: f64::from(fields.f32()?),
+        started_at: Some(Time(fields.u64()?)).filter(|started_at| started_at.0 > 0),
+        kind: KindId(fields.u8()?),
+    })
+}
+
+fn endpoint_update(fields: &mut FieldCursor) -> Result<Record, WireError> {
+    let instance = InstanceId(fields.u16()?);
+    let _version = fields.u32()?;
+    let kind = fields.code()?;
+    let list = ListId(fields.u16()?);
+    Ok(Record::EndpointUpdate { instance, kind, list })
+}
+
+/// Decodes an event record: its instance, then the fields of its kind.
+fn instance_event(
+    fields: &mut FieldCursor,
+    decode_event: fn(&mut FieldCursor) -> Result<Event, WireError>,
+) -> Result<Record, WireError> {
+    let instance = InstanceId(fields.u16()?);
+    let event = decode_event(fields)?;
+    Ok(Record::Event { instance, event })
+}
+
+fn request_received(fields: &mut FieldCursor) -> Result<Event, WireError> {
+    let id = RequestId(fields.u32()?);
+    let concurrency = f64::from(fields.f32()?);
+    let tenant = TenantId(fields.u16()?);
+    let load_time = load_time(fields.f32()?);
+    let class = ClassId(fields.u16()?);
+    let remaining = Span(fields.u64()?);
+    let _estimated_work = fields.u64()?;
+    let _flags = fields.u8()?;
+    let memory_mb = f64::from(fields.f32()?);
+    let function = FunctionId(fields.u64()?);
+    Ok(Event::RequestReceived(IncomingRequest {
+        id,
+        function,
+        class,
+        tenant,
+        remaining,
+        memory_mb,
+        concurrency,
+        load_time,
+    }))
+}
+
+/// The usual time of a load; zero stands for a time that is not known.
+fn load_time(milliseconds: f32) -> Option<Span> {
+    let nanoseconds = f64::from(milliseconds) * NANOSECONDS_PER_MILLISECOND;
+    (milliseconds > 0.0).then_some(Span(nanoseconds as u64))
+}
+
+fn attempt_finished(fields: &mut FieldCursor) -> Result<Event, WireError> {
+    let id = RequestId(fields.u32()?);
+    let attempt = fields.u16()?;
+    let _worker = fields.worker()?;
+    let status = fields.code()?;
+    let latency = Span(fields.u64()?);
+    let request_finished = fields.u8()? != 0;
+    let remark = AnswerRemark(fields.u8()?);
+    let load_report = load_report(fields)?;
+    Ok(Event::AttemptFinished(AttemptOutcome {
+        id,
+        attempt,
+        status,
+        latency,
+        request_finished,
+        instance_state: remark.instance_state(),
+        function_in_flight: remark.function_in_flight(),
+        load_report,
+    }))
+}
+
+fn load_report(fields: &mut FieldCursor) -> Result<Vec<f32>, WireError> {
+    let count = fields.u8()?;
+    (0..count).map(|_| fields.f32()).collect()
+}
+
+fn client_disconnected(fields: &mut FieldCursor) -> Result<Event, WireError> {
+    let id = RequestId(fields.u32()?);
+    Ok(Event::ClientDisconnected(id))
+}
+
+fn health_check_finished(fields: &mut FieldCursor) -> Result<Event, WireError> {
+    let _latency = fields.u64()?;
+    let status = fields.code()?;
+    let worker = fields.worker()?;
+    Ok(Event::HealthCheckFinished(worker, status))
+}
+
+fn load_finished(fields: &mut FieldCursor) -> Result<Event, WireError> {
+    let instances = u32::from(fields.u8()?);
+    let worker = fields.worker()?;
+    let latency = Span(fields.u64()?);
+    let status = fields.code()?;
+    let function = FunctionId(fields.u64()?);
+    Ok(Event::LoadFinished(LoadOutcome { worker, function, instances, status, latency }))
+}
--- /dev/null
+++ b/src/bin/function-scheduler-sim/codec/reply.rs
@@ -0,0 +1,106 @@
+//! Encoding of the reply to a batch: action records behind a header.
+
+use super::codes::ActionCode;
+use super::records::InstanceId;
+use function_scheduler::{Action, WorkerId};
+
+/// Longest text of a `FAULT` record, in bytes.
+const MAX_FAULT_LENGTH: usize = 1000;
+/// `active` of `TRACK`: subscribe.
+const SUBSCRIBE: u8 = 1;
+/// `mark` of `WAKE_ME`: the policy keeps its own timers and needs no mark.
+const TIMER_MARK: u32 = 0;
+/// Bytes of the field that tells a record's length.
+const LENGTH_FIELD: usize = 4;
+
+/// The reply to one batch, under construction.
+#[derive(Debug, Default)]
+pub(crate) struct Reply {
+    record_count: u32,
+    records: Vec<u8>,
+}
+
+impl Reply {
+    /// Appends an action of an instance.
+    pub(crate) fn add_action(&mut self, instance: InstanceId, action: &Action) {
+        self.add_record(ActionCode::from(action), instance, |fields| put_action(fields, action));
+    }
+
+    /// Appends the report that an instance cannot go on; a text that is too long is cut.
+    pub(crate) fn add_fault(&mut self, instance: InstanceId, text: &str) {
+        let length = text.len().min(MAX_FAULT_LENGTH);
+        let text = &text.as_bytes()[..length];
+        self.add_record(ActionCode::Fault, instance, |fields| {
+            fields.u16(length as u16).bytes(text);
+        });
+    }
+
+    /// The reply as it is sent: the number of records, the length of the records, the records.
+    pub(crate) fn into_bytes(self) -> Vec<u8> {
+        let mut bytes = Vec::new();
+        bytes.extend(self.record_count.to_be_bytes());
+        bytes.extend((self.records.len() as u32).to_be_bytes());
+        bytes.extend(self.records);
+        bytes
+    }
+
+    fn add_record(&mut self, code: ActionCode, instance: InstanceId, put: impl FnOnce(&mut FieldWriter)) {
+        self.record_count += 1;
+        self.records.push(code as u8);
+        let length_at = self.records.len();
+        let fields_at = length_at + LENGTH_FIELD;
+        self.records.resize(fields_at, 0);
+        let mut fields = FieldWriter { bytes: &mut self.records };
+        put(fields.u16(instance.0));
+        let length = (self.records.len() - fields_at) as u32;
+        self.records[length_at..fields_at].copy_from_slice(&length.to_be_bytes());
+    }
+}
+
+/// Writes the fields of an action in their order on the wire page, without the instance.
+fn put_action(fields: &mut FieldWriter, action: &Action) {
+    match action {
+        Action::Send { id, worker, timeout } => fields.u32(id.0).u64(timeout.0).worker(*worker),
+        Action::Cancel { id, attempt } => fields.u32(id.0).u16(*attempt),
+        Action::Reject { id, retry_after } => fields.u32(id.0).u64(retry_after.0),
+        Action::Fail { id } => fields.u32(id.0),
+        Action::Load { worker, function, instances } => fields.worker(*worker).u8(*instances).u64(function.0),
+        Action::Unload { worker, function } => fields.worker(*worker).u64(function.0),
+        Action::HealthCheck { worker } => fields.worker(*worker),
+        Action::SetTimer { delay } => fields.u64(delay.0).u32(TIMER_MARK),
+        Action::Subscribe => fields.u8(SUBSCRIBE),
+    };
+}
+
+/// Appends fields to a record.
+struct FieldWriter<'a> {
+    bytes: &'a mut Vec<u8>,
+}
+
+impl FieldWriter<'_> {
+    fn bytes(&mut self, field: &[u8]) -> &mut Self {
+        self.bytes.extend_from_slice(field);
+        self
+    }
+
+    fn u8(&mut self, value: u8) -> &mut Self {
+        self.bytes(&value.to_be_bytes())
+    }
+
+    fn u16(&mut self, value: u16) -> &mut Self {
+        self.bytes(&value.to_be_bytes())
+    }
+
+    fn u32(&mut self, value: u32) -> &mut Self {
+        self.bytes(&value.to_be_bytes())
+    }
+
+    fn u64(&mut self, value: u64) -> &mut Self {
+        self.bytes(&value.to_be_bytes())
+    }
+
+    /// A worker: its address and port are the low six bytes of its id.
+    fn worker(&mut self, worker: WorkerId) -> &mut Self {
+        self.bytes(&worker.0.to_be_bytes()[2..])
+    }
+}
