--- a/src/bin/function-scheduler-sim/codec/cursor.rs
+++ b/src/bin/function-scheduler-sim/codec/cursor.rs
@@ -6,7 +6,7 @@
 
 /// The fields of one record, and how far they have been read.
 ///
-/// Each method reads the next field and fails with [`WireError::RecordCutShort`] where the record ends inside it.
+/// Each method reads the next field and fails with [`WireError::RecordCutShort`] if the record ends in it.
 pub(super) struct FieldCursor<'a> {
     bytes: &'a [u8],
     offset: usize,
--- a/src/bin/function-scheduler-sim/codec/mod.rs
+++ b/src/bin/function-scheduler-sim/codec/mod.rs
@@ -1,8 +1,8 @@
 //! Codec of the simulator's pipe: batches of event records in, one reply of action records per batch out.
 //!
-//! The format is that of the page `WIRE-dykecove.md`. Everything is big-endian and without padding. A record is a
-//! code of one byte, the length of its fields in four bytes, and the fields back to back. Names of the page are used
-//! in this module only: behind it stand the types of the library's model.
+//! The format is that of the page `WIRE-dykecove.md`. Everything is big-endian and without padding. A record
+//! is a code of one byte, the length of its fields in four bytes, and the fields back to back. Names of the
+//! page are used in this module only; the rest of the adapter uses the types of the library's model.
 
 mod batch;
 mod codes;
--- a/src/bin/function-scheduler-sim/main.rs
+++ b/src/bin/function-scheduler-sim/main.rs
@@ -1,5 +1,5 @@
-//! Adapter to the simulator: decodes batches of events from standard input, hosts one policy for each simulated
-//! scheduler instance, and answers each batch on standard output with the actions of the policies.
+//! Adapter to the simulator: decodes batches of events from standard input, hosts one policy for each
+//! simulated scheduler instance, and answers each batch on standard output with the actions of the policies.
 #![forbid(unsafe_code)]
 
 mod codec;
