Failing tests: a log that cannot be written ends or stops the scheduler

Each fails on this commit: status 101 before or after it is ready, and readiness unanswered for 20 s.

--- a/tests/server/main.rs
+++ b/tests/server/main.rs
@@ -8,6 +8,7 @@
 mod frontend_equivalence;
 mod jsonrpc_frontend;
 mod jsonrpc_workers;
+mod log;
 mod malformed_frames;
 mod reload;
 mod retries;
--- a/tests/support/configuration.rs
+++ b/tests/support/configuration.rs
@@ -5,6 +5,7 @@
 use super::{IDEMPOTENT_CLASS, KEYED_CLASS};
 use serde_json::{Value, json};
 use std::net::SocketAddr;
+use std::process::Stdio;
 
 /// Builds the configuration files of a scheduler process and starts it.
 pub(crate) struct Configuration {
@@ -62,6 +63,13 @@
         SchedulerProcess::spawn(self.folder, config, self.operator_file)
     }
 
+    /// Writes the files and starts the process on this address, with this standard error; returns at once.
+    pub(crate) fn start_with_stderr(self, listen: SocketAddr, stderr: Stdio) -> SchedulerProcess {
+        let mut config = self.json();
+        config["listen"] = json!(listen.to_string());
+        SchedulerProcess::spawn_with_stderr(self.folder, config, listen, stderr)
+    }
+
     fn json(&self) -> Value {
         let targets: Vec<Value> = (1..)
             .zip(&self.workers)
--- a/tests/support/scheduler_process.rs
+++ b/tests/support/scheduler_process.rs
@@ -5,7 +5,7 @@
 use super::temp_folder::TempFolder;
 use serde_json::Value;
 use std::io::{BufRead, BufReader};
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpStream};
 use std::process::{Child, ChildStderr, Command, ExitStatus, Stdio};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -73,6 +73,41 @@
         process
     }
 
+    /// Starts the program with this standard error, of which nothing is read here; returns at once.
+    pub(super) fn spawn_with_stderr(
+        folder: TempFolder,
+        config: Value,
+        address: SocketAddr,
+        stderr: Stdio,
+    ) -> SchedulerProcess {
+        std::fs::write(folder.file(CONFIG_FILE), config.to_string()).unwrap();
+        let child = program(&folder).stdin(Stdio::null()).stderr(stderr).spawn();
+        SchedulerProcess {
+            child: child.unwrap(),
+            log: Arc::default(),
+            address,
+            folder,
+            config,
+        }
+    }
+
+    /// Whether the program accepts clients before the limit on waits has passed or it ends.
+    pub(crate) fn becomes_reachable(&mut self) -> bool {
+        let start = Instant::now();
+        while start.elapsed() < WAIT_LIMIT && !self.has_ended() {
+            if TcpStream::connect(self.address).is_ok() {
+                return true;
+            }
+            thread::sleep(POLL_INTERVAL);
+        }
+        false
+    }
+
+    /// Whether the program has ended.
+    pub(crate) fn has_ended(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_some()
+    }
+
     fn wait_for_listen_address(&self) -> SocketAddr {
         let log = self.wait_for_log("offset=");
         let address = log
