Write the log from a thread of its own, so that it neither stops nor ends the scheduler

Cause: eprintln! panics where the write fails (disk full, reader gone: status 101), and blocks the event loop where nobody reads. Class: the event loop depends on an output that is nobody's promise. All 17 places wrote so; they now emit tracing events, and src/logging hands whole lines to a thread through a bounded queue. Lines dropped and failed are counted and printed with the counters; panics go the same way; dropped VRRP datagrams are rate limited like other lines that peers cause. FUNCTION_SCHEDULER_LOG sets the level. tracing-appender was read and not taken: its thread must start, its guard prints to standard output at the end, and it counts no failed write.

--- a/src/discovery/mod.rs
+++ b/src/discovery/mod.rs
@@ -25,6 +25,7 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use tracing::warn;
 use watch_connection::{WatchConnection, WatchQueue};
 
 /// Delays before a new connection. They stay short: what the event bus publishes counts as known to the
@@ -179,7 +180,7 @@
             Ok(stream) => stream,
             Err(error) => {
                 if scheduler.may_log(now) {
-                    eprintln!("function-scheduler: bus connection failed why=\"{error}\"");
+                    warn!("bus connection failed why=\"{error}\"");
                 }
                 return None;
             }
--- a/src/discovery/watch_connection.rs
+++ b/src/discovery/watch_connection.rs
@@ -7,6 +7,7 @@
 use std::cell::RefCell;
 use std::collections::VecDeque;
 use std::rc::Rc;
+use tracing::warn;
 
 /// A connection without a frame for this long counts as dead: the event bus sends a heartbeat each second.
 pub(super) const WATCH_SILENCE_TIMEOUT: Span = Span::from_millis(2_500);
@@ -71,7 +72,7 @@
 
     fn handle_undecodable(&self, error: DecodeError, context: &mut Context) -> ConnectionFlow {
         context.scheduler.counters().unreadable += 1;
-        eprintln!("function-scheduler: bus unreadable why=\"{error}\"");
+        warn!("bus unreadable why=\"{error}\"");
         ConnectionFlow::Close
     }
 }
@@ -105,7 +106,7 @@
 
     fn timer_expired(&mut self, _socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow {
         if self.silent_at <= context.now {
-            eprintln!("function-scheduler: bus silent");
+            warn!("bus silent");
             return ConnectionFlow::Close;
         }
         ConnectionFlow::Continue
--- a/src/frontend/frame_connection.rs
+++ b/src/frontend/frame_connection.rs
@@ -11,6 +11,7 @@
 use crate::net::{BufferLimits, BufferedStream, ClientConnection, Connection, ConnectionFlow, Context};
 use crate::scheduler::{Outcome, RequestOrigin, Response};
 use std::collections::BTreeSet;
+use tracing::warn;
 
 #[cfg(test)]
 mod tests;
@@ -214,8 +215,8 @@
         // Nothing more is written after the error: what is open here can have no response.
         self.cancel_all(socket, context);
         if context.scheduler.may_log(context.now) {
-            eprintln!(
-                "function-scheduler: malformed front=frames connection={} why=\"{error}\"",
+            warn!(
+                "malformed front=frames connection={} why=\"{error}\"",
                 socket.id()
             );
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 //!   actions. It has neither sockets nor a clock.
 //! - [`Policy`] takes the decisions. The types that it shares with the code around it are at the crate's
 //!   root.
+//! - [`logging`] writes the process's log without ever making the event loop wait.
 //! - [`vrrp`] elects one of several servers. Like the policy it is pure.
 //!
 //! # The policy
@@ -99,6 +100,7 @@
 pub mod config;
 pub mod discovery;
 pub mod frontend;
+pub mod logging;
 mod model;
 pub mod net;
 mod policy;
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,6 +2,7 @@
 #![forbid(unsafe_code)]
 
 use function_scheduler::config::{ConfigError, ConfigSources};
+use function_scheduler::logging::Log;
 use function_scheduler::server::{self, ServerError};
 use std::ffi::OsString;
 use std::path::PathBuf;
@@ -27,10 +28,11 @@
 }
 
 fn main() -> ExitCode {
+    let _log = Log::open();
     match start() {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("function-scheduler: {error}");
+            tracing::error!("{error}");
             ExitCode::FAILURE
         }
     }
--- a/src/net/reactor/entry.rs
+++ b/src/net/reactor/entry.rs
@@ -5,6 +5,7 @@
 use crate::net::{BufferedStream, Connection, ConnectionFlow, Context};
 use std::io;
 use std::panic::{AssertUnwindSafe, catch_unwind};
+use tracing::error;
 
 /// Bytes read from one connection in one turn. A peer that sends at full speed must not keep the others
 /// waiting.
@@ -50,7 +51,7 @@
         }));
         flow.unwrap_or_else(|_| {
             context.scheduler.counters().panics += 1;
-            eprintln!("function-scheduler: panic connection={} closed", self.stream.id());
+            error!("panic connection={} closed", self.stream.id());
             ConnectionFlow::Close
         })
     }
--- a/src/server/accept.rs
+++ b/src/server/accept.rs
@@ -9,6 +9,7 @@
 use std::collections::BTreeSet;
 use std::io;
 use thiserror::Error;
+use tracing::warn;
 
 /// Delay before clients are accepted again after the system could not accept one.
 const RETRY_DELAY: Span = Span::from_millis(50);
@@ -164,7 +165,7 @@
 
     fn schedule_retry(&mut self, error: &io::Error, now: Time, scheduler: &mut Scheduler) {
         if scheduler.may_log(now) {
-            eprintln!("function-scheduler: accept failed why=\"{error}\"");
+            warn!("accept failed why=\"{error}\"");
         }
         self.retry_at = Some(now + RETRY_DELAY);
     }
@@ -236,6 +237,6 @@
 
 fn log_dropped(cause: DropCause, now: Time, scheduler: &mut Scheduler) {
     if scheduler.may_log(now) {
-        eprintln!("function-scheduler: accept dropped why=\"{cause}\"");
+        warn!("accept dropped why=\"{cause}\"");
     }
 }
--- a/src/server/leader.rs
+++ b/src/server/leader.rs
@@ -12,6 +12,7 @@
 use std::io;
 use std::net::SocketAddr;
 use thiserror::Error;
+use tracing::{info, warn};
 
 /// Why a datagram is dropped.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
@@ -73,7 +74,7 @@
         reactor.active = state == State::Active;
         if state != previous {
             let virtual_router_id = self.config.virtual_router_id;
-            eprintln!("function-scheduler: vrrp vrid={virtual_router_id} state={state:?} was={previous:?}");
+            info!("vrrp vrid={virtual_router_id} state={state:?} was={previous:?}");
         }
     }
 
@@ -95,7 +96,9 @@
                 Ok(_) => scheduler.counters().vrrp_dropped += 1,
                 Err(error) => {
                     scheduler.counters().vrrp_dropped += 1;
-                    eprintln!("function-scheduler: vrrp dropped from={sender} why=\"{error}\"");
+                    if scheduler.may_log(reactor.now()) {
+                        warn!("vrrp dropped from={sender} why=\"{error}\"");
+                    }
                 }
             }
         }
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -23,6 +23,7 @@
 use crate::backend::Pool;
 use crate::config::{ConfigSources, Configuration, SchedulerConfig};
 use crate::discovery::Discovery;
+use crate::logging;
 use crate::model::Time;
 use crate::net::{PipeId, Reactor, ReactorEvent, UdpSocketId};
 use crate::scheduler::{Command, RequestOrigin, Response, Scheduler};
@@ -32,6 +33,7 @@
 use shutdown::Shutdown;
 use signals::{SignalPipes, SignalRequest};
 use std::panic::{AssertUnwindSafe, catch_unwind};
+use tracing::{error, info};
 
 /// Serves until a signal ends it.
 ///
@@ -65,7 +67,7 @@
         self.begin_serving();
         while !self.turn()? {}
         self.print_counters();
-        eprintln!("function-scheduler: ended name={}", self.config.name);
+        info!("ended name={}", self.config.name);
         Ok(())
     }
 
@@ -74,8 +76,8 @@
         self.run_due_work();
         self.reactor.ready = true;
         self.update_leader(Event::Startup);
-        eprintln!(
-            "function-scheduler: serving name={} listen={} offset={}",
+        info!(
+            "serving name={} listen={} offset={}",
             self.config.name,
             self.config.listen,
             self.discovery.last_offset()
@@ -133,7 +135,12 @@
     }
 
     fn print_counters(&mut self) {
-        eprintln!("function-scheduler: {}", self.scheduler.counters());
+        info!(
+            "{} log_dropped={} log_failed={}",
+            self.scheduler.counters(),
+            logging::dropped_lines(),
+            logging::failed_lines()
+        );
     }
 
     fn receive_advertisements(&mut self, socket: UdpSocketId) {
@@ -169,7 +176,7 @@
         let outcome = catch_unwind(AssertUnwindSafe(|| self.scheduler.fire_timers(now)));
         if outcome.is_err() {
             self.scheduler.counters().panics += 1;
-            eprintln!("function-scheduler: panic timer");
+            error!("panic timer");
         }
     }
 
--- a/src/server/reload.rs
+++ b/src/server/reload.rs
@@ -9,6 +9,7 @@
 use crate::config::{ConfigError, Configuration, SchedulerConfig, VrrpConfig};
 use std::io;
 use thiserror::Error;
+use tracing::{info, warn};
 
 /// Why a reload is refused.
 #[derive(Debug, Error)]
@@ -96,7 +97,7 @@
                 let kept = self.apply_reload(reload);
                 self.report_reload(&kept);
             }
-            Err(error) => eprintln!("function-scheduler: reload refused why=\"{error}\""),
+            Err(error) => warn!("reload refused why=\"{error}\""),
         }
     }
 
@@ -162,11 +163,8 @@
 
     fn report_reload(&self, kept: &[StartupSetting]) {
         for setting in kept {
-            eprintln!("function-scheduler: reload kept what={}", setting.name());
+            warn!("reload kept what={}", setting.name());
         }
-        eprintln!(
-            "function-scheduler: reloaded offset={}",
-            self.discovery.last_offset()
-        );
+        info!("reloaded offset={}", self.discovery.last_offset());
     }
 }
--- a/src/server/shutdown.rs
+++ b/src/server/shutdown.rs
@@ -8,6 +8,7 @@
 use super::Server;
 use crate::model::{Span, Time};
 use crate::vrrp::Event;
+use tracing::info;
 
 /// Time from the beginning until clients are notified again: those that have connected since.
 const LATE_NOTICE_DELAY: Span = Span::from_millis(750);
@@ -125,8 +126,8 @@
         if self.shutdown.is_some() {
             return;
         }
-        eprintln!(
-            "function-scheduler: ending name={} owed={}",
+        info!(
+            "ending name={} owed={}",
             self.config.name,
             self.scheduler.open_requests()
         );
