Failing tests: signals, a held address and a killed start's folder end the start

A signal that comes before the configuration is read ends the program; an address that a predecessor holds for 0.6 s more ends it with status 1; the folder in which a killed start of the same process id was creating its Unix socket refuses every later start.

--- a/src/frontend/unix_socket.rs
+++ b/src/frontend/unix_socket.rs
@@ -6,6 +6,9 @@
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::{Path, PathBuf};
 
+#[cfg(test)]
+mod tests;
+
 /// Mode of the folder in which a socket is created: only its owner may enter.
 const PRIVATE_FOLDER_MODE: u32 = 0o700;
 
--- a/tests/server/main.rs
+++ b/tests/server/main.rs
@@ -13,6 +13,7 @@
 mod reload;
 mod retries;
 mod shutdown;
+mod startup;
 #[path = "../support/mod.rs"]
 #[allow(dead_code, reason = "each test crate uses a part of the support code")]
 mod support;
--- /dev/null
+++ b/tests/server/startup.rs
@@ -0,0 +1,51 @@
+//! What crosses the start of the program: signals, and a predecessor that has not gone yet.
+
+use crate::support::configuration::Configuration;
+use crate::support::frame_client::FrameClient;
+use crate::support::refusing_address;
+use crate::support::worker::{StandInWorker, echo};
+use std::net::{Ipv4Addr, TcpListener};
+use std::process::Stdio;
+use std::thread;
+use std::time::Duration;
+
+/// The number of SIGHUP.
+const SIGHUP: u32 = 1;
+
+/// How long a predecessor holds the address on.
+const PREDECESSOR_HOLDS: Duration = Duration::from_millis(600);
+
+/// An operator's script does not know whether the program has read its configuration yet.
+#[test]
+fn signals_before_the_configuration_is_read_do_not_end_the_program() {
+    let worker = StandInWorker::node_agent();
+    let configuration = Configuration::new(&[worker.address()]);
+    worker.serve(echo);
+    let address = refusing_address(Ipv4Addr::new(127, 0, 8, 1));
+    let mut scheduler = configuration.start_with_config_pipe(address);
+    scheduler.wait_for_signal_handler(SIGHUP);
+    scheduler.signal("HUP");
+    scheduler.signal("USR1");
+    // Read at the start, and once more by the reload that the signal asks for.
+    for _ in 0..2 {
+        scheduler.write_config_in_background();
+    }
+    assert!(scheduler.becomes_reachable(), "ended by a signal");
+    FrameClient::connect(&scheduler).assert_ready();
+}
+
+/// A restart under the same address: the process before may hold it for a moment longer.
+#[test]
+fn the_start_outlasts_a_predecessor_that_still_holds_the_address() {
+    let worker = StandInWorker::node_agent();
+    let configuration = Configuration::new(&[worker.address()]);
+    worker.serve(echo);
+    let predecessor = TcpListener::bind((Ipv4Addr::new(127, 0, 8, 2), 0)).unwrap();
+    let address = predecessor.local_addr().unwrap();
+    let mut scheduler = configuration.start_with_stderr(address, Stdio::null());
+    thread::sleep(PREDECESSOR_HOLDS);
+    assert!(!scheduler.has_ended(), "gave up at once");
+    drop(predecessor);
+    assert!(scheduler.becomes_reachable());
+    FrameClient::connect(&scheduler).assert_ready();
+}
--- a/tests/support/configuration.rs
+++ b/tests/support/configuration.rs
@@ -70,6 +70,13 @@
         SchedulerProcess::spawn_with_stderr(self.folder, config, listen, stderr)
     }
 
+    /// Starts the process on this address with a named pipe as its configuration file, which it therefore waits for.
+    pub(crate) fn start_with_config_pipe(self, listen: SocketAddr) -> SchedulerProcess {
+        let mut config = self.json();
+        config["listen"] = json!(listen.to_string());
+        SchedulerProcess::spawn_with_config_pipe(self.folder, config, listen)
+    }
+
     fn json(&self) -> Value {
         let targets: Vec<Value> = (1..)
             .zip(&self.workers)
--- a/tests/support/scheduler_process.rs
+++ b/tests/support/scheduler_process.rs
@@ -91,6 +91,44 @@
         }
     }
 
+    /// Starts the program on this address with a configuration file that is a named pipe: it can only be read once
+    /// [`SchedulerProcess::write_config`] has written it. Returns at once.
+    pub(super) fn spawn_with_config_pipe(
+        folder: TempFolder,
+        config: Value,
+        address: SocketAddr,
+    ) -> SchedulerProcess {
+        let made = Command::new("mkfifo").arg(folder.file(CONFIG_FILE)).status();
+        assert!(made.unwrap().success());
+        let child = program(&folder)
+            .stdin(Stdio::null())
+            .stderr(Stdio::null())
+            .spawn();
+        SchedulerProcess {
+            child: child.unwrap(),
+            log: Arc::default(),
+            address,
+            folder,
+            config,
+        }
+    }
+
+    /// Waits until the program handles a signal, by its number, instead of ending.
+    pub(crate) fn wait_for_signal_handler(&self, signal: u32) {
+        let path = format!("/proc/{}/status", self.process_id());
+        let start = Instant::now();
+        loop {
+            let status = std::fs::read_to_string(&path).unwrap();
+            let caught = status.lines().find_map(|line| line.strip_prefix("SigCgt:"));
+            let caught = u64::from_str_radix(caught.unwrap().trim(), 16).unwrap();
+            if caught & (1 << (signal - 1)) != 0 {
+                return;
+            }
+            assert!(start.elapsed() < WAIT_LIMIT, "signal {signal} has no handler");
+            thread::sleep(POLL_INTERVAL);
+        }
+    }
+
     /// Whether the program accepts clients before the limit on waits has passed or it ends.
     pub(crate) fn becomes_reachable(&mut self) -> bool {
         let start = Instant::now();
@@ -167,6 +205,13 @@
         std::fs::write(self.folder.file(CONFIG_FILE), text).unwrap();
     }
 
+    /// Writes the configuration that the program was started with to its configuration pipe, once the program reads it.
+    pub(crate) fn write_config_in_background(&self) {
+        let path = self.folder.file(CONFIG_FILE);
+        let config = self.config.to_string();
+        thread::spawn(move || std::fs::write(path, config));
+    }
+
     /// Writes a configuration, has it read with SIGHUP, and waits for the result.
     pub(crate) fn reload(&self, config: &str) -> ReloadResult {
         let earlier = reload_results(&self.log.lock().unwrap()).len();
