Install the signal handlers first, and let a start outlast failures that pass

Causes: handlers came after the configuration was read; one failure of bind, of a file or of a pipe ended the start; the folder of a killed start of the same process id was not taken over. Class: the start took every failure as final. Now the handlers are the first thing in main, signals that come before the event loop are kept for it, and a start is tried again for 20 s after failures that pass by themselves (server::transient says which), until SIGTERM calls it off.

--- a/src/frontend/unix_socket.rs
+++ b/src/frontend/unix_socket.rs
@@ -11,6 +11,8 @@
 
 /// Mode of the folder in which a socket is created: only its owner may enter.
 const PRIVATE_FOLDER_MODE: u32 = 0o700;
+/// Name of a socket in the folder in which it is created.
+const TEMPORARY_NAME: &str = "s";
 
 /// What tells a file from any other of the same path.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -50,14 +52,21 @@
     // socket with the mode that the umask happens to give is never in reach.
     let name = path.file_name().unwrap_or_default().to_string_lossy();
     let folder = path.with_file_name(format!(".{name}.{}", std::process::id()));
+    // An earlier process of the same id may have been killed before it had removed its own.
+    remove_temporary_folder(&folder);
     DirBuilder::new().mode(PRIVATE_FOLDER_MODE).create(&folder)?;
-    let temporary = folder.join("s");
+    let temporary = folder.join(TEMPORARY_NAME);
     let bound = bind_and_move(&temporary, path, mode);
-    let _ = fs::remove_file(&temporary);
-    let _ = fs::remove_dir(&folder);
+    remove_temporary_folder(&folder);
     bound
 }
 
+/// Removes a folder in which a socket was created, with the socket if it is still there.
+fn remove_temporary_folder(folder: &Path) {
+    let _ = fs::remove_file(folder.join(TEMPORARY_NAME));
+    let _ = fs::remove_dir(folder);
+}
+
 /// Whether there is nothing at the path, or a stale socket.
 fn check_replaceable(path: &Path) -> io::Result<()> {
     let metadata = match fs::symlink_metadata(path) {
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,8 +3,9 @@
 
 use function_scheduler::config::{ConfigError, ConfigSources};
 use function_scheduler::logging::Log;
-use function_scheduler::server::{self, ServerError};
+use function_scheduler::server::{self, ServerError, Signals};
 use std::ffi::OsString;
+use std::io;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use thiserror::Error;
@@ -22,14 +23,20 @@
     #[error("{CONFIG_VARIABLE} names no configuration")]
     NoConfiguration,
     #[error(transparent)]
-    Configuration(#[from] ConfigError),
+    Configuration(ConfigError),
     #[error("cannot serve: {0}")]
-    Serve(#[from] ServerError),
+    SignalHandlers(io::Error),
+    #[error("cannot serve: {0}")]
+    Serve(ServerError),
 }
 
 fn main() -> ExitCode {
+    let signals = Signals::install();
     let _log = Log::open();
-    match start() {
+    let result = signals
+        .map_err(StartError::SignalHandlers)
+        .and_then(|signals| start(&signals));
+    match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             tracing::error!("{error}");
@@ -38,7 +45,7 @@
     }
 }
 
-fn start() -> Result<(), StartError> {
+fn start(signals: &Signals) -> Result<(), StartError> {
     let arguments: Vec<OsString> = std::env::args_os().skip(1).collect();
     let operator_file = operator_file(&arguments)?;
     let scheduler_file = std::env::var_os(CONFIG_VARIABLE)
@@ -48,9 +55,10 @@
         scheduler_file,
         operator_file,
     };
-    let configuration = sources.load()?;
-    server::run(configuration, sources)?;
-    Ok(())
+    server::run(&sources, signals).map_err(|error| match error {
+        ServerError::Configuration(error) => StartError::Configuration(error),
+        error => StartError::Serve(error),
+    })
 }
 
 /// The operator's file, if the arguments name one.
--- a/src/server/error.rs
+++ b/src/server/error.rs
@@ -1,5 +1,6 @@
 //! Why the server stops without having been asked to.
 
+use crate::config::ConfigError;
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -8,6 +9,9 @@
 /// Why the server can't start, or can't go on. Its text is the system's; the variant says what failed.
 #[derive(Debug, Error)]
 pub enum ServerError {
+    /// The configuration can't be used.
+    #[error(transparent)]
+    Configuration(#[from] ConfigError),
     /// The system provides no event queue.
     #[error(transparent)]
     Reactor(io::Error),
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -17,11 +17,13 @@
 mod startup;
 #[cfg(test)]
 mod tests;
+mod transient;
 
 pub use error::ServerError;
+pub use signals::Signals;
 
 use crate::backend::Pool;
-use crate::config::{ConfigSources, Configuration, SchedulerConfig};
+use crate::config::{ConfigSources, SchedulerConfig};
 use crate::discovery::Discovery;
 use crate::logging;
 use crate::model::Time;
@@ -35,14 +37,17 @@
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use tracing::{error, info};
 
-/// Serves until a signal ends it.
+/// Reads the configuration and serves until a signal ends it.
 ///
 /// # Errors
 ///
-/// [`ServerError`] where a socket or a signal handler can't be had at the start, or the system no longer
-/// reports events.
-pub fn run(configuration: Configuration, sources: ConfigSources) -> Result<(), ServerError> {
-    Server::new(configuration, sources)?.serve()
+/// [`ServerError`] where the configuration can't be used, a socket can't be had at the start, or the system no
+/// longer reports events.
+pub fn run(sources: &ConfigSources, signals: &Signals) -> Result<(), ServerError> {
+    match startup::start(sources, signals)? {
+        Some(mut server) => server.serve(),
+        None => Ok(()),
+    }
 }
 
 struct Server {
--- a/src/server/signals.rs
+++ b/src/server/signals.rs
@@ -2,8 +2,9 @@
 
 use crate::net::{PipeId, Reactor};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
-use std::io;
+use std::io::{self, Read};
 use std::os::unix::net::UnixStream;
+use std::time::Duration;
 
 /// What a signal asks of the server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -33,38 +34,63 @@
     }
 }
 
-/// The pipe on which one request arrives.
+/// The reading end of the pipe to which the signals of one request write a byte each.
 #[derive(Debug)]
-struct SignalPipe {
-    pipe: PipeId,
+struct SignalReceiver {
     request: SignalRequest,
+    reader: UnixStream,
 }
 
-/// The pipes of all signals that the server handles.
+/// The handlers of all signals that the server handles.
+///
+/// They are to be installed before anything else: a signal without a handler ends the process. What arrives before
+/// the event loop runs is kept for it.
 #[derive(Debug)]
-pub(super) struct SignalPipes {
-    pipes: Vec<SignalPipe>,
+pub struct Signals {
+    receivers: Vec<SignalReceiver>,
 }
 
-impl SignalPipes {
-    /// Installs the signal handlers and has the reactor watch their pipes.
+impl Signals {
+    /// Installs the handlers.
     ///
     /// # Errors
     ///
     /// The system's, where it gives no pipe or refuses a handler.
-    pub(super) fn install(reactor: &mut Reactor) -> io::Result<SignalPipes> {
-        let mut pipes = Vec::new();
+    pub fn install() -> io::Result<Signals> {
+        let mut receivers = Vec::new();
         for request in SignalRequest::ALL {
-            let pipe = reactor.watch_pipe(signal_pipe(request.signals())?)?;
-            pipes.push(SignalPipe { pipe, request });
+            let reader = signal_pipe(request.signals())?;
+            receivers.push(SignalReceiver { request, reader });
         }
-        Ok(SignalPipes { pipes })
+        Ok(Signals { receivers })
     }
 
-    /// What is asked for when this pipe becomes readable; `None` if it is no signal's pipe.
-    pub(super) fn request_of(&self, pipe: PipeId) -> Option<SignalRequest> {
-        let signal_pipe = self.pipes.iter().find(|signal_pipe| signal_pipe.pipe == pipe)?;
-        Some(signal_pipe.request)
+    /// Waits until a shutdown is asked for, or this time has passed; whether one is asked for.
+    pub(super) fn wait_for_shutdown(&self, timeout: Duration) -> io::Result<bool> {
+        let is_shutdown = |receiver: &&SignalReceiver| receiver.request == SignalRequest::Shutdown;
+        let Some(receiver) = self.receivers.iter().find(is_shutdown) else {
+            return Ok(false);
+        };
+        receiver.reader.set_nonblocking(false)?;
+        receiver.reader.set_read_timeout(Some(timeout))?;
+        Ok((&receiver.reader).read(&mut [0]).is_ok_and(|count| count > 0))
+    }
+
+    /// Has the reactor watch the pipes.
+    ///
+    /// # Errors
+    ///
+    /// The system's, where a pipe cannot be had or polled.
+    pub(super) fn watch(&self, reactor: &mut Reactor) -> io::Result<SignalPipes> {
+        let mut pipes = Vec::new();
+        for receiver in &self.receivers {
+            let pipe = reactor.watch_pipe(receiver.reader.try_clone()?)?;
+            pipes.push(SignalPipe {
+                pipe,
+                request: receiver.request,
+            });
+        }
+        Ok(SignalPipes { pipes })
     }
 }
 
@@ -77,3 +103,24 @@
     }
     Ok(reader)
 }
+
+/// The pipe on which one request arrives.
+#[derive(Debug)]
+struct SignalPipe {
+    pipe: PipeId,
+    request: SignalRequest,
+}
+
+/// The pipes of all signals, as the reactor watches them.
+#[derive(Debug)]
+pub(super) struct SignalPipes {
+    pipes: Vec<SignalPipe>,
+}
+
+impl SignalPipes {
+    /// What is asked for when this pipe becomes readable; `None` if it is no signal's pipe.
+    pub(super) fn request_of(&self, pipe: PipeId) -> Option<SignalRequest> {
+        let signal_pipe = self.pipes.iter().find(|signal_pipe| signal_pipe.pipe == pipe)?;
+        Some(signal_pipe.request)
+    }
+}
--- a/src/server/startup.rs
+++ b/src/server/startup.rs
@@ -1,27 +1,83 @@
-//! Start of the server: sockets, signal handlers and state, from the configuration.
+//! Start of the server: sockets and state, from the configuration, for as long as it takes to have them.
 
 use super::accept::{Acceptor, JsonRpcListener};
 use super::endpoints::assign_checker_addresses;
 use super::error::ServerError;
 use super::leader::LeaderElection;
-use super::signals::SignalPipes;
+use super::signals::Signals;
+use super::transient::is_transient;
 use super::{Server, limits};
 use crate::backend::Pool;
-use crate::config::{ConfigSources, Configuration, JsonRpcConfig, VrrpConfig};
+use crate::config::{ConfigProblem, ConfigSources, Configuration, JsonRpcConfig, VrrpConfig};
 use crate::discovery::Discovery;
 use crate::net::{Reactor, SystemClock};
 use crate::scheduler::Scheduler;
+use std::io;
 use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+use tracing::{info, warn};
+
+/// How long a start goes on after failures that pass by themselves. A process that is restarted has to be ready
+/// within 30 s (page STANDING).
+const START_PATIENCE: Duration = Duration::from_secs(20);
+/// Pause between two tries of a start.
+const START_RETRY_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Sets a server up, with further tries after failures that pass by themselves; none if a shutdown is asked for
+/// meanwhile.
+///
+/// # Errors
+///
+/// The last one, where it does not pass.
+pub(super) fn start(sources: &ConfigSources, signals: &Signals) -> Result<Option<Server>, ServerError> {
+    let began_at = Instant::now();
+    let mut failures = 0u32;
+    loop {
+        match Server::new(sources, signals) {
+            Err(error) if passes(&error) && began_at.elapsed() < START_PATIENCE => {
+                failures += 1;
+                if failures == 1 {
+                    warn!("start delayed why=\"{error}\"");
+                }
+            }
+            result => return result.map(Some),
+        }
+        let is_called_off = signals.wait_for_shutdown(START_RETRY_INTERVAL);
+        if is_called_off.map_err(ServerError::SignalHandlers)? {
+            info!("start called off");
+            return Ok(None);
+        }
+    }
+}
+
+/// Whether a start that failed with this error may succeed a moment later.
+fn passes(error: &ServerError) -> bool {
+    match error {
+        ServerError::Configuration(error) => match &error.problem {
+            ConfigProblem::Unreadable { source, .. } => is_transient(source),
+            _ => false,
+        },
+        // Somebody listens at the path of the JSON-RPC frontend: a second server, not a predecessor.
+        ServerError::JsonRpcSocket { source, .. } => {
+            source.kind() != io::ErrorKind::AddrInUse && is_transient(source)
+        }
+        ServerError::Reactor(source)
+        | ServerError::SignalHandlers(source)
+        | ServerError::Listen { source, .. }
+        | ServerError::VrrpSocket { source, .. } => is_transient(source),
+        ServerError::Poll(_) => false,
+    }
+}
 
 impl Server {
-    /// Installs the signal handlers, binds all sockets and sets up the state; nothing is served yet.
-    pub(super) fn new(configuration: Configuration, sources: ConfigSources) -> Result<Server, ServerError> {
+    /// Reads the configuration, binds all sockets and sets up the state; nothing is served yet.
+    fn new(sources: &ConfigSources, signals: &Signals) -> Result<Server, ServerError> {
         let Configuration {
             scheduler: mut config,
             operator,
-        } = configuration;
+        } = sources.load()?;
         let mut reactor = Reactor::new(SystemClock::new()).map_err(ServerError::Reactor)?;
-        let signals = SignalPipes::install(&mut reactor).map_err(ServerError::SignalHandlers)?;
+        let signals = signals.watch(&mut reactor).map_err(ServerError::SignalHandlers)?;
         config.listen = listen(config.listen, &mut reactor)?;
         let jsonrpc = operator.jsonrpc.as_ref();
         let jsonrpc = jsonrpc
@@ -38,7 +94,7 @@
         let configured = assign_checker_addresses(&operator, &config.site, &mut pool);
         let known = std::mem::take(&mut config.known_events);
         Ok(Server {
-            sources,
+            sources: sources.clone(),
             scheduler,
             discovery: Discovery::new(config.event_bus, known, configured, reactor.now()),
             acceptor: Acceptor::new(limits::max_connections_with_clients(&config), jsonrpc),
--- a/tests/server/startup.rs
+++ b/tests/server/startup.rs
@@ -26,11 +26,10 @@
     scheduler.wait_for_signal_handler(SIGHUP);
     scheduler.signal("HUP");
     scheduler.signal("USR1");
-    // Read at the start, and once more by the reload that the signal asks for.
-    for _ in 0..2 {
-        scheduler.write_config_in_background();
-    }
+    scheduler.write_config_in_background();
     assert!(scheduler.becomes_reachable(), "ended by a signal");
+    // The reload that the signal asks for reads it once more.
+    scheduler.write_config_in_background();
     FrameClient::connect(&scheduler).assert_ready();
 }
 
@@ -49,3 +48,14 @@
     assert!(scheduler.becomes_reachable());
     FrameClient::connect(&scheduler).assert_ready();
 }
+
+/// Nobody waits for a start that has been called off.
+#[test]
+fn sigterm_ends_a_start_that_waits_for_its_address() {
+    let predecessor = TcpListener::bind((Ipv4Addr::new(127, 0, 8, 3), 0)).unwrap();
+    let address = predecessor.local_addr().unwrap();
+    let mut scheduler = Configuration::new(&[]).start_with_stderr(address, Stdio::null());
+    scheduler.wait_for_signal_handler(SIGHUP);
+    scheduler.signal("TERM");
+    assert!(scheduler.wait_for_exit().success());
+}
