Failing tests: requests that were read or accepted end with their connection

A bad frame ends its connection with the error alone, and the open requests on it unanswered; an idle close, by its timer or to make room, takes a request along that came after the last poll; with 64 descriptors and 70 clients with a request each, clients are accepted and dropped.

--- a/src/net/reactor/tests.rs
+++ b/src/net/reactor/tests.rs
@@ -25,19 +25,87 @@
     fn closed(&mut self, _socket: &BufferedStream, _context: &mut Context) {}
 }
 
+/// Echoes its input, is idle from its start on, and closes when its time has come unless input has come before.
+struct ClosingEcho {
+    closes_at: Option<Time>,
+}
+
+impl Connection for ClosingEcho {
+    fn opened(&mut self, _socket: &mut BufferedStream, _context: &mut Context) -> ConnectionFlow {
+        ConnectionFlow::Continue
+    }
+
+    fn received(&mut self, socket: &mut BufferedStream, _context: &mut Context) -> ConnectionFlow {
+        let bytes = std::mem::take(&mut socket.input);
+        socket.enqueue(&bytes);
+        self.closes_at = None;
+        ConnectionFlow::Continue
+    }
+
+    fn timer_expired(&mut self, _socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow {
+        match self.closes_at {
+            Some(time) if time <= context.now => ConnectionFlow::Close,
+            _ => ConnectionFlow::Continue,
+        }
+    }
+
+    fn deadline(&self) -> Option<Time> {
+        self.closes_at
+    }
+
+    fn closed(&mut self, _socket: &BufferedStream, _context: &mut Context) {}
+
+    fn idle_since(&self) -> Option<Time> {
+        self.closes_at
+    }
+}
+
 fn scheduler() -> Scheduler {
     Scheduler::new(crate::config::parse_site(SITE).unwrap(), 1)
 }
 
 /// Adds a connection; its id, and the other end of its stream.
-fn add_echo(reactor: &mut Reactor, limits: BufferLimits, scheduler: &mut Scheduler) -> (u64, UnixStream) {
+fn add(
+    connection: impl Connection,
+    reactor: &mut Reactor,
+    limits: BufferLimits,
+    scheduler: &mut Scheduler,
+) -> (u64, UnixStream) {
     let (near, far) = UnixStream::pair().unwrap();
     near.set_nonblocking(true).unwrap();
     let stream = Stream::Unix(mio::net::UnixStream::from_std(near));
-    let id = reactor.add_connected(stream, Box::new(PanickingEcho), limits, scheduler);
+    let id = reactor.add_connected(stream, Box::new(connection), limits, scheduler);
     (id.unwrap(), far)
 }
 
+fn add_echo(reactor: &mut Reactor, limits: BufferLimits, scheduler: &mut Scheduler) -> (u64, UnixStream) {
+    add(PanickingEcho, reactor, limits, scheduler)
+}
+
+/// Input may come after the last poll: a connection that is closed with input on it takes a request along.
+#[test]
+fn a_connection_on_which_input_waits_is_not_closed_as_idle() {
+    let mut scheduler = scheduler();
+    let mut reactor = Reactor::new(SystemClock::new()).unwrap();
+    let limits = BufferLimits {
+        input: 100,
+        output: 100,
+    };
+    let closes_at = Some(reactor.now());
+    let (_, mut timed) = add(ClosingEcho { closes_at }, &mut reactor, limits, &mut scheduler);
+    timed.write_all(b"x").unwrap();
+    reactor.fire_timers(&mut scheduler);
+    assert_eq!(reactor.connection_count(), 1, "its timer closed it");
+    let (_, mut idle) = add(ClosingEcho { closes_at }, &mut reactor, limits, &mut scheduler);
+    idle.write_all(b"y").unwrap();
+    assert!(!reactor.close_longest_idle(&mut scheduler), "closed to make room");
+    for (mut far, expected) in [(timed, b'x'), (idle, b'y')] {
+        let mut byte = [0];
+        far.read_exact(&mut byte).unwrap();
+        assert_eq!(byte, [expected]);
+    }
+}
+
 /// A peer that reads nothing must not hold memory without bound.
 #[test]
 fn output_beyond_the_limit_closes_the_connection_that_adds_to_it() {
--- a/tests/server/client_disconnect.rs
+++ b/tests/server/client_disconnect.rs
@@ -1,5 +1,5 @@
-//! Clients that cancel a request, close or half-close their connection, or send malformed input: their requests are
-//! cancelled and get no answer.
+//! Clients that cancel a request, close or half-close their connection: their requests are cancelled and get no answer.
+//! Those of a client that sends malformed input are cancelled and failed.
 
 use crate::support::configuration::{
     Configuration, default_settings, large_fleet_settings, slow_connect_settings,
@@ -123,16 +123,17 @@
     }
 }
 
-/// A client with an open request sends malformed input: it gets an error and its connection ends, so the request is
-/// cancelled at once and no answer follows the error.
+/// A client with an open request sends malformed input: its connection ends with an error. The request was read, so it
+/// is owed its answer before that, and is cancelled at its worker at once; no answer follows the error.
 #[test]
-fn request_is_cancelled_when_its_connection_ends_in_an_error() {
+fn request_is_failed_when_its_connection_ends_in_an_error() {
     let worker = StandInWorker::node_agent();
     let scheduler = SchedulerProcess::start(&[worker.address()]);
     let mut client = FrameClient::connect(&scheduler);
     let mut other = FrameClient::connect(&scheduler);
     let mut command = client.send_request_to(&worker, 1);
     client.send_bytes(&[0; 4]);
+    assert_eq!(client.next_frame(), Some(failed(1)));
     assert_eq!(client.next_frame(), Some(failed(0)));
     // The client has not closed the connection: the scheduler cancels the request by itself.
     other.send_request(1, &request(IDEMPOTENT_CLASS, &request_id(2), 20_000, b""));
--- a/tests/server/connection_limits.rs
+++ b/tests/server/connection_limits.rs
@@ -48,6 +48,30 @@
     assert_eq!(watch.offset, 1);
 }
 
+/// Each client has a request open, and the worker answers none: a third of the descriptors is the clients', and those
+/// beyond what there is are rejected. None is closed without an answer.
+#[test]
+fn clients_beyond_the_descriptors_are_rejected_and_not_dropped() {
+    const CLIENTS: u32 = 70;
+    const DESCRIPTORS: usize = 64;
+    let worker = StandInWorker::node_agent();
+    let scheduler = Configuration::new(&[worker.address()])
+        .limits(json!({ "sockets": DESCRIPTORS }))
+        .start();
+    let mut clients: Vec<_> = (0..CLIENTS).map(|_| FrameClient::connect(&scheduler)).collect();
+    for (n, client) in (0..).zip(&mut clients) {
+        client.send_request(1, &request(IDEMPOTENT_CLASS, &request_id(n), 2_000, b""));
+    }
+    for client in &mut clients {
+        client.expect_rejection(1);
+    }
+    let taken = scheduler.counter("taken") as usize;
+    assert!(taken >= DESCRIPTORS / 3, "{taken} requests taken");
+    let descriptors = format!("/proc/{}/fd", scheduler.process_id());
+    let descriptors = std::fs::read_dir(descriptors).unwrap().count();
+    assert!(descriptors <= DESCRIPTORS, "{descriptors} descriptors");
+}
+
 /// rennes-campus, case4356: a hundred schedulers opened a connection for each request in flight and filled the workers'
 /// connection tables; requests on further connections were rejected.
 #[test]
