Answer what was read or accepted before its connection ends, by one guard in the reactor

Class: a connection was closed for the scheduler's own reasons without a look at what lies on it. The guard: whoever closes names a cause; the reactor looks for input before it acts on a timer or makes room, and asks a client's connection to give its open requests their final responses (abandon) before a bad frame, an unfinished line or a panic ends it. Related paths found and mended with it: an unfinished JSON-RPC line and a panic cut off open requests in the same way; a failed epoll registration closed the connection, and is now tried again. A client beyond the descriptors is accepted only while there is one to reject it with, else it waits to be accepted; its third of the descriptors is no longer open to connections to workers. Promises are checked while the scheduler runs (scheduler::invariants): late responses, closes with a request open, writes after an attempt's end, repeats and time limits at the last byte; counter violations, log line with the kind, and a debug line for each close and each denied write.

--- a/src/backend/connection.rs
+++ b/src/backend/connection.rs
@@ -8,7 +8,7 @@
 use super::limits::Limits;
 use super::write_queue::WriteQueue;
 use crate::model::{Span, Time};
-use crate::net::{BufferLimits, BufferedStream, Connection, ConnectionFlow, Context};
+use crate::net::{BufferLimits, BufferedStream, CloseCause, Connection, ConnectionFlow, Context};
 use crate::scheduler::{AttemptError, FailureCause, HealthCheckId, WriteProgress};
 use std::cell::Cell;
 use std::rc::Rc;
@@ -192,7 +192,7 @@
         deadlines.into_iter().flatten().min()
     }
 
-    fn closed(&mut self, socket: &BufferedStream, context: &mut Context) {
+    fn closed(&mut self, socket: &BufferedStream, _cause: CloseCause, context: &mut Context) {
         let cause = match self.connect_deadline {
             None => FailureCause::ConnectionClosed,
             Some(_) => FailureCause::NoConnection,
--- a/src/backend/limits.rs
+++ b/src/backend/limits.rs
@@ -18,6 +18,8 @@
     pub connect_timeout: Span,
     /// File descriptors that all connections of the process may take together.
     pub max_connections: usize,
+    /// Of these, the connections at whose other end is no client may take so many.
+    pub max_outgoing_connections: usize,
     /// Number of schedulers that connect to the same workers.
     pub schedulers: usize,
 }
@@ -30,6 +32,7 @@
             idle_timeout: site.idle_timeout.mul_f64(IDLE_TIMEOUT_FRACTION),
             connect_timeout: site.connect_timeout,
             max_connections,
+            max_outgoing_connections: max_connections,
             schedulers: site.settings.fleet_size as usize,
         }
     }
--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -168,7 +168,7 @@
         scheduler: &mut Scheduler,
     ) -> Option<u64> {
         let max_spread = self.max_spread();
-        let descriptors_left = reactor.connection_count() < self.limits.get().max_connections;
+        let descriptors_left = self.has_descriptors_left(reactor);
         let target = self.targets.get_mut(&worker)?;
         target
             .connections
@@ -185,12 +185,30 @@
         if target.connections.len() >= MAX_CONNECTIONS_PER_WORKER {
             return None;
         }
-        if !descriptors_left && !reactor.close_longest_idle(scheduler) {
+        if !descriptors_left && !self.make_room(reactor, scheduler) {
             return None;
         }
         self.connect(worker, reactor, scheduler)
     }
 
+    /// Whether another connection fits into the descriptors, and into the part of them that clients leave.
+    fn has_descriptors_left(&self, reactor: &Reactor) -> bool {
+        let limits = self.limits.get();
+        let connections = reactor.connection_count();
+        let outgoing = connections - reactor.client_count();
+        connections < limits.max_connections && outgoing < limits.max_outgoing_connections
+    }
+
+    /// Closes an idle connection so that another fits.
+    fn make_room(&self, reactor: &mut Reactor, scheduler: &mut Scheduler) -> bool {
+        let outgoing = reactor.connection_count() - reactor.client_count();
+        if outgoing < self.limits.get().max_outgoing_connections {
+            reactor.close_longest_idle(scheduler)
+        } else {
+            reactor.close_longest_idle_outgoing(scheduler)
+        }
+    }
+
     /// Connections to one worker that requests are spread over. Clients may take a third of the descriptors;
     /// the rest is shared equally by all workers.
     fn max_spread(&self) -> usize {
--- a/src/discovery/mod.rs
+++ b/src/discovery/mod.rs
@@ -17,7 +17,7 @@
 
 use crate::collections::ExponentialBackoff;
 use crate::model::{Endpoint, EndpointUpdateKind, Span, Time};
-use crate::net::{BufferLimits, Reactor};
+use crate::net::{BufferLimits, CloseCause, Reactor};
 use crate::scheduler::Scheduler;
 use codec::{LENGTH_FIELD_LENGTH, MAX_FRAME_LENGTH};
 use endpoint_list::EndpointList;
@@ -141,7 +141,7 @@
         let queue = WatchQueue::new(pending, self.last_offset());
         self.queue = Rc::new(RefCell::new(queue));
         if let Some(connection) = self.connection.take() {
-            reactor.close_connection(connection, scheduler);
+            reactor.close_connection(connection, CloseCause::NotNeeded, scheduler);
         }
         self.reconnect_at = Some(now);
     }
--- a/src/discovery/watch_connection.rs
+++ b/src/discovery/watch_connection.rs
@@ -3,11 +3,11 @@
 use super::codec::{DecodeError, Frame, decode_frame};
 use super::event::WatchEvent;
 use crate::model::{Span, Time};
-use crate::net::{BufferedStream, Connection, ConnectionFlow, Context};
+use crate::net::{BufferedStream, CloseCause, Connection, ConnectionFlow, Context};
 use std::cell::RefCell;
 use std::collections::VecDeque;
 use std::rc::Rc;
-use tracing::warn;
+use tracing::{debug, warn};
 
 /// A connection without a frame for this long counts as dead: the event bus sends a heartbeat each second.
 pub(super) const WATCH_SILENCE_TIMEOUT: Span = Span::from_millis(2_500);
@@ -116,7 +116,8 @@
         Some(self.silent_at)
     }
 
-    fn closed(&mut self, _socket: &BufferedStream, _context: &mut Context) {
+    fn closed(&mut self, _socket: &BufferedStream, cause: CloseCause, _context: &mut Context) {
+        debug!("bus connection ended cause=\"{cause}\"");
         let mut queue = self.queue.borrow_mut();
         queue.disconnected = true;
         queue.failed_connections += 1;
--- a/src/frontend/frame_connection.rs
+++ b/src/frontend/frame_connection.rs
@@ -4,11 +4,13 @@
     Frame, FrameError, FrameHeader, FrameType, RequestError, decode_fields, decode_frame, decode_request,
     encode_frame, encode_readiness, encode_response,
 };
-use super::lifecycle::{ConnectionTimers, PartialMessage, cancel_requests};
+use super::lifecycle::{ConnectionTimers, PartialMessage, cancel_requests, end_requests};
 use super::limits::{MAX_OPEN_REQUESTS, MAX_UNSENT_BYTES};
 use super::stream_ids::UsedStreamIds;
 use crate::model::{Span, Time};
-use crate::net::{BufferLimits, BufferedStream, ClientConnection, Connection, ConnectionFlow, Context};
+use crate::net::{
+    BufferLimits, BufferedStream, ClientConnection, CloseCause, Connection, ConnectionFlow, Context,
+};
 use crate::scheduler::{Outcome, RequestOrigin, Response};
 use std::collections::BTreeSet;
 use tracing::warn;
@@ -72,6 +74,10 @@
     timers: ConnectionTimers,
     sent_go_away: bool,
     received_frame: bool,
+    /// Every request is rejected, because there are too many clients, and the connection ends with that.
+    sheds: bool,
+    /// A request has been rejected for that.
+    has_shed: bool,
     /// Bytes still to come of a frame that is too long; they are skipped.
     bytes_to_skip: usize,
 }
@@ -85,10 +91,20 @@
             timers: ConnectionTimers::new(now),
             sent_go_away: false,
             received_frame: false,
+            sheds: false,
+            has_shed: false,
             bytes_to_skip: 0,
         }
     }
 
+    /// A connection that was accepted at `now` only to have its requests rejected.
+    pub fn shedding(now: Time) -> FrameConnection {
+        FrameConnection {
+            sheds: true,
+            ..FrameConnection::new(now)
+        }
+    }
+
     /// Limits of such a connection's buffers.
     pub fn buffer_limits() -> BufferLimits {
         BUFFER_LIMITS
@@ -169,9 +185,10 @@
                 return Ok(());
             }
         };
-        if self.open_streams.len() >= MAX_OPEN_REQUESTS {
+        if self.sheds || self.open_streams.len() >= MAX_OPEN_REQUESTS {
             let retry_after = context.scheduler.default_retry_after();
             respond_locally(stream, &Outcome::Rejected { retry_after }, socket, context);
+            self.has_shed = self.sheds;
             return Ok(());
         }
         self.open_streams.insert(stream);
@@ -212,22 +229,19 @@
         context: &mut Context,
     ) -> ConnectionFlow {
         context.scheduler.counters().malformed += 1;
-        // Nothing more is written after the error: what is open here can have no response.
-        self.cancel_all(socket, context);
         if context.scheduler.may_log(context.now) {
             warn!(
                 "malformed front=frames connection={} why=\"{error}\"",
                 socket.id()
             );
         }
-        socket.enqueue(&encode_response(CONNECTION_STREAM, &Outcome::Failed));
-        self.timers.begin_close(context.now);
-        ConnectionFlow::Finish
+        self.abandon(socket, context)
     }
 
-    fn cancel_all(&mut self, socket: &BufferedStream, context: &mut Context) {
+    /// The open streams, which are none from now on.
+    fn take_open_streams(&mut self) -> BTreeSet<u64> {
         let streams = std::mem::take(&mut self.open_streams);
-        cancel_requests(streams.into_iter().map(u64::from), socket, context);
+        streams.into_iter().map(u64::from).collect()
     }
 
     /// Sets the deadline of a frame that has begun.
@@ -295,6 +309,10 @@
             Err(error) => self.fail_connection(error, socket, context),
             // A client that closes waits for nothing more.
             Ok(()) if socket.input_ended => ConnectionFlow::Close,
+            Ok(()) if self.has_shed => {
+                self.timers.begin_close(context.now);
+                ConnectionFlow::Finish
+            }
             Ok(()) => ConnectionFlow::Continue,
         }
     }
@@ -313,8 +331,8 @@
         self.timers.next(self.idle_timeout())
     }
 
-    fn closed(&mut self, socket: &BufferedStream, context: &mut Context) {
-        self.cancel_all(socket, context);
+    fn closed(&mut self, socket: &BufferedStream, cause: CloseCause, context: &mut Context) {
+        end_requests(self.take_open_streams(), cause, socket, context);
     }
 
     fn idle_since(&self) -> Option<Time> {
@@ -347,6 +365,19 @@
         ConnectionFlow::Continue
     }
 
+    fn abandon(&mut self, socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow {
+        let streams = self.take_open_streams();
+        for stream in &streams {
+            // A stream's number came as 32 bits.
+            socket.enqueue(&encode_response(*stream as u32, &Outcome::Failed));
+        }
+        context.scheduler.counters().failed_with_connection += streams.len() as u64;
+        cancel_requests(streams, socket, context);
+        socket.enqueue(&encode_response(CONNECTION_STREAM, &Outcome::Failed));
+        self.timers.begin_close(context.now);
+        ConnectionFlow::Finish
+    }
+
     fn request_leave(&mut self, socket: &mut BufferedStream, _context: &mut Context) -> ConnectionFlow {
         if !self.sent_go_away {
             self.sent_go_away = true;
--- a/src/frontend/jsonrpc_connection.rs
+++ b/src/frontend/jsonrpc_connection.rs
@@ -7,10 +7,12 @@
     CallParams, Message, Request, RequestError, decode_line, encode_cancelled, encode_error,
     encode_readiness, encode_response,
 };
-use super::lifecycle::{ConnectionTimers, PartialMessage, cancel_requests};
+use super::lifecycle::{ConnectionTimers, PartialMessage, cancel_requests, end_requests};
 use super::limits::{MAX_OPEN_REQUESTS, MAX_UNSENT_BYTES};
 use crate::model::{Span, Time};
-use crate::net::{BufferLimits, BufferedStream, ClientConnection, Connection, ConnectionFlow, Context};
+use crate::net::{
+    BufferLimits, BufferedStream, ClientConnection, CloseCause, Connection, ConnectionFlow, Context,
+};
 use crate::scheduler::{ClientRequest, Outcome, RequestOrigin, Response};
 use serde_json::Value;
 use std::collections::BTreeMap;
@@ -107,8 +109,7 @@
     /// Reports to the client that its last line has no end; the connection ends once that has been written.
     fn fail_incomplete_line(&mut self, socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow {
         self.reject_line(RequestError::IncompleteLine, socket, context);
-        self.timers.begin_close(context.now);
-        ConnectionFlow::Finish
+        self.abandon(socket, context)
     }
 
     fn handle_line(&mut self, line: &[u8], socket: &mut BufferedStream, context: &mut Context) {
@@ -325,9 +326,9 @@
         self.timers.next(self.idle_timeout())
     }
 
-    fn closed(&mut self, socket: &BufferedStream, context: &mut Context) {
+    fn closed(&mut self, socket: &BufferedStream, cause: CloseCause, context: &mut Context) {
         let calls = std::mem::take(&mut self.open_calls);
-        cancel_requests(calls.into_keys(), socket, context);
+        end_requests(calls.into_keys().collect(), cause, socket, context);
     }
 
     fn idle_since(&self) -> Option<Time> {
@@ -357,4 +358,19 @@
         }
         ConnectionFlow::Continue
     }
+
+    fn abandon(&mut self, socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow {
+        let calls = std::mem::take(&mut self.open_calls);
+        context.scheduler.counters().failed_with_connection += calls.len() as u64;
+        cancel_requests(calls.keys().copied(), socket, context);
+        let response = Response {
+            outcome: Outcome::Failed,
+            expired: false,
+        };
+        for call in calls.into_values() {
+            self.respond(call.batch, encode_response(&call.id, &response), socket);
+        }
+        self.timers.begin_close(context.now);
+        ConnectionFlow::Finish
+    }
 }
--- a/src/frontend/lifecycle.rs
+++ b/src/frontend/lifecycle.rs
@@ -2,8 +2,9 @@
 
 use super::limits::{LINGER_TIMEOUT, MESSAGE_TIMEOUT};
 use crate::model::{Span, Time};
-use crate::net::{BufferedStream, Context};
-use crate::scheduler::RequestOrigin;
+use crate::net::{BufferedStream, CloseCause, Context};
+use crate::scheduler::{RequestOrigin, Violation};
+use std::collections::BTreeSet;
 
 #[cfg(test)]
 mod tests;
@@ -101,6 +102,24 @@
     }
 }
 
+/// Ends the requests that are open on a connection which is closed. If it is not the client that has ended it, they
+/// should have had their responses before.
+pub(super) fn end_requests(
+    streams: BTreeSet<u64>,
+    cause: CloseCause,
+    socket: &BufferedStream,
+    context: &mut Context,
+) {
+    if !cause.is_remote() {
+        for _ in &streams {
+            context
+                .scheduler
+                .record_violation(context.now, Violation::UnansweredClose);
+        }
+    }
+    cancel_requests(streams, socket, context);
+}
+
 /// Cancels requests of a connection whose client no longer waits for them.
 pub(super) fn cancel_requests(
     streams: impl IntoIterator<Item = u64>,
--- a/src/net/buffered_stream.rs
+++ b/src/net/buffered_stream.rs
@@ -165,20 +165,25 @@
     ///
     /// Events are edge-triggered: input that was left in the socket is reported again only if the
     /// registration is renewed.
+    ///
+    /// # Errors
+    ///
+    /// The system's. The registration is then as it was before, and is to be tried again.
     pub(super) fn register(&mut self, registry: &Registry) -> io::Result<()> {
         let wanted = self.wanted_interest();
         let renew = self.input_left_in_socket && !self.reading_paused();
         if self.interest == Some(wanted) && !renew {
             return Ok(());
         }
+        match self.interest {
+            None => registry.register(self.stream.source(), self.token, wanted)?,
+            Some(_) => registry.reregister(self.stream.source(), self.token, wanted)?,
+        }
+        self.interest = Some(wanted);
         if renew {
             self.input_left_in_socket = false;
         }
-        let previous = self.interest.replace(wanted);
-        match previous {
-            None => registry.register(self.stream.source(), self.token, wanted),
-            Some(_) => registry.reregister(self.stream.source(), self.token, wanted),
-        }
+        Ok(())
     }
 
     fn wanted_interest(&self) -> Interest {
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -4,6 +4,8 @@
 use crate::model::Time;
 use crate::scheduler::{Response, Scheduler};
 use std::any::Any;
+use std::io;
+use thiserror::Error;
 
 /// Whether a connection goes on after a callback.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -27,6 +29,36 @@
     }
 }
 
+/// Why a connection is closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum CloseCause {
+    /// The peer has closed its half.
+    #[error("peer closed")]
+    PeerClosed,
+    /// Connecting, reading or writing failed.
+    #[error("{0}")]
+    Failed(io::ErrorKind),
+    /// The connection asked for it: it was idle for too long, or what was to be written is written.
+    #[error("done")]
+    Done,
+    /// Its descriptor is needed.
+    #[error("room needed")]
+    RoomNeeded,
+    /// The server has no more use for it.
+    #[error("not needed")]
+    NotNeeded,
+    /// The peer leaves too much output unread.
+    #[error("output unread")]
+    OutputUnread,
+}
+
+impl CloseCause {
+    /// Whether the peer ended the connection, or the network between did, and not this process.
+    pub fn is_remote(self) -> bool {
+        matches!(self, CloseCause::PeerClosed | CloseCause::Failed(_))
+    }
+}
+
 /// What a callback may use.
 pub struct Context<'a> {
     /// The scheduler.
@@ -67,7 +99,7 @@
     }
 
     /// The connection has been closed, by whichever side. Called once.
-    fn closed(&mut self, socket: &BufferedStream, context: &mut Context);
+    fn closed(&mut self, socket: &BufferedStream, cause: CloseCause, context: &mut Context);
 
     /// Since when no request is open on the connection, so that it may be closed to free its descriptor; none
     /// while one is open.
@@ -92,6 +124,10 @@
         context: &mut Context,
     ) -> ConnectionFlow;
 
+    /// Gives every open request its final response now, because the connection can't go on. A request that was
+    /// read must not end with its connection.
+    fn abandon(&mut self, socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow;
+
     /// Asks the client to send no new request on this connection, where the protocol has a message for that.
     fn request_leave(&mut self, _socket: &mut BufferedStream, _context: &mut Context) -> ConnectionFlow {
         ConnectionFlow::Continue
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -14,6 +14,6 @@
 
 pub use buffered_stream::{BufferLimits, BufferedStream};
 pub use clock::SystemClock;
-pub use connection::{ClientConnection, Connection, ConnectionFlow, Context};
+pub use connection::{ClientConnection, CloseCause, Connection, ConnectionFlow, Context};
 pub use reactor::{ListenerId, PipeId, Reactor, ReactorEvent, UdpSocketId};
 pub use stream::Stream;
--- a/src/net/reactor/connections.rs
+++ b/src/net/reactor/connections.rs
@@ -3,15 +3,18 @@
 use super::Reactor;
 use super::entry::Entry;
 use super::token::EventSource;
-use crate::model::Time;
+use crate::model::{Span, Time};
 use crate::net::{
-    BufferLimits, BufferedStream, ClientConnection, Connection, ConnectionFlow, Context, Stream,
+    BufferLimits, BufferedStream, ClientConnection, CloseCause, Connection, ConnectionFlow, Context, Stream,
 };
 use crate::scheduler::Scheduler;
 use std::any::Any;
+use tracing::debug;
 
 /// Bytes of unsent output that a connection may always have, however much all of them have together.
 const ALWAYS_ALLOWED_UNSENT: usize = 64 << 10;
+/// Pause before the system is asked once more to report a connection's events, after it has refused.
+const REGISTRATION_RETRY_DELAY: Span = Span::from_millis(20);
 
 impl Reactor {
     /// Adds a connection whose stream is connected; its id, or none where it closed at once.
@@ -53,7 +56,9 @@
         self.next_connection += 1;
         let token = EventSource::Connection(id).token();
         let stream = BufferedStream::new(stream, token, connected, limits);
-        self.connections.insert(id, Entry::new(stream, connection));
+        let entry = Entry::new(stream, connection);
+        self.clients += usize::from(entry.is_client);
+        self.connections.insert(id, entry);
         id
     }
 
@@ -62,6 +67,11 @@
         self.connections.len()
     }
 
+    /// How many of the connections have a client at the other end.
+    pub fn client_count(&self) -> usize {
+        self.clients
+    }
+
     /// The ids of all connections, in no order.
     pub fn connection_ids(&self) -> Vec<u64> {
         self.connections.keys().copied().collect()
@@ -74,7 +84,7 @@
 
     /// Since when a connection has been idle; see [`Connection::idle_since`].
     pub fn idle_since(&self, id: u64) -> Option<Time> {
-        self.connections.get(&id)?.connection.idle_since()
+        self.connections.get(&id)?.idle_since()
     }
 
     /// The connection of this id, if it was added as a `C` and is not closed.
@@ -136,11 +146,24 @@
         found
     }
 
-    /// Closes a connection.
-    pub fn close_connection(&mut self, id: u64, scheduler: &mut Scheduler) {
+    /// Closes a connection for this cause.
+    pub fn close_connection(&mut self, id: u64, cause: CloseCause, scheduler: &mut Scheduler) {
+        if let Some(entry) = self.connections.get_mut(&id) {
+            entry.set_close_cause(cause);
+        }
+        self.remove_connection(id, scheduler);
+    }
+
+    /// Drops a connection, whose entry knows the cause.
+    fn remove_connection(&mut self, id: u64, scheduler: &mut Scheduler) {
         let Some(mut entry) = self.connections.remove(&id) else {
             return;
         };
+        self.clients -= usize::from(entry.is_client);
+        debug!(
+            "connection closed connection={id} cause=\"{}\"",
+            entry.close_cause()
+        );
         self.unsent = self.unsent.saturating_sub(entry.stream.unsent());
         self.timers.reschedule(id, entry.timer, None);
         entry.notify_closed(&mut self.context(scheduler));
@@ -150,14 +173,35 @@
     /// Closes the connection that has been idle for longest, as the least likely to be used again; false if
     /// none is idle.
     pub fn close_longest_idle(&mut self, scheduler: &mut Scheduler) -> bool {
-        let idle = self
-            .connections
-            .iter()
-            .filter_map(|(id, entry)| Some((entry.connection.idle_since()?, *id)));
-        let Some((_, id)) = idle.min() else {
+        self.close_longest_idle_of(|_| true, scheduler)
+    }
+
+    /// The same among the connections at whose other end is no client.
+    pub fn close_longest_idle_outgoing(&mut self, scheduler: &mut Scheduler) -> bool {
+        self.close_longest_idle_of(|entry| !entry.is_client, scheduler)
+    }
+
+    fn close_longest_idle_of(
+        &mut self,
+        may_close: impl Fn(&Entry) -> bool,
+        scheduler: &mut Scheduler,
+    ) -> bool {
+        let candidates = self.connections.iter().filter(|(_, entry)| may_close(entry));
+        let idle = candidates.filter_map(|(id, entry)| Some((entry.idle_since()?, *id)));
+        let mut idle: Vec<(Time, u64)> = idle.collect();
+        idle.sort_unstable();
+        idle.into_iter().any(|(_, id)| self.close_if_idle(id, scheduler))
+    }
+
+    /// Closes a connection to free its descriptor, unless something has come on it that no poll has reported yet;
+    /// whether it is closed.
+    pub fn close_if_idle(&mut self, id: u64, scheduler: &mut Scheduler) -> bool {
+        self.call(id, scheduler, |entry, context| entry.handle_event(true, context));
+        let is_busy = |entry: &Entry| entry.idle_since().is_none();
+        if self.connections.get(&id).is_some_and(is_busy) {
             return false;
-        };
-        self.close_connection(id, scheduler);
+        }
+        self.close_connection(id, CloseCause::RoomNeeded, scheduler);
         true
     }
 
@@ -195,13 +239,21 @@
         // Memory is bounded, and so is how much of it peers that don't read may hold.
         let grew = unsent > unsent_before && unsent > ALWAYS_ALLOWED_UNSENT;
         if grew && self.unsent > self.unsent_limit {
+            entry.set_close_cause(CloseCause::OutputUnread);
             flow = ConnectionFlow::Close;
         }
-        let close = entry.apply_flow(flow);
-        if close || entry.stream.register(self.poll.registry()).is_err() {
-            return self.close_connection(id, scheduler);
+        if entry.apply_flow(flow) {
+            return self.remove_connection(id, scheduler);
         }
-        let deadline = entry.connection.deadline();
+        entry.registers_at = match entry.stream.register(self.poll.registry()) {
+            Ok(()) => None,
+            Err(error) => {
+                context.scheduler.counters().registrations_failed += 1;
+                debug!("registration failed connection={id} why=\"{error}\"");
+                Some(context.now + REGISTRATION_RETRY_DELAY)
+            }
+        };
+        let deadline = entry.deadline();
         if deadline != entry.timer {
             self.timers.reschedule(id, entry.timer, deadline);
             entry.timer = deadline;
@@ -215,9 +267,7 @@
             if let Some(entry) = self.connections.get_mut(&id) {
                 entry.timer = None;
             }
-            self.call(id, scheduler, |entry, context| {
-                entry.connection.timer_expired(&mut entry.stream, context)
-            });
+            self.call(id, scheduler, Entry::handle_timer);
         }
     }
 }
--- a/src/net/reactor/entry.rs
+++ b/src/net/reactor/entry.rs
@@ -2,7 +2,7 @@
 //! come.
 
 use crate::model::Time;
-use crate::net::{BufferedStream, Connection, ConnectionFlow, Context};
+use crate::net::{BufferedStream, CloseCause, Connection, ConnectionFlow, Context};
 use std::io;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use tracing::error;
@@ -17,6 +17,8 @@
 pub(super) struct Entry {
     pub(super) stream: BufferedStream,
     pub(super) connection: Box<dyn Connection>,
+    /// A client is at the other end.
+    pub(super) is_client: bool,
     /// The time that the connection's timer is set to.
     pub(super) timer: Option<Time>,
     /// The connection closes once its output has been written.
@@ -25,21 +27,61 @@
     write_shut_down: bool,
     /// Bytes read and discarded since the connection is closing.
     discarded: usize,
+    /// Why the connection is to be closed, where neither its peer nor itself has ended it.
+    close_cause: Option<CloseCause>,
+    /// When the system is to be asked once more to report the stream's events, after it has refused.
+    pub(super) registers_at: Option<Time>,
 }
 
 impl Entry {
-    pub(super) fn new(stream: BufferedStream, connection: Box<dyn Connection>) -> Entry {
+    pub(super) fn new(stream: BufferedStream, mut connection: Box<dyn Connection>) -> Entry {
         Entry {
+            is_client: connection.as_client().is_some(),
             stream,
             connection,
             timer: None,
             finishing: false,
             write_shut_down: false,
             discarded: 0,
+            close_cause: None,
+            registers_at: None,
         }
     }
 
-    /// Runs a callback and writes the output that it adds. A panic closes this connection alone.
+    /// When the reactor has to come back to this connection although nothing happens on it.
+    pub(super) fn deadline(&self) -> Option<Time> {
+        self.connection
+            .deadline()
+            .into_iter()
+            .chain(self.registers_at)
+            .min()
+    }
+
+    /// Since when the connection has done nothing that closing it would undo.
+    pub(super) fn idle_since(&self) -> Option<Time> {
+        if self.write_shut_down {
+            // All that it had to say is written; it only waits for the peer to close.
+            return Some(Time(0));
+        }
+        self.connection.idle_since()
+    }
+
+    /// Notes why the connection is closed; the first cause counts.
+    pub(super) fn set_close_cause(&mut self, cause: CloseCause) {
+        self.close_cause.get_or_insert(cause);
+    }
+
+    /// Why the connection is closed.
+    pub(super) fn close_cause(&self) -> CloseCause {
+        self.close_cause.unwrap_or(if self.stream.input_ended {
+            CloseCause::PeerClosed
+        } else {
+            CloseCause::Done
+        })
+    }
+
+    /// Runs a callback and writes the output that it adds. A panic ends this connection alone, and not without the
+    /// responses that its client is owed.
     pub(super) fn call(
         &mut self,
         context: &mut Context,
@@ -52,17 +94,30 @@
         flow.unwrap_or_else(|_| {
             context.scheduler.counters().panics += 1;
             error!("panic connection={} closed", self.stream.id());
-            ConnectionFlow::Close
+            self.abandon(context)
         })
     }
 
+    /// Ends the connection after a panic.
+    fn abandon(&mut self, context: &mut Context) -> ConnectionFlow {
+        let abandoned = catch_unwind(AssertUnwindSafe(|| {
+            let client = self.connection.as_client()?;
+            let flow = client.abandon(&mut self.stream, context);
+            Some(self.flush_output(flow, context))
+        }));
+        abandoned.ok().flatten().unwrap_or(ConnectionFlow::Close)
+    }
+
     /// Writes the output at once; a connection may add more whenever all of it has been written.
     fn flush_output(&mut self, mut flow: ConnectionFlow, context: &mut Context) -> ConnectionFlow {
         while flow != ConnectionFlow::Close && self.stream.is_connected() && self.stream.unsent() > 0 {
             match self.stream.flush() {
                 Ok(true) => flow = flow.and(self.connection.flushed(&mut self.stream, context)),
                 Ok(false) => break,
-                Err(_) => flow = ConnectionFlow::Close,
+                Err(error) => {
+                    self.set_close_cause(CloseCause::Failed(error.kind()));
+                    flow = ConnectionFlow::Close;
+                }
             }
         }
         flow
@@ -70,8 +125,22 @@
 
     /// Acts on what the system has reported of the stream.
     pub(super) fn handle_event(&mut self, readable: bool, context: &mut Context) -> ConnectionFlow {
-        self.try_handle_event(readable, context)
-            .unwrap_or(ConnectionFlow::Close)
+        self.try_handle_event(readable, context).unwrap_or_else(|error| {
+            self.set_close_cause(CloseCause::Failed(error.kind()));
+            ConnectionFlow::Close
+        })
+    }
+
+    /// Acts on a timer: first on what has come meanwhile, which the last poll may have missed, and then on the time.
+    ///
+    /// Whoever ends a connection for the time that has passed must not overlook the request, the answer or the
+    /// established connect that lies there.
+    pub(super) fn handle_timer(&mut self, context: &mut Context) -> ConnectionFlow {
+        let flow = self.handle_event(true, context);
+        if flow != ConnectionFlow::Continue {
+            return flow;
+        }
+        self.connection.timer_expired(&mut self.stream, context)
     }
 
     fn try_handle_event(&mut self, readable: bool, context: &mut Context) -> io::Result<ConnectionFlow> {
@@ -145,7 +214,8 @@
     /// Tells the connection that it is closed.
     pub(super) fn notify_closed(&mut self, context: &mut Context) {
         let closed = catch_unwind(AssertUnwindSafe(|| {
-            self.connection.closed(&self.stream, context);
+            let cause = self.close_cause();
+            self.connection.closed(&self.stream, cause, context);
         }));
         if closed.is_err() {
             context.scheduler.counters().panics += 1;
--- a/src/net/reactor/mod.rs
+++ b/src/net/reactor/mod.rs
@@ -63,6 +63,8 @@
     pipes: Pipes,
     udp_sockets: UdpSockets,
     connections: HashMap<u64, Entry>,
+    /// How many of the connections have a client at the other end.
+    clients: usize,
     next_connection: u64,
     /// At most one timer for each connection, by its id.
     timers: TimerQueue<u64>,
@@ -93,6 +95,7 @@
             pipes: Pipes::default(),
             udp_sockets: UdpSockets::default(),
             connections: HashMap::new(),
+            clients: 0,
             next_connection: token::FIRST_CONNECTION,
             timers: TimerQueue::default(),
             last_poll_was_empty: false,
--- a/src/net/reactor/tests.rs
+++ b/src/net/reactor/tests.rs
@@ -1,5 +1,8 @@
 use super::*;
-use crate::net::{BufferLimits, BufferedStream, Connection, ConnectionFlow, Context};
+use crate::net::{
+    BufferLimits, BufferedStream, ClientConnection, CloseCause, Connection, ConnectionFlow, Context,
+};
+use crate::scheduler::Response;
 use std::io::{Read, Write};
 
 /// A site without classes, for tests that send no request.
@@ -22,7 +25,7 @@
         ConnectionFlow::Continue
     }
 
-    fn closed(&mut self, _socket: &BufferedStream, _context: &mut Context) {}
+    fn closed(&mut self, _socket: &BufferedStream, _cause: CloseCause, _context: &mut Context) {}
 }
 
 /// Echoes its input, is idle from its start on, and closes when its time has come unless input has come before.
@@ -53,13 +56,43 @@
         self.closes_at
     }
 
-    fn closed(&mut self, _socket: &BufferedStream, _context: &mut Context) {}
+    fn closed(&mut self, _socket: &BufferedStream, _cause: CloseCause, _context: &mut Context) {}
 
     fn idle_since(&self) -> Option<Time> {
         self.closes_at
     }
 }
 
+/// A client's connection that panics at any input, with something left to say to its client.
+struct PanickingClient;
+
+impl Connection for PanickingClient {
+    fn opened(&mut self, _socket: &mut BufferedStream, _context: &mut Context) -> ConnectionFlow {
+        ConnectionFlow::Continue
+    }
+
+    fn received(&mut self, _socket: &mut BufferedStream, _context: &mut Context) -> ConnectionFlow {
+        panic!("as the test wants");
+    }
+
+    fn closed(&mut self, _socket: &BufferedStream, _cause: CloseCause, _context: &mut Context) {}
+
+    fn as_client(&mut self) -> Option<&mut dyn ClientConnection> {
+        Some(self)
+    }
+}
+
+impl ClientConnection for PanickingClient {
+    fn deliver(&mut self, _: u64, _: &Response, _: &mut BufferedStream, _: &mut Context) -> ConnectionFlow {
+        ConnectionFlow::Continue
+    }
+
+    fn abandon(&mut self, socket: &mut BufferedStream, _context: &mut Context) -> ConnectionFlow {
+        socket.enqueue(b"failed");
+        ConnectionFlow::Finish
+    }
+}
+
 fn scheduler() -> Scheduler {
     Scheduler::new(crate::config::parse_site(SITE).unwrap(), 1)
 }
@@ -152,6 +185,23 @@
     assert_eq!(scheduler.counters().panics, 1);
 }
 
+#[test]
+fn a_client_has_its_responses_before_a_panic_ends_its_connection() {
+    let mut scheduler = scheduler();
+    let mut reactor = Reactor::new(SystemClock::new()).unwrap();
+    let limits = BufferLimits {
+        input: 100,
+        output: 100,
+    };
+    let (_, mut far) = add(PanickingClient, &mut reactor, limits, &mut scheduler);
+    far.write_all(b"x").unwrap();
+    reactor.poll(None, &mut scheduler).unwrap();
+    let mut response = Vec::new();
+    far.read_to_end(&mut response).unwrap();
+    assert_eq!(response, b"failed");
+    assert_eq!(scheduler.counters().panics, 1);
+}
+
 #[test]
 fn each_event_source_is_found_again_by_its_token() {
     let sources = [
--- a/src/scheduler/attempts.rs
+++ b/src/scheduler/attempts.rs
@@ -11,6 +11,8 @@
     pub(super) worker: WorkerId,
     /// When its response is no longer waited for.
     pub(super) deadline: Time,
+    /// When it was admitted to be written, and its time limit was encoded.
+    pub(super) write_began_at: Option<Time>,
     /// When it had been written completely, if it has.
     pub(super) written_at: Option<Time>,
     started_at: Time,
@@ -24,6 +26,7 @@
         Attempt {
             worker,
             deadline,
+            write_began_at: None,
             written_at: None,
             started_at,
             load_report: Vec::new(),
@@ -83,6 +86,13 @@
         self.attempts.remove(&id)
     }
 
+    /// Notes that an attempt is being written from now on.
+    pub(super) fn begin_write(&mut self, now: Time, id: AttemptId) {
+        if let Some(attempt) = self.attempts.get_mut(&id) {
+            attempt.write_began_at = Some(now);
+        }
+    }
+
     /// Notes that an attempt has been written completely; false if it has ended.
     pub(super) fn record_write(&mut self, now: Time, id: AttemptId) -> bool {
         let Some(attempt) = self.attempts.get_mut(&id) else {
--- a/src/scheduler/completion.rs
+++ b/src/scheduler/completion.rs
@@ -10,10 +10,11 @@
 
 impl Scheduler {
     /// Ends a request with a worker's response body.
-    pub(super) fn serve(&mut self, id: RequestId, body: Vec<u8>) {
+    pub(super) fn serve(&mut self, now: Time, id: RequestId, body: Vec<u8>) {
         let Some(request) = self.remove_request(id) else {
             return;
         };
+        self.check_response_time(now, request.deadline);
         self.respond(
             request.origin,
             Response {
@@ -28,6 +29,7 @@
         let Some(request) = self.remove_request(id) else {
             return;
         };
+        self.check_response_time(now, request.deadline);
         let expired = now + self.site.settings.tick >= request.deadline;
         self.respond(request.origin, Response { outcome, expired });
     }
--- a/src/scheduler/counters.rs
+++ b/src/scheduler/counters.rs
@@ -86,6 +86,14 @@
     panics => "panics",
     /// VRRP advertisements dropped as malformed.
     vrrp_dropped => "vrrp_dropped",
+    /// Open requests failed because their client's connection could not go on.
+    failed_with_connection => "failed_with_connection",
+    /// Times that the system refused to report a connection's events; it is asked again.
+    registrations_failed => "registrations_failed",
+    /// Clients accepted beyond the descriptors for clients, whose requests are rejected.
+    clients_shed => "clients_shed",
+    /// Promises found broken at run time; the log has the kind of each.
+    violations => "violations",
 }
 
 impl Counters {
--- /dev/null
+++ b/src/scheduler/invariants.rs
@@ -0,0 +1,75 @@
+//! Promises that are checked while the scheduler runs. A violation is counted and logged with its ids; it changes
+//! nothing, for whoever breaks a promise does so in spite of the guards.
+//!
+//! The guards are [`request_admission`](super::request_admission) for what is started, and
+//! [`write_admission`](super::write_admission) for what is sent and repeated. What is closed is guarded by the reactor,
+//! which asks a client's connection to answer its open requests before it closes it.
+
+use super::{AttemptId, Scheduler};
+use crate::model::{Span, Time};
+use thiserror::Error;
+use tracing::error;
+
+/// Clients allow so much beyond their deadline (page PROTOCOL).
+const RESPONSE_SLACK: Span = Span::from_millis(50);
+/// The time limit that a worker is told may exceed what the client has left by so much (terms of 2026-12-02).
+const TIME_LIMIT_SLACK: Span = Span::from_millis(150);
+
+/// A promise that was found broken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum Violation {
+    /// A connection was closed by this process with a request open on it.
+    #[error("closed with a request open")]
+    UnansweredClose,
+    /// A final response was given too late.
+    #[error("final response too late")]
+    LateResponse,
+    /// The last byte of an attempt was written after the attempt had ended: its client may have left.
+    #[error("written after its end")]
+    WrittenAfterEnd,
+    /// The last byte of a repeat was written at a time when the request must not run again.
+    #[error("repeat not permitted")]
+    RepeatNotPermitted,
+    /// A worker was told of a time limit that the client no longer has.
+    #[error("time limit too long")]
+    TimeLimitTooLong,
+}
+
+impl Scheduler {
+    /// Counts and logs a broken promise.
+    pub fn record_violation(&mut self, now: Time, violation: Violation) {
+        self.counters.violations += 1;
+        if self.may_log(now) {
+            error!("violation kind=\"{violation}\"");
+        }
+    }
+
+    /// Checks a final response at the moment at which it is given.
+    pub(super) fn check_response_time(&mut self, now: Time, deadline: Time) {
+        if now > deadline + RESPONSE_SLACK {
+            self.record_violation(now, Violation::LateResponse);
+        }
+    }
+
+    /// Checks an attempt at the moment at which its last byte has been handed to the operating system.
+    pub(super) fn check_written(&mut self, now: Time, id: AttemptId) {
+        let violation = self.violation_of_write(now, id);
+        if let Some(violation) = violation {
+            self.record_violation(now, violation);
+        }
+    }
+
+    fn violation_of_write(&self, now: Time, id: AttemptId) -> Option<Violation> {
+        let Some(attempt) = self.attempts.get(id) else {
+            return Some(Violation::WrittenAfterEnd);
+        };
+        let began_at = attempt.write_began_at.unwrap_or(now);
+        if now - began_at > TIME_LIMIT_SLACK {
+            return Some(Violation::TimeLimitTooLong);
+        }
+        let request = self.requests.get(id.request)?;
+        let first_written_at = request.first_written_at()?;
+        let is_permitted = request.idempotency.permits_repeat_at(now, first_written_at);
+        (!is_permitted).then_some(Violation::RepeatNotPermitted)
+    }
+}
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -25,6 +25,7 @@
 mod errors;
 mod health_checks;
 mod ids;
+mod invariants;
 mod load_orders;
 mod load_rate_limiter;
 mod log_limiter;
@@ -42,6 +43,7 @@
 pub use counters::Counters;
 pub use errors::{AttemptError, FailureCause, WriteProgress};
 pub use ids::{AttemptId, HealthCheckId, LoadOrderId, RequestOrigin};
+pub use invariants::Violation;
 pub use messages::{
     ClientRequest, LoadResult, Outcome, ReportedMetric, RequestParameters, RequestPayload, Response,
     WorkerResponse,
@@ -275,6 +277,7 @@
 
     /// An attempt has been handed to the operating system completely.
     pub fn attempt_written(&mut self, now: Time, attempt: AttemptId) {
+        self.check_written(now, attempt);
         if !self.attempts.record_write(now, attempt) {
             return;
         }
@@ -313,7 +316,7 @@
             request.retract_write(attempt.written_at);
         }
         if let Ok(WorkerResponse::Ok(body)) = result {
-            self.serve(id.request, body);
+            self.serve(now, id.request, body);
         }
         self.finish_attempt(now, id, status);
         self.run_policy(now);
--- a/src/scheduler/write_admission.rs
+++ b/src/scheduler/write_admission.rs
@@ -9,6 +9,7 @@
 use super::{AttemptId, LoadOrderId, Scheduler};
 use crate::model::{Idempotency, Span, Time, WorkerId};
 use thiserror::Error;
+use tracing::debug;
 
 /// The retry of a keyed request must be written this long before its workers forget the key.
 const DEDUPLICATION_MARGIN: Span = Span::from_millis(50);
@@ -43,9 +44,21 @@
 }
 
 impl Scheduler {
-    /// Whether an attempt may still be written at `now`.
-    pub fn admits_write(&self, now: Time, attempt: AttemptId) -> bool {
-        self.check_attempt(now, attempt).is_ok()
+    /// Whether an attempt may still be written at `now`; if so, its write has begun.
+    pub fn admits_write(&mut self, now: Time, attempt: AttemptId) -> bool {
+        match self.check_attempt(now, attempt) {
+            Ok(()) => {
+                self.attempts.begin_write(now, attempt);
+                true
+            }
+            Err(denied) => {
+                debug!(
+                    "write denied request={} attempt={} why=\"{denied}\"",
+                    attempt.request.0, attempt.number
+                );
+                false
+            }
+        }
     }
 
     /// Whether a load order may still be written at `now`; if so, it counts as written.
--- a/src/server/accept.rs
+++ b/src/server/accept.rs
@@ -1,5 +1,6 @@
 //! Accepting clients: the listeners, and how many clients are taken.
 
+use super::limits::ClientLimits;
 use crate::config::JsonRpcConfig;
 use crate::frontend::unix_socket::{self, SocketFile};
 use crate::frontend::{FrameConnection, JsonRpcConnection};
@@ -8,23 +9,11 @@
 use crate::scheduler::Scheduler;
 use std::collections::BTreeSet;
 use std::io;
-use thiserror::Error;
 use tracing::warn;
 
 /// Delay before clients are accepted again after the system could not accept one.
 const RETRY_DELAY: Span = Span::from_millis(50);
 
-/// Why a client is dropped as soon as it has been accepted.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
-enum DropCause {
-    /// Its descriptor is needed for workers, and no idle connection could be closed instead.
-    #[error("no descriptors left")]
-    NoDescriptors,
-    /// The JSON-RPC frontend has all the clients that the operator's file allows, and none is idle.
-    #[error("max_clients")]
-    MaxClients,
-}
-
 /// The JSON-RPC frontend's listener.
 #[derive(Debug)]
 pub(super) struct JsonRpcListener {
@@ -62,8 +51,7 @@
 /// Takes clients from the listeners.
 #[derive(Debug)]
 pub(super) struct Acceptor {
-    /// Connections of any kind from which on a client is only taken in place of an idle one.
-    max_connections: usize,
+    limits: ClientLimits,
     jsonrpc: Option<JsonRpcListener>,
     /// Clients of the JSON-RPC frontend, also such as have closed since the last one was accepted.
     jsonrpc_clients: BTreeSet<u64>,
@@ -72,10 +60,10 @@
 }
 
 impl Acceptor {
-    /// Accepts clients up to this number of connections of any kind.
-    pub(super) fn new(max_connections: usize, jsonrpc: Option<JsonRpcListener>) -> Acceptor {
+    /// Accepts clients within these limits.
+    pub(super) fn new(limits: ClientLimits, jsonrpc: Option<JsonRpcListener>) -> Acceptor {
         Acceptor {
-            max_connections,
+            limits,
             jsonrpc,
             jsonrpc_clients: BTreeSet::new(),
             retry_at: None,
@@ -87,9 +75,9 @@
         self.retry_at
     }
 
-    /// Sets the number of connections from which on a client is only taken in place of an idle one.
-    pub(super) fn set_max_connections(&mut self, max_connections: usize) {
-        self.max_connections = max_connections;
+    /// Sets new limits for the clients that are still to come.
+    pub(super) fn set_limits(&mut self, limits: ClientLimits) {
+        self.limits = limits;
     }
 
     /// Acquires what a new configuration of the JSON-RPC frontend needs, and leaves the present one in place.
@@ -144,28 +132,40 @@
         }
     }
 
-    /// Accepts all clients that wait at a listener.
+    /// Accepts all clients that wait at a listener. A client that has been accepted may have sent a request, so that
+    /// it is not dropped for want of descriptors: it is only accepted while there is one to reject it with.
     pub(super) fn accept(&mut self, listener: ListenerId, reactor: &mut Reactor, scheduler: &mut Scheduler) {
         loop {
-            let has_room = reactor.connection_count() < self.max_connections;
+            if !self.may_accept(reactor, scheduler) {
+                return self.schedule_retry("no descriptors left", reactor.now(), scheduler);
+            }
             match reactor.accept(listener) {
                 Ok(None) => return,
-                Ok(Some(stream)) if has_room || reactor.close_longest_idle(scheduler) => {
-                    self.add_client(listener, stream, reactor, scheduler);
-                }
-                Ok(Some(_)) => log_dropped(DropCause::NoDescriptors, reactor.now(), scheduler),
+                Ok(Some(stream)) => self.add_client(listener, stream, reactor, scheduler),
                 Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {}
                 Err(error) => {
-                    self.schedule_retry(&error, reactor.now(), scheduler);
-                    return;
+                    return self.schedule_retry(&error.to_string(), reactor.now(), scheduler);
                 }
             }
         }
     }
 
-    fn schedule_retry(&mut self, error: &io::Error, now: Time, scheduler: &mut Scheduler) {
+    /// Whether a further client can be accepted at all, be it to be rejected.
+    fn may_accept(&self, reactor: &mut Reactor, scheduler: &mut Scheduler) -> bool {
+        reactor.connection_count() < self.limits.shedding || reactor.close_longest_idle(scheduler)
+    }
+
+    /// Whether a client that has just been accepted can be served: it is one of the guaranteed, or there is room, if
+    /// need be in place of an idle connection.
+    fn may_serve(&self, reactor: &mut Reactor, scheduler: &mut Scheduler) -> bool {
+        reactor.client_count() < self.limits.guaranteed
+            || reactor.connection_count() < self.limits.connections
+            || reactor.close_longest_idle(scheduler)
+    }
+
+    fn schedule_retry(&mut self, cause: &str, now: Time, scheduler: &mut Scheduler) {
         if scheduler.may_log(now) {
-            warn!("accept failed why=\"{error}\"");
+            warn!("accept failed why=\"{cause}\"");
         }
         self.retry_at = Some(now + RETRY_DELAY);
     }
@@ -184,11 +184,21 @@
         {
             self.add_jsonrpc_client(stream, reactor, scheduler);
         } else {
-            let connection = Box::new(FrameConnection::new(reactor.now()));
-            reactor.add_connected(stream, connection, FrameConnection::buffer_limits(), scheduler);
+            self.add_frame_client(stream, reactor, scheduler);
         }
     }
 
+    fn add_frame_client(&self, stream: Stream, reactor: &mut Reactor, scheduler: &mut Scheduler) {
+        let connection = if self.may_serve(reactor, scheduler) {
+            FrameConnection::new(reactor.now())
+        } else {
+            scheduler.counters().clients_shed += 1;
+            FrameConnection::shedding(reactor.now())
+        };
+        let limits = FrameConnection::buffer_limits();
+        reactor.add_connected(stream, Box::new(connection), limits, scheduler);
+    }
+
     fn add_jsonrpc_client(&mut self, stream: Stream, reactor: &mut Reactor, scheduler: &mut Scheduler) {
         let Some(jsonrpc) = &self.jsonrpc else {
             return;
@@ -197,7 +207,9 @@
         let max_clients = jsonrpc.config.max_clients;
         let now = reactor.now();
         if !self.make_room_for_jsonrpc_client(max_clients, reactor, scheduler) {
-            log_dropped(DropCause::MaxClients, now, scheduler);
+            if scheduler.may_log(now) {
+                warn!("accept dropped why=max_clients");
+            }
             return;
         }
         let connection = Box::new(JsonRpcConnection::new(now, max_line));
@@ -218,8 +230,8 @@
             .retain(|client| reactor.has_connection(*client));
         if self.jsonrpc_clients.len() >= max_clients
             && let Some(idle) = self.longest_idle_jsonrpc_client(reactor)
+            && reactor.close_if_idle(idle, scheduler)
         {
-            reactor.close_connection(idle, scheduler);
             self.jsonrpc_clients.remove(&idle);
         }
         self.jsonrpc_clients.len() < max_clients
@@ -234,9 +246,3 @@
             .map(|(_, client)| client)
     }
 }
-
-fn log_dropped(cause: DropCause, now: Time, scheduler: &mut Scheduler) {
-    if scheduler.may_log(now) {
-        warn!("accept dropped why=\"{cause}\"");
-    }
-}
--- a/src/server/limits.rs
+++ b/src/server/limits.rs
@@ -8,6 +8,10 @@
 
 /// Descriptors kept for the poll, the listeners, the pipes, the watch and the standard streams.
 const RESERVED_DESCRIPTORS: usize = 32;
+/// Of these, so many are for clients that are accepted only to be rejected.
+const SHEDDING_DESCRIPTORS: usize = 8;
+/// Clients hold at most one in so many descriptors (page PROTOCOL).
+const CLIENT_SHARE_DIVISOR: usize = 3;
 /// Of the connections that descriptors allow, clients leave one in so many free for workers.
 const FREE_CONNECTION_DIVISOR: usize = 8;
 /// Output that waits to be sent, on all connections together, may take one in so many parts of the memory.
@@ -23,11 +27,32 @@
     reactor.unsent_limit = memory_bytes / UNSENT_OUTPUT_DIVISOR;
 }
 
-/// The number of connections of any kind from which on no further client is accepted, save in place of an
-/// idle one.
-pub(super) fn max_connections_with_clients(config: &SchedulerConfig) -> usize {
+/// How many clients are accepted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct ClientLimits {
+    /// So many clients are accepted whatever other connections there are.
+    pub(super) guaranteed: usize,
+    /// The number of connections of any kind from which on a client beyond the guaranteed ones is only accepted in
+    /// place of an idle connection.
+    pub(super) connections: usize,
+    /// The number of connections of any kind from which on a client is not even accepted to be rejected.
+    pub(super) shedding: usize,
+}
+
+/// The limits on clients.
+pub(super) fn client_limits(config: &SchedulerConfig) -> ClientLimits {
     let max_connections = max_connections(config);
-    max_connections - max_connections / FREE_CONNECTION_DIVISOR
+    ClientLimits {
+        guaranteed: guaranteed_clients(config),
+        connections: max_connections - max_connections / FREE_CONNECTION_DIVISOR,
+        shedding: max_connections + SHEDDING_DESCRIPTORS,
+    }
+}
+
+/// The clients' part of the descriptors, which connections to workers leave free.
+fn guaranteed_clients(config: &SchedulerConfig) -> usize {
+    let share = config.max_descriptors / CLIENT_SHARE_DIVISOR;
+    share.min(max_connections(config) * 2 / 3)
 }
 
 /// The limits on connections to workers.
@@ -35,6 +60,7 @@
     let site = &config.site;
     backend::Limits {
         connect_timeout: Span(site.connect_timeout.0 + CONNECT_TIMEOUT_ALLOWANCE.0),
+        max_outgoing_connections: max_connections(config) - guaranteed_clients(config),
         ..backend::Limits::for_site(site, max_connections(config))
     }
 }
--- a/src/server/reload.rs
+++ b/src/server/reload.rs
@@ -141,8 +141,7 @@
         self.pool
             .configure(worker_limits, &mut self.reactor, &mut self.scheduler);
         limits::limit_memory(&self.config, &mut self.scheduler, &mut self.reactor);
-        self.acceptor
-            .set_max_connections(limits::max_connections_with_clients(&self.config));
+        self.acceptor.set_limits(limits::client_limits(&self.config));
     }
 
     /// The values in use of the settings that only take effect at a start.
--- a/src/server/startup.rs
+++ b/src/server/startup.rs
@@ -97,7 +97,7 @@
             sources: sources.clone(),
             scheduler,
             discovery: Discovery::new(config.event_bus, known, configured, reactor.now()),
-            acceptor: Acceptor::new(limits::max_connections_with_clients(&config), jsonrpc),
+            acceptor: Acceptor::new(limits::client_limits(&config), jsonrpc),
             reactor,
             pool,
             config,
--- a/tests/scheduler_state.rs
+++ b/tests/scheduler_state.rs
@@ -73,6 +73,7 @@
         idle_timeout: Span::from_millis(60_000),
         connect_timeout: Span::from_millis(60_000),
         max_connections: 200,
+        max_outgoing_connections: 200,
         schedulers: 100,
     });
     pool.set_address(WORKER, WorkerAddress::NodeAgent(worker.address()), None);
