Failing tests: a shutdown without end, a half-written attempt, local failures at once

A client that sends a request each 100 ms to a worker that answers none kept the process alive for 8.2 s after SIGTERM (as long as it sent; in a run without an end to the sending it did not end in 20 minutes), past the kill at 3.7 s. An attempt of which the system has taken a part is completed after its client has left. A request with 20 s left is rejected at once where no connection can be opened for a moment.

--- a/tests/scheduler_state.rs
+++ b/tests/scheduler_state.rs
@@ -49,6 +49,18 @@
     }
 }
 
+/// Limits on connections that no test reaches.
+fn unlimited() -> Limits {
+    Limits {
+        attempts_per_connection: 1 << 20,
+        idle_timeout: Span::from_millis(60_000),
+        connect_timeout: Span::from_millis(60_000),
+        max_connections: 200,
+        max_outgoing_connections: 200,
+        schedulers: 100,
+    }
+}
+
 /// Hands all commands to the pool; the attempt among them.
 fn carry_out_commands(scheduler: &mut Scheduler, pool: &mut Pool, reactor: &mut Reactor) -> AttemptId {
     let mut sent = None;
@@ -68,14 +80,7 @@
     let worker = RawWorker::new();
     let mut reactor = Reactor::new(SystemClock::new()).unwrap();
     let mut scheduler = scheduler_with_one_worker(&default_settings(), reactor.now());
-    let mut pool = Pool::new(Limits {
-        attempts_per_connection: 1 << 20,
-        idle_timeout: Span::from_millis(60_000),
-        connect_timeout: Span::from_millis(60_000),
-        max_connections: 200,
-        max_outgoing_connections: 200,
-        schedulers: 100,
-    });
+    let mut pool = Pool::new(unlimited());
     pool.set_address(WORKER, WorkerAddress::NodeAgent(worker.address()), None);
     for n in 0..10_000 {
         let now = reactor.now();
@@ -160,3 +165,41 @@
         "some fifty went out within the window of the rate limit"
     );
 }
+
+/// A worker stops reading until the system takes no more bytes of an attempt, and its client leaves. Once the worker reads
+/// on, the rest of that attempt must not go out: it would begin long after its client has left, with a time limit that
+/// nobody has any more, and a keyed one possibly outside its deduplication window.
+#[test]
+fn an_attempt_whose_client_left_is_not_completed_once_its_worker_reads_on() {
+    const MORE_THAN_THE_SYSTEM_TAKES: usize = 16 << 20;
+    let worker = RawWorker::new();
+    let mut reactor = Reactor::new(SystemClock::new()).unwrap();
+    let mut scheduler = scheduler_with_one_worker(&default_settings(), reactor.now());
+    let mut pool = Pool::new(unlimited());
+    pool.set_address(WORKER, WorkerAddress::NodeAgent(worker.address()), None);
+    let mut request = client_request(1, FunctionId(9), reactor.now());
+    request.parameters.body = vec![b'x'; MORE_THAN_THE_SYSTEM_TAKES];
+    let origin = request.origin;
+    scheduler.submit(reactor.now(), request);
+    carry_out_commands(&mut scheduler, &mut pool, &mut reactor);
+    let mut connection = worker.accept();
+    while !reactor.has_unsent_output() {
+        poll_briefly(&mut reactor, &mut scheduler);
+    }
+    scheduler.cancel(reactor.now(), origin);
+    while let Some(command) = scheduler.next_command() {
+        pool.command(command, &mut reactor, &mut scheduler);
+    }
+    let reader = std::thread::spawn(move || connection.complete_requests_until_quiet());
+    while !reader.is_finished() {
+        poll_briefly(&mut reactor, &mut scheduler);
+    }
+    assert_eq!(reader.join().unwrap(), 0);
+    assert_eq!(scheduler.counters().violations, 0);
+}
+
+/// Waits for events for a moment at most.
+fn poll_briefly(reactor: &mut Reactor, scheduler: &mut Scheduler) {
+    let soon = reactor.now() + Span::from_millis(5);
+    reactor.poll(Some(soon), scheduler).unwrap();
+}
--- a/tests/server/shutdown.rs
+++ b/tests/server/shutdown.rs
@@ -12,8 +12,11 @@
 use crate::support::worker_command::ReceivedCommand;
 use crate::support::{IDEMPOTENT_CLASS, REQUEST_ID, refusing_address, request_id};
 use serde_json::json;
-use std::io::{ErrorKind, Read};
+use std::collections::BTreeSet;
+use std::io::{ErrorKind, Read, Write};
 use std::net::Ipv4Addr;
+use std::thread;
+use std::time::{Duration, Instant};
 
 #[test]
 fn requests_that_come_after_sigterm_are_answered() {
@@ -243,3 +246,48 @@
         assert!(scheduler.wait_for_exit().success(), "{signals:?}");
     }
 }
+
+/// A client that ignores the notice keeps requests open at a worker that answers none. The process is killed once the
+/// longest deadline and 0.7 s have passed since SIGTERM (page PROTOCOL): it has to have answered all of them by then.
+#[test]
+fn a_client_that_keeps_sending_does_not_hold_the_shutdown_up() {
+    const INTERVAL: Duration = Duration::from_millis(100);
+    const REQUESTS: u32 = 60;
+    const KILLED_AFTER: Duration = Duration::from_millis(3_700);
+    /// A request that crosses the end of its connection by less is sent again.
+    const CROSSING: Duration = Duration::from_millis(50);
+    let worker = StandInWorker::node_agent();
+    let mut scheduler = SchedulerProcess::start(&[worker.address()]);
+    let mut client = FrameClient::connect(&scheduler);
+    let mut output = client.stream.try_clone().unwrap();
+    let sender = thread::spawn(move || {
+        let mut sent = Vec::new();
+        for n in 1..=REQUESTS {
+            let payload = request(IDEMPOTENT_CLASS, &request_id(n), 2_500, b"");
+            if output
+                .write_all(&frame(frame_type::REQUEST, n, &payload))
+                .is_err()
+            {
+                return sent;
+            }
+            sent.push((n, Instant::now()));
+            thread::sleep(INTERVAL);
+        }
+        sent
+    });
+    worker.next_request();
+    scheduler.signal("TERM");
+    let began_at = Instant::now();
+    let frames = client.frames_until_close();
+    let ended_at = Instant::now();
+    assert!(scheduler.wait_for_exit().success());
+    assert!(began_at.elapsed() < KILLED_AFTER, "{:?}", began_at.elapsed());
+    let answers = frames
+        .iter()
+        .filter(|frame| frame.frame_type == frame_type::ANSWER);
+    let answered: BTreeSet<u32> = answers.map(|frame| frame.stream).collect();
+    for (n, sent_at) in sender.join().unwrap() {
+        let crossed = ended_at.saturating_duration_since(sent_at) < CROSSING;
+        assert!(crossed || answered.contains(&n), "request {n} has no answer");
+    }
+}
--- a/tests/server/worker_failures.rs
+++ b/tests/server/worker_failures.rs
@@ -189,3 +189,18 @@
         "some went to the worker that does not accept"
     );
 }
+
+/// For a moment the system opens no connection. The request has seconds left: it must not use up its attempts at once.
+#[test]
+fn a_request_outlasts_a_moment_in_which_no_connection_can_be_opened() {
+    let worker = StandInWorker::node_agent();
+    let scheduler = SchedulerProcess::start(&[worker.address()]);
+    worker.serve(echo);
+    let mut client = FrameClient::connect(&scheduler);
+    client.assert_ready();
+    scheduler.limit_descriptors(1);
+    client.send_request(1, &request(IDEMPOTENT_CLASS, REQUEST_ID, 20_000, b"x"));
+    scheduler.wait_for_counter("moot", 2);
+    scheduler.limit_descriptors(256);
+    assert_eq!(client.next_frame(), Some(served(1, b"x")));
+}
--- a/tests/support/raw_worker.rs
+++ b/tests/support/raw_worker.rs
@@ -7,6 +7,9 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::Duration;
 
+/// Time without input after which a connection is quiet.
+const QUIET_TIME: Duration = Duration::from_millis(500);
+
 /// A node agent whose connections the test reads byte by byte, so that it can leave bytes unread.
 pub(crate) struct RawWorker {
     listener: TcpListener,
@@ -102,6 +105,19 @@
         self.stream.write_all(&success_line(request_id, body)).unwrap();
     }
 
+    /// Reads until the connection ends or nothing has come for a while; how many requests came whole.
+    pub(crate) fn complete_requests_until_quiet(&mut self) -> u64 {
+        self.stream.set_read_timeout(Some(QUIET_TIME)).unwrap();
+        let mut input = vec![];
+        let mut chunk = [0; 1 << 16];
+        while let Ok(count @ 1..) = self.stream.read(&mut chunk) {
+            input.extend_from_slice(&chunk[..count]);
+        }
+        let lines = input.split_inclusive(|byte| *byte == b'\n');
+        let whole = lines.filter_map(|line| serde_json::from_slice::<Value>(line).ok());
+        whole.filter(|line| line["verb"] == "go").count() as u64
+    }
+
     /// Waits until unread input is there.
     pub(crate) fn wait_for_unread_input(&self) {
         assert_eq!(self.stream.peek(&mut [0]).unwrap(), 1, "input has come, unread");
