Bound the shutdown, check the rest of a half-written attempt, count no unsent attempt

(1) A graceful shutdown took requests for as long as they came, with their own deadlines: what comes later than 0.7 s after SIGTERM now ends by the longest deadline (3 s at least) and 0.4 s after it, and later ones are rejected at once, so that the process has ended before it is killed. (2) The last check before a write looked only at the first byte; the reactor now asks the connection again before it writes the rest, and an attempt that has ended, outlived its deadline or its deduplication window, or hung for 0.1 s, is never completed: its connection closes.

--- a/src/backend/connection.rs
+++ b/src/backend/connection.rs
@@ -169,6 +169,13 @@
         self.flush_jobs(socket, context)
     }
 
+    fn may_write_rest(&self, context: &mut Context) -> bool {
+        match self.write_queue.writing() {
+            Some(Exchange::Attempt(attempt)) => context.scheduler.admits_rest(context.now, attempt),
+            _ => true,
+        }
+    }
+
     fn flushed(&mut self, socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow {
         self.flush_jobs(socket, context)
     }
--- a/src/backend/write_queue.rs
+++ b/src/backend/write_queue.rs
@@ -46,6 +46,11 @@
         self.writing = Some(exchange);
     }
 
+    /// The exchange whose command the system may not have taken completely.
+    pub(super) fn writing(&self) -> Option<Exchange> {
+        self.writing
+    }
+
     /// Notes that everything has been handed to the operating system; returns the exchange whose command was
     /// being written.
     pub(super) fn finish_write(&mut self) -> Option<Exchange> {
--- a/src/cluster/request.rs
+++ b/src/cluster/request.rs
@@ -1,8 +1,8 @@
 //! Requests and their attempts.
 
 use crate::model::{
-    Action, AttemptOutcome, Endpoint, FunctionId, IncomingRequest, InstanceState, RequestId, Span, Time,
-    WorkerId,
+    Action, AttemptOutcome, Endpoint, FunctionId, IncomingRequest, InstanceState, RequestId, Span, Status,
+    Time, WorkerId,
 };
 
 /// A request that is owed its final answer.
@@ -21,7 +21,11 @@
     pub(crate) awaits_load: bool,
     /// Workers that would most likely fail it again, and at once.
     pub(crate) failed_workers: Vec<WorkerId>,
-    attempts: u16,
+    /// Attempts, whether they have left this process or not.
+    begun: u16,
+    /// Those that never left this process.
+    unsent: u16,
+    unsent_in_row: u16,
     in_flight: Option<u16>,
     first_run: Option<Attempt>,
 }
@@ -84,15 +88,22 @@
             deadline: now + incoming.remaining,
             awaits_load: false,
             failed_workers: Vec::new(),
-            attempts: 0,
+            begun: 0,
+            unsent: 0,
+            unsent_in_row: 0,
             in_flight: None,
             first_run: None,
         }
     }
 
-    /// How many attempts were sent.
+    /// How many attempts have left this process, or may still do so.
     pub(crate) fn attempts(&self) -> u16 {
-        self.attempts
+        self.begun - self.unsent
+    }
+
+    /// Attempts in a row, the last one among them, that never left this process.
+    pub(crate) fn unsent_in_row(&self) -> u16 {
+        self.unsent_in_row
     }
 
     /// The number of the attempt in flight.
@@ -112,17 +123,23 @@
 
     /// Another attempt is sent; returns its number.
     pub(crate) fn begin_attempt(&mut self) -> u16 {
-        let number = self.attempts;
-        self.attempts += 1;
+        let number = self.begun;
+        self.begun += 1;
         self.in_flight = Some(number);
         number
     }
 
-    /// An attempt has ended that did not serve the request, and may have run or not.
-    pub(crate) fn end_attempt(&mut self, attempt: Attempt, may_have_run: bool) {
+    /// An attempt has ended that did not serve the request.
+    pub(crate) fn end_attempt(&mut self, attempt: Attempt, status: Status) {
         self.in_flight = None;
-        if may_have_run {
+        if !status.never_ran() {
             self.first_run.get_or_insert(attempt);
         }
+        if status == Status::NotSent {
+            self.unsent += 1;
+            self.unsent_in_row += 1;
+        } else {
+            self.unsent_in_row = 0;
+        }
     }
 }
--- a/src/cluster/tests.rs
+++ b/src/cluster/tests.rs
@@ -143,11 +143,11 @@
     };
     assert_eq!(request.begin_attempt(), 0);
     assert!(!request.never_ran(), "it may run now");
-    request.end_attempt(attempt(Time(10)), false);
+    request.end_attempt(attempt(Time(10)), Status::Miss);
     assert!(request.never_ran());
     for sent_at in [Time(20), Time(30)] {
         request.begin_attempt();
-        request.end_attempt(attempt(sent_at), true);
+        request.end_attempt(attempt(sent_at), Status::Error);
     }
     assert_eq!((request.attempts(), request.in_flight()), (3, None));
     assert_eq!(request.first_run().map(|attempt| attempt.sent_at), Some(Time(20)));
--- a/src/model/events.rs
+++ b/src/model/events.rs
@@ -19,8 +19,11 @@
     Reset,
     /// The attempt was cancelled; the request may have run.
     Cancelled,
-    /// The attempt was not sent, because the request had ended or could no longer be sent.
+    /// The attempt was over before it ran, because the request had ended or its time had passed.
     Moot,
+    /// The attempt never left this process: it was no longer admitted, or no connection could be begun. This says
+    /// nothing of the worker.
+    NotSent,
     /// The worker does not hold the function and is not loading it; the request never ran.
     Miss,
 }
@@ -30,7 +33,7 @@
     pub fn never_ran(self) -> bool {
         matches!(
             self,
-            Status::Full | Status::ConnectFailed | Status::Moot | Status::Miss
+            Status::Full | Status::ConnectFailed | Status::Moot | Status::NotSent | Status::Miss
         )
     }
 
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -47,6 +47,9 @@
     /// The server has no more use for it.
     #[error("not needed")]
     NotNeeded,
+    /// The output that waits must not go out any more.
+    #[error("output lapsed")]
+    OutputLapsed,
     /// The peer leaves too much output unread.
     #[error("output unread")]
     OutputUnread,
@@ -83,6 +86,11 @@
     /// There is new input in the stream's buffer, or the peer has closed its half.
     fn received(&mut self, socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow;
 
+    /// Whether output that the system did not take at once may still go out. If not, the connection is closed.
+    fn may_write_rest(&self, _context: &mut Context) -> bool {
+        true
+    }
+
     /// All output has been handed to the system.
     fn flushed(&mut self, _socket: &mut BufferedStream, _context: &mut Context) -> ConnectionFlow {
         ConnectionFlow::Continue
--- a/src/net/reactor/entry.rs
+++ b/src/net/reactor/entry.rs
@@ -111,6 +111,10 @@
     /// Writes the output at once; a connection may add more whenever all of it has been written.
     fn flush_output(&mut self, mut flow: ConnectionFlow, context: &mut Context) -> ConnectionFlow {
         while flow != ConnectionFlow::Close && self.stream.is_connected() && self.stream.unsent() > 0 {
+            if !self.connection.may_write_rest(context) {
+                self.set_close_cause(CloseCause::OutputLapsed);
+                return ConnectionFlow::Close;
+            }
             match self.stream.flush() {
                 Ok(true) => flow = flow.and(self.connection.flushed(&mut self.stream, context)),
                 Ok(false) => break,
@@ -154,8 +158,14 @@
             }
         }
         let mut flow = ConnectionFlow::Continue;
-        if self.stream.unsent() > 0 && self.stream.flush()? {
-            flow = self.connection.flushed(&mut self.stream, context);
+        if self.stream.unsent() > 0 {
+            if !self.connection.may_write_rest(context) {
+                self.set_close_cause(CloseCause::OutputLapsed);
+                return Ok(ConnectionFlow::Close);
+            }
+            if self.stream.flush()? {
+                flow = self.connection.flushed(&mut self.stream, context);
+            }
         }
         if !readable {
             return Ok(flow);
--- a/src/policy/health.rs
+++ b/src/policy/health.rs
@@ -73,7 +73,7 @@
                 self.load.raise_latency(TIMEOUT_FACTOR, &LATENCY_RATIO);
                 self.concurrency_limit.decrease(now, &CONCURRENCY_LIMIT);
             }
-            Status::Ok | Status::Error | Status::Cancelled | Status::Moot => {}
+            Status::Ok | Status::Error | Status::Cancelled | Status::Moot | Status::NotSent => {}
         }
     }
 }
--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -1,6 +1,7 @@
 //! The life of a request: whether it may be retried, and its final answer.
 
 use super::*;
+use placement::RETRY_DELAY;
 
 /// A keyed retry must arrive this long before the deduplication window ends.
 const DEDUPLICATION_MARGIN: Span = Span::from_millis(100);
@@ -42,12 +43,14 @@
         }
         let request = self.cluster.requests.get_mut(&id);
         let Some(request) = request else { return };
-        request.end_attempt(attempt, !outcome.status.never_ran());
+        request.end_attempt(attempt, outcome.status);
         // Where it failed it would most likely fail again, and at once.
-        if !matches!(outcome.status, Status::Reset | Status::Moot) {
+        if !matches!(outcome.status, Status::Reset | Status::Moot | Status::NotSent) {
             request.failed_workers.push(attempt.endpoint.worker);
         }
         let first_run = request.first_run();
+        // What this process lacks for a moment is not there at once either.
+        let is_short_of_resources = request.unsent_in_row() > 1;
         let is_over = outcome.status == Status::Timeout || self.now >= request.deadline;
         // Where all schedulers' requests ask for an instance, it is loaded at once, while others are tried.
         let function = self.cluster.functions.get(&attempt.function);
@@ -57,6 +60,8 @@
         }
         if is_over || !self.may_retry(attempt.class, first_run) {
             self.give_up(id);
+        } else if is_short_of_resources {
+            self.schedule(RETRY_DELAY, Timer::Placement(id));
         } else {
             self.place(id);
         }
--- a/src/scheduler/counters.rs
+++ b/src/scheduler/counters.rs
@@ -107,7 +107,7 @@
             Status::ConnectFailed => &mut self.attempts_connect_failed,
             Status::Reset => &mut self.attempts_reset,
             Status::Cancelled => &mut self.attempts_cancelled,
-            Status::Moot => &mut self.attempts_moot,
+            Status::Moot | Status::NotSent => &mut self.attempts_moot,
             Status::Miss => &mut self.attempts_miss,
         };
         *counter += 1;
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -60,10 +60,11 @@
 use load_orders::LoadOrderTable;
 use load_rate_limiter::LoadRateLimiter;
 use log_limiter::LogLimiter;
-use request_admission::check_request;
+use request_admission::{RequestDenied, check_request};
 use request_table::{PendingRequest, RequestTable};
 use std::collections::VecDeque;
 use timers::Timer;
+use tracing::debug;
 
 /// The scheduler's state and its way from events to commands; see the [module's page](self).
 ///
@@ -104,6 +105,8 @@
 pub struct Scheduler {
     site: Site,
     policy: Policy,
+    /// When the last request has to have ended, once the process shuts down.
+    ends_at: Option<Time>,
     requests: RequestTable,
     attempts: AttemptTable,
     load_orders: LoadOrderTable,
@@ -126,6 +129,7 @@
         Scheduler {
             policy: Policy::new(site.settings.clone(), seed),
             site,
+            ends_at: None,
             requests: RequestTable::new(),
             attempts: AttemptTable::default(),
             load_orders: LoadOrderTable::default(),
@@ -224,10 +228,35 @@
     pub fn submit(&mut self, now: Time, request: ClientRequest) {
         self.counters.requests_received += 1;
         self.load_rate_limiter.record_request(now);
-        match check_request(now, &request, &self.site, &self.requests) {
+        let request = self.within_shutdown(request);
+        match self.check_admission(now, &request) {
             Ok(class) => self.accept(now, request, class),
-            Err(denied) => self.respond(request.origin, denied.response(self.default_retry_after())),
+            Err(denied) => {
+                debug!("request denied ref={:?} why=\"{denied}\"", request.correlation_id);
+                self.respond(request.origin, denied.response(self.default_retry_after()));
+            }
+        }
+    }
+
+    /// The class of a request that may be accepted.
+    fn check_admission(&self, now: Time, request: &ClientRequest) -> Result<ClassId, RequestDenied> {
+        if self.ends_at.is_some_and(|ends_at| ends_at <= now) {
+            return Err(RequestDenied::ShuttingDown);
+        }
+        check_request(now, request, &self.site, &self.requests)
+    }
+
+    /// Has every request that is still to come end by this time, and those that come later rejected.
+    pub fn end_requests_by(&mut self, ends_at: Time) {
+        self.ends_at = Some(ends_at);
+    }
+
+    /// A request with its deadline moved to the end of the process, if that comes before it.
+    fn within_shutdown(&self, mut request: ClientRequest) -> ClientRequest {
+        if let Some(ends_at) = self.ends_at {
+            request.parameters.deadline = request.parameters.deadline.min(ends_at);
         }
+        request
     }
 
     fn accept(&mut self, now: Time, request: ClientRequest, class: ClassId) {
@@ -325,7 +354,7 @@
     /// An attempt was not written for a local reason: it was no longer admitted, or no connection could be
     /// opened for it. Unlike a refused connection, this says nothing of the worker.
     pub fn attempt_not_sent(&mut self, now: Time, attempt: AttemptId) {
-        self.finish_attempt(now, attempt, Status::Moot);
+        self.finish_attempt(now, attempt, Status::NotSent);
         self.run_policy(now);
     }
 
--- a/src/scheduler/request_admission.rs
+++ b/src/scheduler/request_admission.rs
@@ -14,6 +14,9 @@
     /// Workers could not tell the responses to two open requests of one correlation id apart.
     #[error("correlation id in use")]
     DuplicateCorrelationId,
+    /// The process is about to end, and its clients were asked to leave.
+    #[error("shutting down")]
+    ShuttingDown,
     /// The client no longer waits.
     #[error("deadline passed")]
     DeadlinePassed,
@@ -30,9 +33,10 @@
     pub(super) fn response(self, retry_after: Span) -> Response {
         let outcome = match self {
             RequestDenied::UnknownClass | RequestDenied::DuplicateCorrelationId => Outcome::Failed,
-            RequestDenied::DeadlinePassed | RequestDenied::TooManyOpen | RequestDenied::OriginInUse => {
-                Outcome::Rejected { retry_after }
-            }
+            RequestDenied::ShuttingDown
+            | RequestDenied::DeadlinePassed
+            | RequestDenied::TooManyOpen
+            | RequestDenied::OriginInUse => Outcome::Rejected { retry_after },
         };
         Response {
             outcome,
--- a/src/scheduler/write_admission.rs
+++ b/src/scheduler/write_admission.rs
@@ -3,7 +3,8 @@
 //! The policy decides now, but a command may wait: for its connection to come up, or behind others on it.
 //! Meanwhile its request may end, its worker may begin to drain, the deduplication window of its key may
 //! pass, its deadline may come, or other load orders may use up the rate limit. So the back end asks here
-//! immediately before it writes, and reports a command that is denied as not sent.
+//! immediately before it writes, and reports a command that is denied as not sent. It asks again before it writes the
+//! rest of an attempt that the system did not take at once.
 
 use super::request_table::PendingRequest;
 use super::{AttemptId, LoadOrderId, Scheduler};
@@ -14,6 +15,10 @@
 /// The retry of a keyed request must be written this long before its workers forget the key.
 const DEDUPLICATION_MARGIN: Span = Span::from_millis(50);
 
+/// The last byte of an attempt must follow its first within this time: its time limit was encoded with the first, and
+/// must not exceed what the client has left by more than 150 ms (terms of 2026-12-02).
+const MAX_WRITE_TIME: Span = Span::from_millis(100);
+
 /// Why an attempt or load order must not be written any more.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub(super) enum WriteDenied {
@@ -61,6 +66,19 @@
         }
     }
 
+    /// Whether the rest of an attempt may be written, of which the system did not take all at once. It stands for the
+    /// whole: the worker begins with the last byte. That its worker drains since does not count, as the first byte
+    /// came before that.
+    pub fn admits_rest(&self, now: Time, id: AttemptId) -> bool {
+        let (Some(attempt), Some(request)) = (self.attempts.get(id), self.requests.get(id.request)) else {
+            return false;
+        };
+        let is_fresh = attempt
+            .write_began_at
+            .is_none_or(|began_at| now - began_at <= MAX_WRITE_TIME);
+        is_fresh && now < attempt.deadline && check_retry(now, request).is_ok()
+    }
+
     /// Whether a load order may still be written at `now`; if so, it counts as written.
     pub fn admits_load_order(&mut self, now: Time, order: LoadOrderId) -> bool {
         self.check_load_order(now, order).is_ok()
--- a/src/server/shutdown.rs
+++ b/src/server/shutdown.rs
@@ -10,19 +10,26 @@
 use crate::vrrp::Event;
 use tracing::info;
 
-/// Time from the beginning until clients are notified again: those that have connected since.
-const LATE_NOTICE_DELAY: Span = Span::from_millis(750);
+/// Time from the beginning until clients are notified again: those that have connected since. The answer to a request
+/// that comes later is owed even if the process is killed (page PROTOCOL).
+const LATE_NOTICE_DELAY: Span = Span::from_millis(700);
+/// The process is killed no sooner than 0.7 s after the longest deadline has passed since the beginning, which counts as
+/// 3 s where it is shorter (page PROTOCOL). Late requests end some time before that, so that their responses can be
+/// written.
+const LATE_REQUESTS_END: Span = Span::from_millis(400);
+/// What the longest deadline counts as at least.
+const MIN_LONGEST_DEADLINE: Span = Span::from_millis(3_000);
 /// Time from the beginning during which clients may still come; the program ends no sooner.
 const GRACE_PERIOD: Span = Span::from_millis(1_200);
 /// How long responses may take to be written once no request is open.
 const FLUSH_TIMEOUT: Span = Span::from_millis(500);
 
-/// How far a shutdown has come. Requests are accepted and served in every phase.
+/// How far a shutdown has come. Requests are answered in every phase.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ShutdownPhase {
-    /// Clients that don't know of the shutdown still connect.
+    /// Clients that don't know of the shutdown still connect, and their requests are served.
     LateConnections,
-    /// All clients have been notified; requests that they have sent before still arrive.
+    /// All clients have been notified; what they still send is served in the time that is left.
     LateRequests,
     /// Requests are open.
     Draining,
@@ -157,8 +164,12 @@
     pub(super) fn advance_shutdown(&mut self) -> bool {
         let now = self.reactor.now();
         while let Some(phase) = self.enter_next_shutdown_phase(now) {
+            info!("shutdown phase={phase:?} owed={}", self.scheduler.open_requests());
             match phase {
-                ShutdownPhase::LateRequests => self.notify_clients(),
+                ShutdownPhase::LateRequests => {
+                    self.limit_late_requests();
+                    self.notify_clients();
+                }
                 ShutdownPhase::Complete => return true,
                 ShutdownPhase::LateConnections | ShutdownPhase::Draining | ShutdownPhase::Flushing { .. } => {
                 }
@@ -167,6 +178,19 @@
         false
     }
 
+    /// A client that goes on sending must not put the end off: each request from now on ends before the process is
+    /// killed.
+    fn limit_late_requests(&mut self) {
+        let Some(shutdown) = &self.shutdown else {
+            return;
+        };
+        let classes = &self.scheduler.site().settings.classes;
+        let deadlines = classes.iter().map(|class| class.deadline);
+        let longest = deadlines.max().unwrap_or_default().max(MIN_LONGEST_DEADLINE);
+        let ends_at = shutdown.began_at + longest + LATE_REQUESTS_END;
+        self.scheduler.end_requests_by(ends_at);
+    }
+
     fn enter_next_shutdown_phase(&mut self, now: Time) -> Option<ShutdownPhase> {
         let shutdown = self.shutdown.as_mut()?;
         let activity = Activity {
