--- /dev/null
+++ b/crates/fault-soak/src/settings.rs
@@ -0,0 +1,58 @@
+//! The configuration of the schedulers of a run.
+
+use crate::recorder::RequestClass;
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// A worker that was told to drain gets nothing new after this time.
+pub(crate) const DRAIN_GRACE: Duration = Duration::from_millis(500);
+/// For how long workers discard repeats of a keyed request.
+pub(crate) const DEDUPLICATION_WINDOW: Duration = Duration::from_millis(1_500);
+/// Attempts of a request at most.
+pub(crate) const MAX_ATTEMPTS: usize = 4;
+
+/// The configuration of one scheduler of several.
+pub(crate) fn configuration(
+    index: usize,
+    schedulers: usize,
+    listen: SocketAddr,
+    discovery: SocketAddr,
+    known: &Value,
+) -> Value {
+    json!({
+        "name": format!("n{index}"), "listen": listen.to_string(), "seed": format!("{index:x}"),
+        "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256},
+        "bus": discovery.to_string(), "known": known,
+        "settings": {
+            "fleetSize": schedulers, "index": index, "zone": 0, "tickNs": 2_000_000,
+            "zones": ["a"], "kinds": ["std"], "discovery": "pushed", "weightSource": "none",
+            "classes": [
+                class(RequestClass::Idempotent, "retryable"),
+                class(RequestClass::Keyed, "dedup"),
+                class(RequestClass::NonIdempotent, "fragile"),
+            ],
+            "bounds": {
+                "mostTries": MAX_ATTEMPTS, "mayCancel": true, "retryAfter": true, "maxRetryAfterNs": 500_000_000,
+                "multiplex": 32, "maxOpen": 2000, "idleCloseNs": 3_000_000_000u64, "connectTimeoutNs": 250_000_000,
+                "secondCopies": true,
+            },
+            "contract": {
+                "coldFrom": 0.2, "coldNs": 6_000_000_000u64, "fallMultiple": 3.0, "fallNs": 2_000_000_000,
+                "drainGraceNs": DRAIN_GRACE.as_nanos() as u64,
+            },
+            "familyInfo": {
+                "keepNs": 8_000_000_000u64, "notLoaded": "load", "mayOrder": true, "loadSpanNs": 0,
+                "loadWaitNs": 10_000_000_000u64, "memoryMbByKind": [16000.0],
+            },
+        },
+    })
+}
+
+fn class(class: RequestClass, effect: &str) -> Value {
+    json!({
+        "name": class.name(), "deadlineNs": 2_000_000_000u64, "objectiveNs": 600_000_000, "worth": 1.0,
+        "lateShare": 0.3, "effect": effect, "group": "all",
+        "repeatWindowNs": DEDUPLICATION_WINDOW.as_nanos() as u64,
+    })
+}
