Failing tests: a half-written reload, a start in the future, two writes in one instant

The soak now knows whether each scheduler follows discovery where it is told, which a reload of a half-written file without a second signal breaks.

--- a/crates/fault-soak/src/discovery.rs
+++ b/crates/fault-soak/src/discovery.rs
@@ -44,7 +44,10 @@
 #[derive(Debug)]
 pub(crate) struct Discovery {
     pub(crate) switches: DiscoverySwitches,
-    addresses: Vec<SocketAddr>,
+    /// Both addresses for each scheduler: each has its own, which tells whose watch it is.
+    addresses: Vec<[SocketAddr; ADDRESSES]>,
+    /// Watches of each scheduler, which end some time after a move.
+    followed_by: Vec<AtomicUsize>,
     /// Which address serves.
     active: AtomicUsize,
     /// The n-th change is the event of number n + 1.
@@ -52,28 +55,44 @@
 }
 
 impl Discovery {
-    /// Listens at both addresses until the runtime ends.
-    pub(crate) async fn listen() -> Result<Arc<Discovery>> {
+    /// Listens at all addresses until the runtime ends.
+    pub(crate) async fn listen(schedulers: usize) -> Result<Arc<Discovery>> {
         let mut listeners = Vec::new();
-        for _ in 0..ADDRESSES {
-            listeners.push(TcpListener::bind("127.0.0.1:0").await?);
+        let mut addresses = Vec::new();
+        for scheduler in 0..schedulers {
+            let mut own = Vec::new();
+            for place in 0..ADDRESSES {
+                let listener = TcpListener::bind("127.0.0.1:0").await?;
+                own.push(listener.local_addr()?);
+                listeners.push((Place { scheduler, place }, listener));
+            }
+            addresses.push([own[0], own[1]]);
         }
-        let addresses: Result<Vec<_>, _> = listeners.iter().map(TcpListener::local_addr).collect();
         let discovery = Arc::new(Discovery {
             switches: DiscoverySwitches::default(),
-            addresses: addresses?,
+            addresses,
+            followed_by: (0..schedulers).map(|_| AtomicUsize::new(0)).collect(),
             active: AtomicUsize::new(0),
             changes: Mutex::new(Vec::new()),
         });
-        for (index, listener) in listeners.into_iter().enumerate() {
-            tokio::spawn(accept(Arc::clone(&discovery), index, listener));
+        for (place, listener) in listeners {
+            tokio::spawn(accept(Arc::clone(&discovery), place, listener));
         }
         Ok(discovery)
     }
 
-    /// The address that serves.
-    pub(crate) fn address(&self) -> SocketAddr {
-        self.addresses[self.active.load(Ordering::Relaxed)]
+    /// The address that serves a scheduler.
+    pub(crate) fn address(&self, scheduler: usize) -> SocketAddr {
+        self.addresses[scheduler][self.active.load(Ordering::Relaxed)]
+    }
+
+    /// Whether a scheduler follows the list at the address that serves.
+    pub(crate) fn is_followed_by(&self, scheduler: usize) -> bool {
+        self.followed_by[scheduler].load(Ordering::Relaxed) > 0
+    }
+
+    fn serves(&self, place: Place) -> bool {
+        self.active.load(Ordering::Relaxed) == place.place
     }
 
     /// Moves to the other address.
@@ -115,16 +134,29 @@
     }
 }
 
-async fn accept(discovery: Arc<Discovery>, index: usize, listener: TcpListener) {
+/// An address of the service: whose it is, and which of the two.
+#[derive(Clone, Copy, Debug)]
+struct Place {
+    scheduler: usize,
+    place: usize,
+}
+
+async fn accept(discovery: Arc<Discovery>, place: Place, listener: TcpListener) {
     while let Ok((stream, _)) = listener.accept().await {
-        if discovery.active.load(Ordering::Relaxed) == index && !discovery.switches.down.is_on() {
-            tokio::spawn(watch(Arc::clone(&discovery), index, stream));
+        if discovery.serves(place) && !discovery.switches.down.is_on() {
+            let discovery = Arc::clone(&discovery);
+            tokio::spawn(async move {
+                let followed_by = &discovery.followed_by[place.scheduler];
+                followed_by.fetch_add(1, Ordering::Relaxed);
+                watch(&discovery, place, stream).await;
+                followed_by.fetch_sub(1, Ordering::Relaxed);
+            });
         }
     }
 }
 
 /// Serves one watch until a fault, a move or its scheduler ends it.
-async fn watch(discovery: Arc<Discovery>, index: usize, mut stream: TcpStream) {
+async fn watch(discovery: &Discovery, place: Place, mut stream: TcpStream) {
     let mut offset = [0; 8];
     if stream.read_exact(&mut offset).await.is_err() {
         return;
@@ -133,7 +165,7 @@
     let mut quiet = Duration::ZERO;
     let mut at_old_address = Duration::ZERO;
     while !discovery.switches.down.is_on() && at_old_address < OLD_ADDRESS_LINGER {
-        let is_active = discovery.active.load(Ordering::Relaxed) == index;
+        let is_active = discovery.serves(place);
         let is_silent = discovery.switches.silent.is_on() || !is_active;
         let changes = if is_silent {
             Vec::new()
--- a/crates/fault-soak/src/run.rs
+++ b/crates/fault-soak/src/run.rs
@@ -102,6 +102,7 @@
     world.clients.switches.is_over.store(true, Ordering::Relaxed);
     sleep(LAST_ANSWERS).await;
     world.check_resources();
+    world.check_watches();
     let end = recorder.now();
     world.end_schedulers().await;
     let records = recorder.records();
@@ -149,7 +150,7 @@
 
 impl World {
     async fn build(seed: u64, size: &Size, programs: &Programs, recorder: &Arc<Recorder>) -> Result<World> {
-        let discovery = Discovery::listen().await?;
+        let discovery = Discovery::listen(size.schedulers).await?;
         let mut workers = Vec::new();
         for index in 0..size.workers {
             let worker = Arc::new(Worker::new(index, Arc::clone(recorder)));
@@ -187,7 +188,7 @@
             scheduler.index,
             self.schedulers.len(),
             scheduler.address,
-            self.discovery.address(),
+            self.discovery.address(scheduler.index),
             &self.discovery.known(),
         );
         scheduler.write_config(&config, bytes)
@@ -213,6 +214,15 @@
         }
     }
 
+    /// Every scheduler follows the endpoint list where it is told.
+    fn check_watches(&self) {
+        for scheduler in self.schedulers.iter().filter(|scheduler| !scheduler.has_ended()) {
+            if !self.discovery.is_followed_by(scheduler.index) {
+                self.record_broken(scheduler.incarnation(), "follows no discovery service".to_owned());
+            }
+        }
+    }
+
     fn record_broken(&self, incarnation: Incarnation, text: String) {
         let event = ProcessEvent::Broken(text);
         self.recorder.record(Event::Process { incarnation, event });
--- a/src/scheduler/tests/write_admission.rs
+++ b/src/scheduler/tests/write_admission.rs
@@ -137,6 +137,25 @@
     }
 }
 
+/// Two attempts may be written in the same instant, by a clock that stands still. The one that never ran takes back its
+/// own write, and not that of the other, which may have run.
+#[test]
+fn an_attempt_that_never_ran_takes_back_no_other_write() {
+    let mut scheduler = test_scheduler();
+    let instant = at_millis(1);
+    let may_have_run = sent_attempt(&submit(&mut scheduler, 1, KEYED_CLASS)).id;
+    scheduler.attempt_written(instant, may_have_run);
+    scheduler.attempt_ended(instant, may_have_run, connection_lost(WriteProgress::Written));
+    let missed = sent_attempt(&drain_commands(&mut scheduler)).id;
+    scheduler.attempt_written(instant, missed);
+    scheduler.attempt_ended(instant, missed, Ok(WorkerResponse::Miss));
+    let third = sent_attempt(&drain_commands(&mut scheduler)).id;
+    assert_eq!(
+        scheduler.check_attempt(at_millis(2_000), third),
+        Err(WriteDenied::DeduplicationWindowPassed)
+    );
+}
+
 /// The policy does not retry such a request itself; the check holds even if it did.
 #[test]
 fn a_non_idempotent_request_is_not_written_again_once_it_may_have_run() {
--- a/tests/policy/slow_start.rs
+++ b/tests/policy/slow_start.rs
@@ -180,3 +180,26 @@
         );
     }
 }
+
+/// The start is a time of the worker's wall clock, which may be ahead of this machine's, or this one's may have been stepped
+/// back. A worker cannot have started after it was listed: it warms up from then on, and not an hour later.
+#[test]
+fn a_worker_that_starts_in_the_future_by_this_clock_warms_up_all_the_same() {
+    let hour = Span::from_millis(3_600_000);
+    let mut sent_to_it = 0;
+    for index in 0..100 {
+        let settings = Settings {
+            fleet_size: 100,
+            index,
+            ..test_settings(OnMiss::Load)
+        };
+        let mut harness = PolicyHarness::new(settings, 1);
+        let from_the_future = endpoint_started_at(COLD_WORKER.0, harness.now + hour);
+        harness.update_endpoints(EndpointUpdateKind::Delta, vec![from_the_future]);
+        harness.advance_ms(20_000);
+        // Listed once more, as with any later change.
+        harness.update_endpoints(EndpointUpdateKind::Delta, vec![from_the_future]);
+        sent_to_it += harness.receive_and_place(request(1, u64::from(index))).len();
+    }
+    assert_eq!(sent_to_it, 100, "it is warm after 18 s");
+}
--- a/tests/server/reload.rs
+++ b/tests/server/reload.rs
@@ -67,6 +67,25 @@
     assert_eq!(client.next_frame(), Some(failed(4)), "the class is removed");
 }
 
+/// The signal comes while the file is being written, or while it cannot be read for a moment. Nobody signals once more:
+/// the configuration is taken as soon as it is whole.
+#[test]
+fn a_configuration_that_was_half_written_is_taken_once_it_is_whole() {
+    let worker = StandInWorker::node_agent();
+    let (discovery, moved) = (StandInDiscovery::new(), StandInDiscovery::new());
+    let scheduler = Configuration::new(&[worker.address()])
+        .discovery(discovery.address())
+        .start();
+    let _watch = discovery.accept();
+    let mut config = scheduler.config.clone();
+    config["bus"] = json!(moved.address().to_string());
+    let text = config.to_string();
+    assert_eq!(scheduler.reload(&text[..text.len() / 2]), ReloadResult::Refused);
+    scheduler.write_config(&text);
+    scheduler.wait_for_log("reloaded");
+    assert_eq!(moved.accept().offset, 1);
+}
+
 /// A reload shortens the time after which workers close idle connections: connections that are already open are closed
 /// within the new time, or a request could cross the worker's close.
 #[test]
