Retry a refused reload, date no start after its listing, tell writes apart by their attempt

(1) A reload read its files once: half written, or unreadable for a moment, it was refused for good, and the new address of discovery never taken up; it is now tried again for 3.1 s, unless what is wrong cannot pass. (2) A worker's start is a time of another machine's wall clock: ahead of this one's it counted as now until that time came, an hour of slow start; a process cannot have started after it was listed. (3) An attempt that never ran took back the write of another attempt at the same instant, so that a request that may have run counted as one that has not; writes are told apart by number.

--- a/src/cluster/worker.rs
+++ b/src/cluster/worker.rs
@@ -50,6 +50,14 @@
         }
     }
 
+    /// When its process started, if that is known to be no long time ago. The listed time is one of another machine's wall
+    /// clock, which may be ahead of this one's: no process has started after it was listed.
+    pub(crate) fn started_at(&self) -> Option<Time> {
+        self.endpoint
+            .started_at
+            .map(|started_at| started_at.min(self.listed_at))
+    }
+
     /// What is known of an instance; the default where nothing is.
     pub(crate) fn instance(&self, function: FunctionId) -> Instance {
         self.instances.get(&function).copied().unwrap_or_default()
--- a/src/policy/slow_start.rs
+++ b/src/policy/slow_start.rs
@@ -10,7 +10,7 @@
 impl Policy {
     /// How long ago a worker that is still warming up has started.
     pub(super) fn warm_up_age(&self, worker: &Worker) -> Option<Span> {
-        let age = self.now - worker.endpoint.started_at?;
+        let age = self.now - worker.started_at()?;
         Some(age).filter(|age| *age < self.settings.safety_limits.warm_up_duration)
     }
 
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -312,7 +312,7 @@
         }
         self.counters.attempts_written += 1;
         if let Some(request) = self.requests.get_mut(attempt.request) {
-            request.record_write(now);
+            request.record_write(attempt.number, now);
         }
     }
 
@@ -332,9 +332,9 @@
 
     /// An attempt has ended with a worker's response, or failed on the way.
     pub fn attempt_ended(&mut self, now: Time, id: AttemptId, result: Result<WorkerResponse, AttemptError>) {
-        let Some(attempt) = self.attempts.get(id) else {
+        if !self.attempts.contains(id) {
             return;
-        };
+        }
         let status = match &result {
             Ok(response) => response.status(),
             Err(error) => error.progress.failure_status(),
@@ -342,7 +342,7 @@
         if status.never_ran()
             && let Some(request) = self.requests.get_mut(id.request)
         {
-            request.retract_write(attempt.written_at);
+            request.retract_write(id.number);
         }
         if let Ok(WorkerResponse::Ok(body)) = result {
             self.serve(now, id.request, body);
--- a/src/scheduler/request_table.rs
+++ b/src/scheduler/request_table.rs
@@ -27,7 +27,8 @@
     /// When the client stops waiting.
     pub(super) deadline: Time,
     attempts_started: u16,
-    first_written_at: Option<Time>,
+    /// The first attempt that may have run: its number, and when it was written.
+    first_write: Option<(u16, Time)>,
 }
 
 impl PendingRequest {
@@ -44,7 +45,7 @@
             idempotency,
             deadline,
             attempts_started: 0,
-            first_written_at: None,
+            first_write: None,
         }
     }
 
@@ -55,7 +56,7 @@
 
     /// When the first attempt that may have run was written.
     pub(super) fn first_written_at(&self) -> Option<Time> {
-        self.first_written_at
+        self.first_write.map(|(_, written_at)| written_at)
     }
 
     /// The number of the next attempt, which is counted as started.
@@ -65,16 +66,14 @@
         number
     }
 
-    /// An attempt has been written completely: from now on the request may have run.
-    pub(super) fn record_write(&mut self, now: Time) {
-        self.first_written_at.get_or_insert(now);
+    /// The attempt of this number has been written completely: from now on the request may have run.
+    pub(super) fn record_write(&mut self, number: u16, now: Time) {
+        self.first_write.get_or_insert((number, now));
     }
 
-    /// An attempt that was written at this time turned out never to have run.
-    pub(super) fn retract_write(&mut self, written_at: Option<Time>) {
-        if self.first_written_at == written_at {
-            self.first_written_at = None;
-        }
+    /// The attempt of this number turned out never to have run.
+    pub(super) fn retract_write(&mut self, number: u16) {
+        self.first_write.take_if(|(written, _)| *written == number);
     }
 }
 
--- a/src/scheduler/tests/request_table.rs
+++ b/src/scheduler/tests/request_table.rs
@@ -68,12 +68,12 @@
 #[test]
 fn only_the_first_write_counts_and_only_its_own_retraction() {
     let mut request = pending_request(1);
-    request.record_write(at_millis(5));
-    request.record_write(at_millis(9));
+    request.record_write(0, at_millis(5));
+    request.record_write(1, at_millis(9));
     assert_eq!(request.first_written_at(), Some(at_millis(5)));
-    request.retract_write(Some(at_millis(9)));
+    request.retract_write(1);
     assert_eq!(request.first_written_at(), Some(at_millis(5)));
-    request.retract_write(Some(at_millis(5)));
+    request.retract_write(0);
     assert_eq!(request.first_written_at(), None);
 }
 
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -32,6 +32,7 @@
 use crate::vrrp::Event;
 use accept::Acceptor;
 use leader::LeaderElection;
+use reload::ReloadRetry;
 use shutdown::Shutdown;
 use signals::{SignalPipes, SignalRequest};
 use std::panic::{AssertUnwindSafe, catch_unwind};
@@ -63,6 +64,8 @@
     /// Without it this server always takes requests on the JSON-RPC frontend.
     leader_election: Option<LeaderElection>,
     signals: SignalPipes,
+    /// A refused reload that is to be tried again.
+    reload_retry: Option<ReloadRetry>,
     /// The graceful shutdown, once one has begun.
     shutdown: Option<Shutdown>,
 }
@@ -101,6 +104,7 @@
         }
         let now = self.reactor.now();
         self.acceptor.retry(now, &mut self.reactor, &mut self.scheduler);
+        self.retry_reload(now);
         self.update_leader(Event::TimerExpired);
         self.run_due_work();
         Ok(self.advance_shutdown())
@@ -114,6 +118,7 @@
             self.discovery.next_timer(),
             self.acceptor.next_timer(),
             self.shutdown_timer(),
+            self.reload_retry.map(|retry| retry.due_at),
             election_timer,
         ];
         timers.into_iter().flatten().min()
--- a/src/server/reload.rs
+++ b/src/server/reload.rs
@@ -5,11 +5,19 @@
 
 use super::accept::JsonRpcUpdate;
 use super::leader::LeaderElection;
+use super::transient::is_transient;
 use super::{Server, limits};
-use crate::config::{ConfigError, Configuration, SchedulerConfig, VrrpConfig};
+use crate::collections::ExponentialBackoff;
+use crate::config::{ConfigError, ConfigProblem, Configuration, SchedulerConfig, VrrpConfig};
+use crate::model::{Span, Time};
 use std::io;
 use thiserror::Error;
-use tracing::{info, warn};
+use tracing::{debug, info, warn};
+
+/// Delays before a refused reload is tried again. What the signal announced counts as known 4 s after it (page TERMS).
+const RETRY_BACKOFF: ExponentialBackoff = ExponentialBackoff::new(Span::from_millis(100), 4);
+/// How often a refused reload is tried again: for 3.1 s in all.
+const MAX_RETRIES: u32 = 5;
 
 /// Why a reload is refused.
 #[derive(Debug, Error)]
@@ -22,6 +30,20 @@
     JsonRpcSocket(io::Error),
 }
 
+impl ReloadError {
+    /// Whether the same reload may succeed a moment later: a file cannot be read, or may be half written, or the
+    /// system is short of something.
+    fn may_pass(&self) -> bool {
+        match self {
+            ReloadError::Configuration(error) => matches!(
+                error.problem,
+                ConfigProblem::Unreadable { .. } | ConfigProblem::Json(_) | ConfigProblem::Toml(_)
+            ),
+            ReloadError::JsonRpcSocket(error) => is_transient(error),
+        }
+    }
+}
+
 /// A setting that only takes effect at a start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum StartupSetting {
@@ -89,15 +111,50 @@
     jsonrpc: JsonRpcUpdate,
 }
 
+/// A reload that was refused for a reason that may pass, and is to be tried again.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ReloadRetry {
+    /// When it is tried.
+    pub(super) due_at: Time,
+    /// Tries before that.
+    tries: u32,
+}
+
 impl Server {
     /// Reads the configuration files again and applies them if both are valid.
     pub(super) fn reload(&mut self) {
+        self.try_reload(0);
+    }
+
+    /// Tries a refused reload again once that is due.
+    pub(super) fn retry_reload(&mut self, now: Time) {
+        if let Some(retry) = self.reload_retry.take_if(|retry| retry.due_at <= now) {
+            self.try_reload(retry.tries);
+        }
+    }
+
+    fn try_reload(&mut self, earlier_tries: u32) {
+        self.reload_retry = None;
         match self.validate_reload() {
             Ok(reload) => {
                 let kept = self.apply_reload(reload);
                 self.report_reload(&kept);
             }
-            Err(error) => warn!("reload refused why=\"{error}\""),
+            Err(error) => self.refuse_reload(&error, earlier_tries),
+        }
+    }
+
+    fn refuse_reload(&mut self, error: &ReloadError, earlier_tries: u32) {
+        if earlier_tries == 0 {
+            warn!("reload refused why=\"{error}\"");
+        } else {
+            debug!("reload still refused tries={earlier_tries} why=\"{error}\"");
+        }
+        if error.may_pass() && earlier_tries < MAX_RETRIES {
+            self.reload_retry = Some(ReloadRetry {
+                due_at: self.reactor.now() + RETRY_BACKOFF.delay(earlier_tries),
+                tries: earlier_tries + 1,
+            });
         }
     }
 
--- a/src/server/startup.rs
+++ b/src/server/startup.rs
@@ -103,6 +103,7 @@
             config,
             leader_election,
             signals,
+            reload_retry: None,
             shutdown: None,
         })
     }
