--- a/src/frontend/frame_connection.rs
+++ b/src/frontend/frame_connection.rs
@@ -13,7 +13,7 @@
 };
 use crate::scheduler::{Outcome, RequestOrigin, Response};
 use std::collections::BTreeSet;
-use tracing::warn;
+use tracing::{debug, warn};
 
 #[cfg(test)]
 mod tests;
@@ -293,8 +293,9 @@
 }
 
 impl Connection for FrameConnection {
-    fn opened(&mut self, _socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow {
+    fn opened(&mut self, socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow {
         context.scheduler.counters().accepted += 1;
+        debug!("client accepted connection={}", socket.id());
         ConnectionFlow::Continue
     }
 
--- a/src/scheduler/actions.rs
+++ b/src/scheduler/actions.rs
@@ -6,6 +6,7 @@
 use super::timers::Timer;
 use super::{AttemptId, Command, HealthCheckId, LoadOrderId, Outcome, Scheduler};
 use crate::model::{Action, FunctionId, RequestId, Span, Status, Time, WorkerId};
+use tracing::debug;
 
 impl Scheduler {
     pub(super) fn carry_out(&mut self, now: Time, action: Action) {
@@ -49,6 +50,10 @@
         };
         let deadline = (now + timeout).min(request.deadline);
         let payload = request.payload.clone();
+        debug!(
+            "attempt begun request={} attempt={} worker={:08x}",
+            id.0, attempt.number, worker.0
+        );
         self.attempts.insert(attempt, Attempt::new(worker, now, deadline));
         self.timers.schedule(deadline, Timer::Attempt(attempt));
         self.commands.push_back(Command::Send {
--- a/src/scheduler/completion.rs
+++ b/src/scheduler/completion.rs
@@ -7,6 +7,7 @@
     AttemptId, Command, HealthCheckId, LoadOrderId, LoadResult, Outcome, RequestOrigin, Response, Scheduler,
 };
 use crate::model::{Event, RequestId, Status, Time};
+use tracing::debug;
 
 impl Scheduler {
     /// Ends a request with a worker's response body.
@@ -55,6 +56,13 @@
     /// Gives a client the final response to its request.
     pub(super) fn respond(&mut self, origin: RequestOrigin, response: Response) {
         self.counters.count_response(&response.outcome);
+        debug!(
+            "request answered connection={} stream={} outcome={} expired={}",
+            origin.connection,
+            origin.stream,
+            response.outcome.name(),
+            response.expired
+        );
         self.commands.push_back(Command::Respond { origin, response });
     }
 
@@ -77,6 +85,10 @@
         };
         self.timers.cancel(attempt.deadline, Timer::Attempt(id));
         self.counters.count_attempt_end(status);
+        debug!(
+            "attempt ended request={} attempt={} status={status:?}",
+            id.request.0, id.number
+        );
         let request_finished = !self.requests.contains(id.request);
         let outcome = attempt.into_outcome(now, id, status, request_finished);
         self.pending_events.push_back(Event::AttemptFinished(outcome));
--- a/src/scheduler/messages.rs
+++ b/src/scheduler/messages.rs
@@ -133,6 +133,17 @@
     Failed,
 }
 
+impl Outcome {
+    /// Its name in the log.
+    pub(super) fn name(&self) -> &'static str {
+        match self {
+            Outcome::Served(_) => "served",
+            Outcome::Rejected { .. } => "rejected",
+            Outcome::Failed => "failed",
+        }
+    }
+}
+
 /// The one final response to a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Response {
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -279,6 +279,13 @@
         let pending = PendingRequest::new(origin, payload, idempotency, deadline);
         let overdue_at = pending.overdue_at();
         let id = self.requests.insert(pending);
+        debug!(
+            "request accepted request={} connection={} stream={} remaining_ms={}",
+            id.0,
+            origin.connection,
+            origin.stream,
+            (deadline - now).as_millis_rounded_up()
+        );
         self.timers.schedule(overdue_at, Timer::Request(id));
         self.load_orders.record_request(now, function);
         let incoming = IncomingRequest {
@@ -300,6 +307,7 @@
             return;
         };
         self.counters.cancelled_by_client += 1;
+        debug!("request cancelled request={}", id.0);
         self.remove_request(id);
         self.handle_event(now, Event::ClientDisconnected(id));
     }
@@ -311,6 +319,10 @@
             return;
         }
         self.counters.attempts_written += 1;
+        debug!(
+            "attempt written request={} attempt={}",
+            attempt.request.0, attempt.number
+        );
         if let Some(request) = self.requests.get_mut(attempt.request) {
             request.record_write(attempt.number, now);
         }
--- a/src/server/endpoints.rs
+++ b/src/server/endpoints.rs
@@ -5,6 +5,7 @@
 use crate::config::{CheckerEndpoint, OperatorConfig};
 use crate::discovery::{AddressChange, EndpointChange, WatchEvent};
 use crate::model::{Endpoint, Site, Time};
+use tracing::debug;
 
 impl Server {
     /// Applies the changes that discovery has received, and has it connect to the event bus when that is due.
@@ -43,6 +44,12 @@
     }
 
     fn apply_endpoint_change(&mut self, now: Time, change: EndpointChange) {
+        for endpoint in &change.endpoints {
+            debug!(
+                "endpoint listed worker={:08x} state={:?}",
+                endpoint.worker.0, endpoint.state
+            );
+        }
         for address_change in change.address_changes {
             self.apply_address_change(address_change);
         }
