--- a/tests/server/connection_limits.rs
+++ b/tests/server/connection_limits.rs
@@ -9,6 +9,8 @@
 use serde_json::json;
 use std::collections::BTreeSet;
 use std::net::TcpStream;
+use std::thread;
+use std::time::{Duration, Instant};
 
 #[test]
 fn more_clients_than_descriptors_do_not_stop_service() {
@@ -48,6 +50,31 @@
     assert_eq!(watch.offset, 1);
 }
 
+/// A client connects and sends its request while the system accepts nobody. Its time runs from then on: once it is accepted
+/// its worker must not be told of more time than it has left, 0.15 s aside.
+#[test]
+fn a_request_that_waited_to_be_accepted_has_only_the_time_that_is_left() {
+    const ALLOWED_MS: u64 = 5_000;
+    const WAITS: Duration = Duration::from_millis(600);
+    const SLACK_MS: u64 = 150;
+    let worker = StandInWorker::node_agent();
+    let scheduler = SchedulerProcess::start(&[worker.address()]);
+    scheduler.limit_descriptors(1);
+    let mut late = FrameClient::connect(&scheduler);
+    late.send_request(1, &request(IDEMPOTENT_CLASS, REQUEST_ID, ALLOWED_MS, b""));
+    let sent_at = Instant::now();
+    scheduler.wait_for_log("accept failed");
+    thread::sleep(WAITS);
+    scheduler.limit_descriptors(256);
+    let command = worker.next_request();
+    let waited_ms = sent_at.elapsed().as_millis() as u64;
+    let time_limit_ms = command.message["attrs"]["ttl"].as_u64().unwrap();
+    assert!(
+        time_limit_ms + waited_ms <= ALLOWED_MS + SLACK_MS,
+        "{time_limit_ms} ms are told after {waited_ms} ms"
+    );
+}
+
 /// Each client has a request open, and the worker answers none: a third of the descriptors is the clients', and those
 /// beyond what there is are rejected. None is closed without an answer.
 #[test]
