Count a request's time from when it came, not from when it was read

Cause: the deadline of a request was the time at which it was read plus what its client allows. Whatever lay in the socket before, because accept had failed, a turn had taken long or the process had not been let run, was given that time again: its worker was told of it, and its answer could come late. Class: the time of an event taken from the time of its handling. The reactor now says since when the input that is read may have been there (before a poll that returns at once: the poll before; after a poll that overslept: its beginning; on a client that waited to be accepted: the first failure), and both frontends count from there. A failing accept is tried up to 8 times before a pause.

--- a/src/frontend/frame_connection.rs
+++ b/src/frontend/frame_connection.rs
@@ -177,7 +177,7 @@
             return Err(ProtocolError::StreamReused);
         }
         let origin = request_origin(socket, stream);
-        let request = match decode_request(frame.payload, origin, context.now) {
+        let request = match decode_request(frame.payload, origin, context.input_since) {
             Ok(request) => request,
             Err(RequestError::Malformed(error)) => return Err(error.into()),
             Err(RequestError::Invalid(_)) => {
--- a/src/frontend/jsonrpc_connection.rs
+++ b/src/frontend/jsonrpc_connection.rs
@@ -193,7 +193,7 @@
         let request = ClientRequest {
             origin,
             correlation_id: correlation_id.unwrap_or_else(|| generated_correlation_id(origin)),
-            parameters: params.into_request_parameters(context.now),
+            parameters: params.into_request_parameters(context.input_since),
         };
         context.scheduler.submit(context.now, request);
     }
--- a/src/model/time.rs
+++ b/src/model/time.rs
@@ -40,6 +40,15 @@
     }
 }
 
+impl Add<Span> for Span {
+    type Output = Span;
+
+    /// The longest duration where the sum is longer still.
+    fn add(self, span: Span) -> Span {
+        Span(self.0.saturating_add(span.0))
+    }
+}
+
 impl Span {
     /// A duration of this many milliseconds; the longest one where that cannot be represented.
     pub const fn from_millis(milliseconds: u64) -> Span {
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -68,6 +68,9 @@
     pub scheduler: &'a mut Scheduler,
     /// The present time.
     pub now: Time,
+    /// No input that is read in this call came before this time. It is before `now` where the process was busy or
+    /// stopped, or where a client had to wait to be accepted: a request's time runs from when it came.
+    pub input_since: Time,
     /// Whether the scheduler takes requests.
     pub ready: bool,
     /// Whether this instance is the active VRRP router, and so takes requests over JSON-RPC; see
--- a/src/net/reactor/connections.rs
+++ b/src/net/reactor/connections.rs
@@ -32,6 +32,19 @@
         self.has_connection(id).then_some(id)
     }
 
+    /// Reads what is there on a connection, which may have waited since this time.
+    pub fn read_waiting_input(&mut self, id: u64, since: Time, scheduler: &mut Scheduler) {
+        self.set_input_since(id, Some(since));
+        self.call(id, scheduler, |entry, context| entry.handle_event(true, context));
+        self.set_input_since(id, None);
+    }
+
+    fn set_input_since(&mut self, id: u64, since: Option<Time>) {
+        if let Some(entry) = self.connections.get_mut(&id) {
+            entry.input_since = since;
+        }
+    }
+
     /// Adds a connection whose stream is still connecting; its id, or none where it closed at once.
     pub fn add_connecting(
         &mut self,
@@ -216,6 +229,7 @@
         Context {
             scheduler,
             now: self.clock.now(),
+            input_since: self.input_since,
             ready: self.ready,
             active: self.active,
         }
@@ -232,6 +246,9 @@
         let Some(entry) = self.connections.get_mut(&id) else {
             return;
         };
+        if let Some(since) = entry.input_since {
+            context.input_since = context.input_since.min(since);
+        }
         let unsent_before = entry.stream.unsent();
         let mut flow = entry.call(&mut context, callback);
         let unsent = entry.stream.unsent();
--- a/src/net/reactor/entry.rs
+++ b/src/net/reactor/entry.rs
@@ -17,6 +17,8 @@
 pub(super) struct Entry {
     pub(super) stream: BufferedStream,
     pub(super) connection: Box<dyn Connection>,
+    /// Since when the input that is being read may have waited, if that is longer than the last poll tells.
+    pub(super) input_since: Option<Time>,
     /// A client is at the other end.
     pub(super) is_client: bool,
     /// The time that the connection's timer is set to.
@@ -36,6 +38,7 @@
 impl Entry {
     pub(super) fn new(stream: BufferedStream, mut connection: Box<dyn Connection>) -> Entry {
         Entry {
+            input_since: None,
             is_client: connection.as_client().is_some(),
             stream,
             connection,
--- a/src/net/reactor/mod.rs
+++ b/src/net/reactor/mod.rs
@@ -32,6 +32,10 @@
 
 /// Events taken from the system at a time.
 const EVENT_CAPACITY: usize = 1024;
+/// A poll that returns within this time has not waited.
+const IMMEDIATE: Span = Span::from_millis(1);
+/// A poll that returns this much later than it should was not let run.
+const OVERSLEPT: Span = Span::from_millis(10);
 /// Added to the wait for a timer, so that the system, which rounds, doesn't end it a little early again and
 /// again.
 const TIMER_ROUNDING: Span = Span(50_000);
@@ -69,6 +73,10 @@
     /// At most one timer for each connection, by its id.
     timers: TimerQueue<u64>,
     last_poll_was_empty: bool,
+    /// When the last poll returned: it has reported all input that had come until then.
+    polled_at: Time,
+    /// What the last poll has reported did not come before this time.
+    input_since: Time,
     /// Bytes of output that wait to be written, on all connections together.
     unsent: usize,
     /// Beyond so many bytes of unsent output a connection that adds to it is closed, if its peer reads
@@ -99,6 +107,8 @@
             next_connection: token::FIRST_CONNECTION,
             timers: TimerQueue::default(),
             last_poll_was_empty: false,
+            polled_at: clock.now(),
+            input_since: clock.now(),
             unsent: 0,
             unsent_limit: usize::MAX,
             ready: false,
@@ -226,15 +236,34 @@
         });
         // A signal interrupts the wait and hides what the sockets have: that is asked for once more, as it
         // goes before the timers and the signal itself.
+        let entered_at = self.clock.now();
+        let asked_for = timeout;
         while let Err(error) = self.poll.poll(&mut self.events, timeout) {
             if error.kind() != io::ErrorKind::Interrupted {
                 return Err(error);
             }
             timeout = Some(Duration::ZERO);
         }
+        self.note_poll(entered_at, asked_for);
         Ok(())
     }
 
+    /// Notes since when the input that a poll has reported may have been there.
+    fn note_poll(&mut self, entered_at: Time, asked_for: Option<Duration>) {
+        let returned_at = self.clock.now();
+        let waited = returned_at - entered_at;
+        let overslept = asked_for.is_some_and(|timeout| waited > Span(timeout.as_nanos() as u64) + OVERSLEPT);
+        self.input_since = if waited < IMMEDIATE {
+            // It was there already, and came while the process was busy with the input before.
+            self.polled_at
+        } else if overslept {
+            entered_at
+        } else {
+            returned_at
+        };
+        self.polled_at = returned_at;
+    }
+
     fn ready_sources(&self) -> Vec<ReadySource> {
         self.events
             .iter()
--- a/src/server/accept.rs
+++ b/src/server/accept.rs
@@ -13,6 +13,8 @@
 
 /// Delay before clients are accepted again after the system could not accept one.
 const RETRY_DELAY: Span = Span::from_millis(50);
+/// Failures after which a turn of accepting ends.
+const MAX_FAILURES: u32 = 8;
 
 /// The JSON-RPC frontend's listener.
 #[derive(Debug)]
@@ -55,6 +57,8 @@
     jsonrpc: Option<JsonRpcListener>,
     /// Clients of the JSON-RPC frontend, also such as have closed since the last one was accepted.
     jsonrpc_clients: BTreeSet<u64>,
+    /// Since when clients may have waited, because the system or the limits let none be accepted.
+    blocked_since: Option<Time>,
     /// When to accept again from all listeners: the system reports a waiting client only once.
     retry_at: Option<Time>,
 }
@@ -66,6 +70,7 @@
             limits,
             jsonrpc,
             jsonrpc_clients: BTreeSet::new(),
+            blocked_since: None,
             retry_at: None,
         }
     }
@@ -135,14 +140,20 @@
     /// Accepts all clients that wait at a listener. A client that has been accepted may have sent a request, so that
     /// it is not dropped for want of descriptors: it is only accepted while there is one to reject it with.
     pub(super) fn accept(&mut self, listener: ListenerId, reactor: &mut Reactor, scheduler: &mut Scheduler) {
+        let mut failures = 0;
         loop {
             if !self.may_accept(reactor, scheduler) {
                 return self.schedule_retry("no descriptors left", reactor.now(), scheduler);
             }
             match reactor.accept(listener) {
-                Ok(None) => return,
+                Ok(None) => {
+                    self.blocked_since = None;
+                    return;
+                }
                 Ok(Some(stream)) => self.add_client(listener, stream, reactor, scheduler),
                 Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {}
+                // What fails now and then must not cost each client that waits a pause.
+                Err(_) if failures < MAX_FAILURES => failures += 1,
                 Err(error) => {
                     return self.schedule_retry(&error.to_string(), reactor.now(), scheduler);
                 }
@@ -167,6 +178,7 @@
         if scheduler.may_log(now) {
             warn!("accept failed why=\"{cause}\"");
         }
+        self.blocked_since.get_or_insert(now);
         self.retry_at = Some(now + RETRY_DELAY);
     }
 
@@ -196,7 +208,15 @@
             FrameConnection::shedding(reactor.now())
         };
         let limits = FrameConnection::buffer_limits();
-        reactor.add_connected(stream, Box::new(connection), limits, scheduler);
+        let client = reactor.add_connected(stream, Box::new(connection), limits, scheduler);
+        self.read_waiting_input(client, reactor, scheduler);
+    }
+
+    /// What a client has sent while it waited to be accepted has less time left.
+    fn read_waiting_input(&self, client: Option<u64>, reactor: &mut Reactor, scheduler: &mut Scheduler) {
+        if let (Some(client), Some(since)) = (client, self.blocked_since) {
+            reactor.read_waiting_input(client, since, scheduler);
+        }
     }
 
     fn add_jsonrpc_client(&mut self, stream: Stream, reactor: &mut Reactor, scheduler: &mut Scheduler) {
@@ -215,6 +235,7 @@
         let connection = Box::new(JsonRpcConnection::new(now, max_line));
         let limits = JsonRpcConnection::buffer_limits(max_line);
         let client = reactor.add_connected(stream, connection, limits, scheduler);
+        self.read_waiting_input(client, reactor, scheduler);
         self.jsonrpc_clients.extend(client);
     }
 
