Contain a panic in every part of a turn; find a listed address without a scan

By reading: a panic while a command is carried out, an event is handled or the endpoint list is applied ended the process with all its open requests; only timers and connections were contained. One function now contains each part of a turn. No such panic is known. The endpoint list looked through all workers for each record to find whose address it is, quadratic over a complete list; it keeps an index by address, with the same answer (its tests are unchanged).

--- a/src/discovery/endpoint_list.rs
+++ b/src/discovery/endpoint_list.rs
@@ -6,7 +6,8 @@
 
 use super::event::{EndpointRecord, WatchEvent};
 use crate::model::{Endpoint, EndpointState, EndpointUpdateKind, Time, WorkerId};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::hash_map::Entry;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 
 /// What one input to the list changes.
@@ -59,6 +60,8 @@
 pub(crate) struct EndpointList {
     /// Workers that watch events have named and that are not gone.
     watched: BTreeMap<WorkerId, Process>,
+    /// The same workers by their addresses. Only a draining worker shares its address with another.
+    watched_by_address: HashMap<SocketAddr, BTreeSet<WorkerId>>,
     /// Workers of the operator's file. A complete list of the watch leaves them in place.
     configured: Vec<Endpoint>,
 }
@@ -68,6 +71,7 @@
     pub(crate) fn new(configured: Vec<Endpoint>) -> EndpointList {
         EndpointList {
             watched: BTreeMap::new(),
+            watched_by_address: HashMap::new(),
             configured,
         }
     }
@@ -86,7 +90,9 @@
     pub(crate) fn set_configured(&mut self, configured: Vec<Endpoint>) -> Option<EndpointChange> {
         let previous = std::mem::replace(&mut self.configured, configured);
         let configured: BTreeSet<WorkerId> = self.configured_workers().collect();
-        self.watched.retain(|worker, _| !configured.contains(worker));
+        for worker in &configured {
+            self.forget(*worker);
+        }
         let mut change = EndpointChange::new(EndpointUpdateKind::Delta);
         for endpoint in previous {
             if !configured.contains(&endpoint.worker) {
@@ -166,10 +172,9 @@
 
     /// The first process of another worker that is listed at this address.
     fn other_process_at(&self, address: SocketAddr, worker: WorkerId) -> Option<Process> {
-        self.watched
-            .values()
-            .find(|process| process.worker != worker && process.address == address)
-            .copied()
+        let workers = self.watched_by_address.get(&address)?;
+        let other = workers.iter().find(|other| **other != worker)?;
+        self.watched.get(other).copied()
     }
 
     fn assign(&mut self, endpoint: &Endpoint, address: SocketAddr, change: &mut EndpointChange) {
@@ -181,7 +186,9 @@
             address,
             started_at,
         };
+        self.forget(worker);
         self.watched.insert(worker, process);
+        self.watched_by_address.entry(address).or_default().insert(worker);
         change.address_changes.push(AddressChange::Assigned {
             worker,
             address,
@@ -190,10 +197,23 @@
     }
 
     fn remove(&mut self, worker: WorkerId, change: &mut EndpointChange) {
-        self.watched.remove(&worker);
+        self.forget(worker);
         change.address_changes.push(AddressChange::Removed(worker));
     }
 
+    /// Forgets what was listed of a worker, if anything was.
+    fn forget(&mut self, worker: WorkerId) {
+        let Some(process) = self.watched.remove(&worker) else {
+            return;
+        };
+        if let Entry::Occupied(mut workers) = self.watched_by_address.entry(process.address) {
+            workers.get_mut().remove(&worker);
+            if workers.get().is_empty() {
+                workers.remove();
+            }
+        }
+    }
+
     fn configured_workers(&self) -> impl Iterator<Item = WorkerId> {
         self.configured.iter().map(|endpoint| endpoint.worker)
     }
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -100,7 +100,7 @@
             .poll(deadline, &mut self.scheduler)
             .map_err(ServerError::Poll)?;
         for event in events {
-            self.handle_event(event);
+            self.contain("event", |server| server.handle_event(event));
         }
         let now = self.reactor.now();
         self.acceptor.retry(now, &mut self.reactor, &mut self.scheduler);
@@ -166,27 +166,25 @@
     }
 
     /// Applies changes of the endpoint list, fires the scheduler's timers, and carries out its commands until
-    /// there is none left.
+    /// there is none left. A panic in one of these stops none of the others.
     fn run_due_work(&mut self) {
         let now = self.reactor.now();
-        self.poll_discovery(now);
-        self.fire_scheduler_timers(now);
+        self.contain("discovery", |server| server.poll_discovery(now));
+        if self.scheduler.next_timer().is_some_and(|at| at <= now) {
+            self.contain("timer", |server| server.scheduler.fire_timers(now));
+        }
         while let Some(command) = self.scheduler.next_command() {
-            self.execute(command);
+            self.contain("command", |server| server.execute(command));
         }
         self.pool.forget_ended(&self.scheduler);
     }
 
-    /// Fires the scheduler's timers that are due. A panic there concerns no connection that could be closed
-    /// for it; what it leaves undone is ended by the requests' deadlines.
-    fn fire_scheduler_timers(&mut self, now: Time) {
-        if self.scheduler.next_timer().is_none_or(|at| at > now) {
-            return;
-        }
-        let outcome = catch_unwind(AssertUnwindSafe(|| self.scheduler.fire_timers(now)));
-        if outcome.is_err() {
+    /// Does a part of the work. A panic there concerns no connection that could be closed for it; what it leaves
+    /// undone is ended by the requests' deadlines.
+    fn contain(&mut self, part: &str, work: impl FnOnce(&mut Server)) {
+        if catch_unwind(AssertUnwindSafe(|| work(self))).is_err() {
             self.scheduler.counters().panics += 1;
-            error!("panic timer");
+            error!("panic part={part}");
         }
     }
 
