Place a request in a large fleet without a copy of its order and a look-up for each worker

Cause: each placement copied its function's order of all workers and looked each of them up by id; maintenance did the same for each gold function before it asked whether this scheduler is the pair's owner. The order is now shared and holds places; the owner is asked first.

--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -24,6 +24,7 @@
 use crate::stats::{DecayingAverage, DecayingSum, decay_factor, half_life_factor};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
 
 /// Least weight of a worker in the hash order, whatever is listed.
 const MIN_WEIGHT: f64 = 0.01;
@@ -36,8 +37,9 @@
     pub(crate) workers: BTreeMap<WorkerId, Worker>,
     /// Work sent to each worker, in seconds. It outlives the worker's listing: a late list may leave it out.
     pub(crate) send_history: BTreeMap<WorkerId, EventLog>,
-    /// Orders of workers for functions, as computed since the endpoint list has changed.
-    hash_orders: BTreeMap<FunctionId, Vec<WorkerId>>,
+    /// Orders of workers for functions, as computed since the endpoint list has changed: the place of each among the
+    /// workers by their ids.
+    hash_orders: BTreeMap<FunctionId, Rc<[usize]>>,
     /// Whether a worker's listed weight counts in the hash orders.
     pub(crate) hashes_by_weight: bool,
     pub(crate) functions: BTreeMap<FunctionId, Function>,
@@ -84,14 +86,21 @@
 
     /// Workers in the order in which all schedulers try them for a function.
     pub(crate) fn hash_order(&mut self, function: FunctionId) -> Vec<WorkerId> {
-        let nodes = self.workers.iter().map(|(id, worker)| {
+        let places = self.hash_order_places(function);
+        let workers: Vec<WorkerId> = self.workers.keys().copied().collect();
+        places.iter().map(|place| workers[*place]).collect()
+    }
+
+    /// The same order, by the places of the workers among [`Cluster::workers`]. Fleets are large, and each request goes
+    /// by its function's order: it is shared, and needs no look-up by id.
+    pub(crate) fn hash_order_places(&mut self, function: FunctionId) -> Rc<[usize]> {
+        let nodes = self.workers.iter().enumerate().map(|(place, (id, worker))| {
             let weight = worker.endpoint.weight.clamp(MIN_WEIGHT, MAX_WEIGHT);
-            (*id, id.0, if self.hashes_by_weight { weight } else { 1.0 })
+            (place, id.0, if self.hashes_by_weight { weight } else { 1.0 })
         });
         let order = self.hash_orders.entry(function);
-        order
-            .or_insert_with(|| weighted_rendezvous_order(function.0, nodes))
-            .clone()
+        let order = order.or_insert_with(|| weighted_rendezvous_order(function.0, nodes).into());
+        Rc::clone(order)
     }
 
     /// Functions of the gold tier.
--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -70,8 +70,8 @@
             return self.give_up(id);
         }
         let function = request.function;
-        let order = self.cluster.hash_order(function);
-        let placement = self.placement(id, order);
+        let order = self.cluster.hash_order_places(function);
+        let placement = self.placement(id, &order);
         if !placement.candidates.iter().any(|c| c.has_room) {
             self.hold_back(id);
         } else if placement.candidates.iter().any(|c| c.is_promising) {
@@ -83,11 +83,13 @@
         }
     }
 
-    fn placement(&self, id: RequestId, order: Vec<WorkerId>) -> Placement {
+    /// What there is to choose from, the workers being given by their places in hash order.
+    fn placement(&self, id: RequestId, order: &[usize]) -> Placement {
         let request = &self.cluster.requests[&id];
         let function = &self.cluster.functions[&request.function];
         let demand = self.demand(function, request.class);
-        let workers = order.into_iter().map(|worker| &self.cluster.workers[&worker]);
+        let by_place: Vec<&Worker> = self.cluster.workers.values().collect();
+        let workers = order.iter().map(|place| by_place[*place]);
         let allowed = workers.filter(|worker| {
             worker.endpoint.is_ready()
                 && self.slow_start_admits(id, request.class, worker)
--- a/src/policy/prewarm.rs
+++ b/src/policy/prewarm.rs
@@ -26,13 +26,15 @@
     fn needs_prewarm(&self, worker: WorkerId, function: FunctionId) -> bool {
         let schedulers = u64::from(self.settings.fleet_size.max(1));
         let owner = mix64(function.0.rotate_left(32) ^ worker.0) % schedulers;
+        if owner != u64::from(self.settings.index) {
+            return false;
+        }
         let worker = &self.cluster.workers[&worker];
         let instance = worker.instance(function);
         let margin = self.settings.loading.keep_alive.mul_f64(RENEW_MARGIN);
         // The first order costs a load: one at a time for a worker and for a function floods nothing.
         let is_only_load = || worker.ordered_loads(self.now) == 0 && self.pending_loads(function) == 0;
-        owner == u64::from(self.settings.index)
-            && !instance.is_loaded(self.now + margin)
+        !instance.is_loaded(self.now + margin)
             && !worker.health.ejection.is_active(self.now)
             && (instance.is_loaded(self.now) || is_only_load())
     }
