--- a/crates/fault-soak/src/faults.rs
+++ b/crates/fault-soak/src/faults.rs
@@ -19,7 +19,7 @@
 /// How long the front still sends clients to a scheduler that was told to end, in milliseconds.
 const FRONT_GOES_ON_MS: std::ops::RangeInclusive<u64> = 200..=400;
 /// How long a worker drains before it is gone, and how long its address then stays empty.
-const DRAIN_TIME: Duration = Duration::from_millis(1_500);
+const DRAIN_TIMES_MS: std::ops::RangeInclusive<u64> = 1_500..=6_000;
 const EMPTY_TIME: Duration = Duration::from_millis(300);
 /// Parts of a thousand reads and writes that are cut short.
 const SHORT_IO_PER_MILLE: i64 = 500;
@@ -156,7 +156,7 @@
     world
         .discovery
         .publish(id, listed.address, WorkerState::Draining, false);
-    sleep(DRAIN_TIME).await;
+    sleep(Duration::from_millis(fastrand::u64(DRAIN_TIMES_MS))).await;
     world
         .discovery
         .publish(id, listed.address, WorkerState::Gone, false);
--- a/crates/fault-soak/src/invariants.rs
+++ b/crates/fault-soak/src/invariants.rs
@@ -86,6 +86,8 @@
     killed: HashMap<Incarnation, Duration>,
     /// When each worker was drained, and when it was ready again.
     drains: HashMap<usize, Vec<(Duration, Option<Duration>)>>,
+    /// When faults that delay the list began and ended.
+    list_delays: Vec<(Duration, bool)>,
     /// What has come to each worker.
     worker_arrivals: Vec<(usize, Duration, bool)>,
     findings: Vec<Finding>,
@@ -144,7 +146,14 @@
                 }
             }
             Event::Process { incarnation, event } => self.add_process_event(at, *incarnation, event),
-            Event::LoadArrived { .. } | Event::Fault { .. } => {}
+            Event::Fault {
+                begins, delays_list, ..
+            } => {
+                if *delays_list {
+                    self.list_delays.push((at, *begins));
+                }
+            }
+            Event::LoadArrived { .. } => {}
         }
         if let Event::Arrived {
             worker, is_prompt, ..
@@ -236,12 +245,28 @@
         Some((Promise::Unanswered, ended_at.copied().unwrap_or(due_at), text))
     }
 
+    /// How long after a change of the list it counts as told to everybody, where something was sent at a later time.
+    fn list_delay(&self, changed_at: Duration, sent_at: Duration) -> Duration {
+        let mut running = 0;
+        for (at, begins) in &self.list_delays {
+            if *at > sent_at {
+                break;
+            }
+            running += if *begins { 1 } else { -1 };
+            let is_recent = *at + TOLD_LIMIT > changed_at;
+            if is_recent {
+                return TOLD_LIMIT;
+            }
+        }
+        if running > 0 { TOLD_LIMIT } else { Duration::ZERO }
+    }
+
     fn check_drains(&self, lateness: &Lateness) -> Vec<Finding> {
         let mut findings = Vec::new();
         for (worker, at, is_prompt) in &self.worker_arrivals {
             let drains = self.drains.get(worker).into_iter().flatten();
             for (drained_at, ready_at) in drains {
-                let told_at = *drained_at + TOLD_LIMIT;
+                let told_at = *drained_at + self.list_delay(*drained_at, *at);
                 let limit = told_at + DRAIN_GRACE + SOCKET_SLACK + lateness.around(*at);
                 if *is_prompt && *at > limit && ready_at.is_none_or(|ready_at| *at < ready_at) {
                     findings.push(Finding {
--- a/crates/fault-soak/src/recorder.rs
+++ b/crates/fault-soak/src/recorder.rs
@@ -54,6 +54,8 @@
         number: usize,
         text: String,
         begins: bool,
+        /// While it lasts, and some time after, a scheduler may not have been told of what the list says.
+        delays_list: bool,
     },
     /// A scheduler was started, is ready, was told to end, was killed, has ended, or was found in a broken state.
     Process {
--- a/crates/fault-soak/src/report.rs
+++ b/crates/fault-soak/src/report.rs
@@ -129,7 +129,9 @@
 
 fn text_of(event: &Event) -> String {
     match event {
-        Event::Fault { number, text, begins } => {
+        Event::Fault {
+            number, text, begins, ..
+        } => {
             let word = if *begins { "begins" } else { "ends" };
             format!("fault {number} {word}: {text}")
         }
--- a/crates/fault-soak/src/run.rs
+++ b/crates/fault-soak/src/run.rs
@@ -127,6 +127,7 @@
                 number,
                 text: text.clone(),
                 begins,
+                delays_list: fault.kind.delays_list(),
             };
             world.recorder.record(event(true));
             faults::run(&world, &fault).await;
--- a/crates/fault-soak/src/schedule.rs
+++ b/crates/fault-soak/src/schedule.rs
@@ -68,6 +68,24 @@
     ClientsIdle,
 }
 
+impl FaultKind {
+    /// Whether a scheduler may get to know of a change of the endpoint list late.
+    pub(crate) fn delays_list(self) -> bool {
+        matches!(
+            self,
+            FaultKind::Terminate
+                | FaultKind::Kill
+                | FaultKind::Reload
+                | FaultKind::ReloadHalfWritten
+                | FaultKind::Pause
+                | FaultKind::SystemCall
+                | FaultKind::ShortIo
+                | FaultKind::DiscoveryDown
+                | FaultKind::DiscoverySilent
+        )
+    }
+}
+
 /// A fault with its time.
 #[derive(Clone, Debug)]
 pub(crate) struct PlannedFault {
--- a/crates/fault-soak/src/tests.rs
+++ b/crates/fault-soak/src/tests.rs
@@ -197,11 +197,26 @@
         is_prompt: true,
     };
     let draining = at(1_000, Event::Draining { worker: 2 });
-    assert_eq!(broken_promises(&[draining.clone(), at(5_400, load.clone())]), []);
+    let delay = |milliseconds, begins| {
+        let event = Event::Fault {
+            number: 0,
+            text: String::new(),
+            begins,
+            delays_list: true,
+        };
+        at(milliseconds, event)
+    };
+    let (begins, ends) = (delay(1_200, true), delay(1_400, false));
+    let sent_at = |milliseconds| at(milliseconds, load.clone());
+    assert_eq!(broken_promises(&[draining.clone(), sent_at(1_500)]), []);
     assert_eq!(
-        broken_promises(&[draining, at(5_700, load)]),
+        broken_promises(&[draining.clone(), sent_at(1_600)]),
         [Promise::SentWhileDraining]
     );
+    let delayed = [draining.clone(), begins.clone(), ends.clone(), sent_at(5_400)];
+    assert_eq!(broken_promises(&delayed), []);
+    let delayed = [draining, begins, ends, sent_at(5_700)];
+    assert_eq!(broken_promises(&delayed), [Promise::SentWhileDraining]);
     let crash = ProcessEvent::Ended {
         success: false,
         was_asked: false,
