--- a/tests/server/startup.rs
+++ b/tests/server/startup.rs
@@ -59,3 +59,20 @@
     scheduler.signal("TERM");
     assert!(scheduler.wait_for_exit().success());
 }
+
+/// For a moment there is no descriptor for anything, not even for the pipes of the signal handlers.
+#[test]
+fn the_start_outlasts_a_moment_without_descriptors() {
+    /// Room for the standard streams and for one file at a time, as the program is loaded.
+    const FEW: usize = 4;
+    let worker = StandInWorker::node_agent();
+    let configuration = Configuration::new(&[worker.address()]);
+    worker.serve(echo);
+    let address = refusing_address(Ipv4Addr::new(127, 0, 8, 4));
+    let mut scheduler = configuration.start_with_descriptors(address, FEW);
+    thread::sleep(PREDECESSOR_HOLDS);
+    assert!(!scheduler.has_ended(), "gave up at once");
+    scheduler.limit_descriptors(256);
+    assert!(scheduler.becomes_reachable());
+    FrameClient::connect(&scheduler).assert_ready();
+}
--- a/tests/support/configuration.rs
+++ b/tests/support/configuration.rs
@@ -70,6 +70,13 @@
         SchedulerProcess::spawn_with_stderr(self.folder, config, listen, stderr)
     }
 
+    /// Starts the process on this address with so few descriptors; returns at once.
+    pub(crate) fn start_with_descriptors(self, listen: SocketAddr, limit: usize) -> SchedulerProcess {
+        let mut config = self.json();
+        config["listen"] = json!(listen.to_string());
+        SchedulerProcess::spawn_with_descriptors(self.folder, config, listen, limit)
+    }
+
     /// Starts the process on this address with a named pipe as its configuration file, which it therefore waits for.
     pub(crate) fn start_with_config_pipe(self, listen: SocketAddr) -> SchedulerProcess {
         let mut config = self.json();
--- a/tests/support/scheduler_process.rs
+++ b/tests/support/scheduler_process.rs
@@ -91,6 +91,29 @@
         }
     }
 
+    /// Starts the program on this address with so few descriptors; returns at once.
+    pub(super) fn spawn_with_descriptors(
+        folder: TempFolder,
+        config: Value,
+        address: SocketAddr,
+        limit: usize,
+    ) -> SchedulerProcess {
+        std::fs::write(folder.file(CONFIG_FILE), config.to_string()).unwrap();
+        let mut command = Command::new("prlimit");
+        command
+            .arg(format!("--nofile={limit}:"))
+            .arg(env!("CARGO_BIN_EXE_function-scheduler"));
+        command.env("GW_CONFIG", folder.file(CONFIG_FILE));
+        command.stdin(Stdio::null()).stderr(Stdio::null());
+        SchedulerProcess {
+            child: command.spawn().unwrap(),
+            log: Arc::default(),
+            address,
+            folder,
+            config,
+        }
+    }
+
     /// Starts the program on this address with a configuration file that is a named pipe: it can only be read once
     /// [`SchedulerProcess::write_config`] has written it. Returns at once.
     pub(super) fn spawn_with_config_pipe(
