Outlast a moment without descriptors at the signal handlers too

Found by searching the start's class once more: the pipes of the signal handlers, now the first thing that a start asks for, were asked for once. They are tried again for 20 s like the rest.

--- a/src/server/signals.rs
+++ b/src/server/signals.rs
@@ -1,10 +1,12 @@
 //! Process signals, delivered to the event loop through pipes.
 
+use super::transient::{START_PATIENCE, START_RETRY_INTERVAL, is_transient};
 use crate::net::{PipeId, Reactor};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use std::io::{self, Read};
 use std::os::unix::net::UnixStream;
-use std::time::Duration;
+use std::thread;
+use std::time::{Duration, Instant};
 
 /// What a signal asks of the server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -51,12 +53,24 @@
 }
 
 impl Signals {
-    /// Installs the handlers.
+    /// Installs the handlers, with further tries after failures that pass by themselves.
     ///
     /// # Errors
     ///
     /// The system's, where it gives no pipe or refuses a handler.
     pub fn install() -> io::Result<Signals> {
+        let began_at = Instant::now();
+        loop {
+            match Signals::try_install() {
+                Err(error) if is_transient(&error) && began_at.elapsed() < START_PATIENCE => {
+                    thread::sleep(START_RETRY_INTERVAL);
+                }
+                result => return result,
+            }
+        }
+    }
+
+    fn try_install() -> io::Result<Signals> {
         let mut receivers = Vec::new();
         for request in SignalRequest::ALL {
             let reader = signal_pipe(request.signals())?;
--- a/src/server/startup.rs
+++ b/src/server/startup.rs
@@ -5,7 +5,7 @@
 use super::error::ServerError;
 use super::leader::LeaderElection;
 use super::signals::Signals;
-use super::transient::is_transient;
+use super::transient::{START_PATIENCE, START_RETRY_INTERVAL, is_transient};
 use super::{Server, limits};
 use crate::backend::Pool;
 use crate::config::{ConfigProblem, ConfigSources, Configuration, JsonRpcConfig, VrrpConfig};
@@ -14,15 +14,9 @@
 use crate::scheduler::Scheduler;
 use std::io;
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 use tracing::{info, warn};
 
-/// How long a start goes on after failures that pass by themselves. A process that is restarted has to be ready
-/// within 30 s (page STANDING).
-const START_PATIENCE: Duration = Duration::from_secs(20);
-/// Pause between two tries of a start.
-const START_RETRY_INTERVAL: Duration = Duration::from_millis(100);
-
 /// Sets a server up, with further tries after failures that pass by themselves; none if a shutdown is asked for
 /// meanwhile.
 ///
