Bound the loops of accept and wait; violations with ids; drop state that is never read

Cause: ECONNABORTED from accept and EINTR from epoll_wait were tried again without a bound, so that the event loop stood still for as long as they came on every call. Accept now gives up a turn after 8 failures in a row of any kind, a wait after 8 interruptions.

--- a/crates/fault-soak/src/schedule.rs
+++ b/crates/fault-soak/src/schedule.rs
@@ -107,7 +107,7 @@
     /// The system call that fails, its error, and how many of a thousand calls do.
     pub(crate) fn failing_call(&self) -> (SystemCall, i32, i64) {
         let cases = [
-            (SystemCall::Accept, nix::libc::ECONNABORTED, 1000),
+            (SystemCall::Accept, nix::libc::ECONNABORTED, 900),
             (SystemCall::Accept, nix::libc::ENFILE, 600),
             (SystemCall::Accept, nix::libc::ENOBUFS, 600),
             (SystemCall::Connect, nix::libc::EADDRNOTAVAIL, 700),
@@ -117,7 +117,7 @@
             (SystemCall::Socket, nix::libc::EMFILE, 500),
             (SystemCall::EpollControl, nix::libc::ENOMEM, 300),
             (SystemCall::EpollControl, nix::libc::ENOSPC, 1000),
-            (SystemCall::EpollWait, nix::libc::EINTR, 1000),
+            (SystemCall::EpollWait, nix::libc::EINTR, 800),
             (SystemCall::Receive, nix::libc::EINTR, 300),
             (SystemCall::Send, nix::libc::EINTR, 300),
             (SystemCall::Open, nix::libc::EMFILE, 1000),
--- a/src/frontend/lifecycle.rs
+++ b/src/frontend/lifecycle.rs
@@ -111,10 +111,11 @@
     context: &mut Context,
 ) {
     if !cause.is_remote() {
-        for _ in &streams {
+        for stream in &streams {
+            let ids = format_args!("connection={} stream={stream}", socket.id());
             context
                 .scheduler
-                .record_violation(context.now, Violation::UnansweredClose);
+                .record_violation(context.now, Violation::UnansweredClose, ids);
         }
     }
     cancel_requests(streams, socket, context);
--- a/src/net/reactor/mod.rs
+++ b/src/net/reactor/mod.rs
@@ -32,6 +32,8 @@
 
 /// Events taken from the system at a time.
 const EVENT_CAPACITY: usize = 1024;
+/// Interruptions in a row after which a wait is given up, so that timers and requests are not kept waiting.
+const MAX_INTERRUPTIONS: u32 = 8;
 /// A poll that returns within this time has not waited.
 const IMMEDIATE: Span = Span::from_millis(1);
 /// A poll that returns this much later than it should was not let run.
@@ -216,9 +218,9 @@
     /// The system's error where it can't be polled any more.
     pub fn poll(&mut self, until: Option<Time>, scheduler: &mut Scheduler) -> io::Result<Vec<ReactorEvent>> {
         self.last_poll_was_empty = false;
-        self.wait(until)?;
+        let was_polled = self.wait(until)?;
         let ready = self.ready_sources();
-        self.last_poll_was_empty = ready.is_empty();
+        self.last_poll_was_empty = was_polled && ready.is_empty();
         let events = ready
             .into_iter()
             .filter_map(|ready| self.dispatch(ready, scheduler))
@@ -227,8 +229,9 @@
         Ok(events)
     }
 
-    /// Waits for events, the first timer or `until`.
-    fn wait(&mut self, until: Option<Time>) -> io::Result<()> {
+    /// Waits for events, the first timer or `until`; false if the wait was interrupted again and again, so that nothing
+    /// is known of the sockets.
+    fn wait(&mut self, until: Option<Time>) -> io::Result<bool> {
         let wake_up = self.timers.next_expiry().into_iter().chain(until).min();
         let mut timeout = wake_up.map(|time| {
             let remaining = time - self.clock.now();
@@ -238,14 +241,17 @@
         // goes before the timers and the signal itself.
         let entered_at = self.clock.now();
         let asked_for = timeout;
-        while let Err(error) = self.poll.poll(&mut self.events, timeout) {
-            if error.kind() != io::ErrorKind::Interrupted {
-                return Err(error);
+        for _ in 0..MAX_INTERRUPTIONS {
+            match self.poll.poll(&mut self.events, timeout) {
+                Ok(()) => {
+                    self.note_poll(entered_at, asked_for);
+                    return Ok(true);
+                }
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => timeout = Some(Duration::ZERO),
+                Err(error) => return Err(error),
             }
-            timeout = Some(Duration::ZERO);
         }
-        self.note_poll(entered_at, asked_for);
-        Ok(())
+        Ok(false)
     }
 
     /// Notes since when the input that a poll has reported may have been there.
--- a/src/scheduler/attempts.rs
+++ b/src/scheduler/attempts.rs
@@ -13,8 +13,6 @@
     pub(super) deadline: Time,
     /// When it was admitted to be written, and its time limit was encoded.
     pub(super) write_began_at: Option<Time>,
-    /// When it had been written completely, if it has.
-    pub(super) written_at: Option<Time>,
     started_at: Time,
     /// The load report that came with the response; empty without one.
     load_report: Vec<f32>,
@@ -27,7 +25,6 @@
             worker,
             deadline,
             write_began_at: None,
-            written_at: None,
             started_at,
             load_report: Vec::new(),
         }
@@ -93,15 +90,6 @@
         }
     }
 
-    /// Notes that an attempt has been written completely; false if it has ended.
-    pub(super) fn record_write(&mut self, now: Time, id: AttemptId) -> bool {
-        let Some(attempt) = self.attempts.get_mut(&id) else {
-            return false;
-        };
-        attempt.written_at = Some(now);
-        true
-    }
-
     /// Keeps the load report that came with an attempt's response until the attempt ends.
     pub(super) fn record_load_report(&mut self, id: AttemptId, load_report: Vec<f32>) {
         if let Some(attempt) = self.attempts.get_mut(&id) {
--- a/src/scheduler/completion.rs
+++ b/src/scheduler/completion.rs
@@ -15,7 +15,7 @@
         let Some(request) = self.remove_request(id) else {
             return;
         };
-        self.check_response_time(now, request.deadline);
+        self.check_response_time(now, id, request.deadline);
         self.respond(
             request.origin,
             Response {
@@ -30,7 +30,7 @@
         let Some(request) = self.remove_request(id) else {
             return;
         };
-        self.check_response_time(now, request.deadline);
+        self.check_response_time(now, id, request.deadline);
         let expired = now + self.site.settings.tick >= request.deadline;
         self.respond(request.origin, Response { outcome, expired });
     }
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -315,7 +315,7 @@
     /// An attempt has been handed to the operating system completely.
     pub fn attempt_written(&mut self, now: Time, attempt: AttemptId) {
         self.check_written(now, attempt);
-        if !self.attempts.record_write(now, attempt) {
+        if !self.attempts.contains(attempt) {
             return;
         }
         self.counters.attempts_written += 1;
--- a/src/scheduler/tests/mod.rs
+++ b/src/scheduler/tests/mod.rs
@@ -4,6 +4,7 @@
 mod counters;
 mod endpoint_states;
 mod final_response;
+mod invariants;
 mod load_rate_limiter;
 mod log_limiter;
 mod recent_functions;
--- a/src/server/accept.rs
+++ b/src/server/accept.rs
@@ -13,7 +13,7 @@
 
 /// Delay before clients are accepted again after the system could not accept one.
 const RETRY_DELAY: Span = Span::from_millis(50);
-/// Failures after which a turn of accepting ends.
+/// Failures in a row after which a turn of accepting ends.
 const MAX_FAILURES: u32 = 8;
 
 /// The JSON-RPC frontend's listener.
@@ -150,9 +150,12 @@
                     self.blocked_since = None;
                     return;
                 }
-                Ok(Some(stream)) => self.add_client(listener, stream, reactor, scheduler),
-                Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {}
-                // What fails now and then must not cost each client that waits a pause.
+                Ok(Some(stream)) => {
+                    failures = 0;
+                    self.add_client(listener, stream, reactor, scheduler);
+                }
+                // What fails now and then, or concerns one client alone, must not cost each client that waits a pause;
+                // nor may it keep the event loop here.
                 Err(_) if failures < MAX_FAILURES => failures += 1,
                 Err(error) => {
                     return self.schedule_retry(&error.to_string(), reactor.now(), scheduler);
