--- /dev/null
+++ b/tests/server/discovery_outage.rs
@@ -0,0 +1,226 @@
+//! Workers that drain while the discovery service is out of reach.
+//!
+//! What was seen: in a validation with faults, discovery was out of reach of every scheduler for longer than its clocks
+//! for silence. Two busy workers began to drain just after the outage had begun, and stayed up. The schedulers went on
+//! sending them attempts and load orders long after the drain counted as notified and the grace period was over.
+//!
+//! How it came about: a change that discovery cannot deliver counts as notified all the same, 4 s after the outage began
+//! at the latest. A draining worker rejects what is new, which looks like a worker at capacity: it is tried again after
+//! a short pause.
+//!
+//! Cause: the endpoint list was kept without its age. Placement, load orders and the check before a write asked only
+//! what the list had last said, however long ago that was.
+//!
+//! Proof: with nothing else at fault, on real processes, these tests send to the draining workers for as long as the
+//! outage lasts, and stop doing so where the age of the list is asked, too.
+
+use crate::support::configuration::Configuration;
+use crate::support::discovery::{StandInDiscovery, WatchConnection, keep_alive_frame};
+use crate::support::frame_client::{FrameClient, code, frame, frame_type, request_to_function};
+use crate::support::request_id;
+use crate::support::scheduler_process::SchedulerProcess;
+use crate::support::settings::default_settings;
+use crate::support::worker::{StandInWorker, echo};
+use crate::support::worker_command::{CommandKind, ReceivedCommand, WorkerReply, WorkerStatus};
+use serde_json::{Value, json};
+use std::collections::BTreeSet;
+use std::io::Write;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+const WORKERS: usize = 6;
+const DRAINING_WORKERS: usize = 2;
+/// Functions that the clients call, each with another home among the workers.
+const FUNCTIONS: u32 = 12;
+/// What the settings allow after a drain has been notified.
+const GRACE: Duration = Duration::from_millis(500);
+/// A change counts as notified so long after the beginning of the outage, at the latest (page PROTOCOL, "Figures").
+const NOTIFIED_AFTER: Duration = Duration::from_secs(4);
+/// How much longer every time limit is on real sockets (page PROTOCOL).
+const SLACK: Duration = Duration::from_millis(50);
+/// Traffic before the outage: the schedulers know which workers have which functions.
+const WARM_UP: Duration = Duration::from_millis(1_000);
+const DRAIN_DELAY: Duration = Duration::from_millis(200);
+const OUTAGE: Duration = Duration::from_millis(8_000);
+/// The fraction of the requests, 0 to 1, that the remaining workers have to serve late in the outage.
+const MIN_SERVED: f64 = 0.95;
+
+/// A worker that can be told to drain: it then rejects new work, and keeps the times at which that came.
+#[derive(Clone, Default)]
+struct DrainSwitch {
+    is_draining: Arc<AtomicBool>,
+    new_work: Arc<Mutex<Vec<(Instant, Value)>>>,
+}
+
+impl DrainSwitch {
+    fn begin(&self) {
+        self.is_draining.store(true, Ordering::SeqCst);
+    }
+
+    fn reply_to(&self, command: &ReceivedCommand) -> Option<WorkerReply> {
+        let is_query = command.message["attrs"]["replicas"] == 0;
+        let is_new_work = matches!(command.kind(), CommandKind::Run | CommandKind::Load) && !is_query;
+        if !is_new_work || !self.is_draining.load(Ordering::SeqCst) {
+            return echo(command);
+        }
+        let arrival = (Instant::now(), command.message.clone());
+        self.new_work.lock().unwrap().push(arrival);
+        Some(WorkerReply::failure(WorkerStatus::AtCapacity))
+    }
+
+    /// New work that came later than this.
+    fn received_after(&self, limit: Instant) -> Vec<(Instant, Value)> {
+        let mut new_work = self.new_work.lock().unwrap().clone();
+        new_work.retain(|(at, _)| *at > limit);
+        new_work
+    }
+}
+
+/// Six workers, of which two can drain, a discovery service, and a scheduler that watches it.
+struct Deployment {
+    draining: Vec<DrainSwitch>,
+    discovery: StandInDiscovery,
+    watch: WatchConnection,
+    scheduler: SchedulerProcess,
+}
+
+impl Deployment {
+    fn start() -> Deployment {
+        let mut addresses = Vec::new();
+        let mut switches = Vec::new();
+        for _ in 0..WORKERS {
+            let worker = StandInWorker::node_agent();
+            let switch = DrainSwitch::default();
+            addresses.push(worker.address());
+            switches.push(switch.clone());
+            worker.serve(move |command| switch.reply_to(command));
+        }
+        let discovery = StandInDiscovery::new();
+        let mut settings = default_settings();
+        settings["contract"]["drainGraceNs"] = json!(GRACE.as_nanos() as u64);
+        let scheduler = Configuration::new(&addresses)
+            .settings(settings)
+            .discovery(discovery.address())
+            .start();
+        let mut watch = discovery.accept_from(1);
+        watch.send(&keep_alive_frame());
+        switches.truncate(DRAINING_WORKERS);
+        Deployment {
+            draining: switches,
+            discovery,
+            watch,
+            scheduler,
+        }
+    }
+}
+
+/// Requests at a steady rate on one connection.
+struct Traffic {
+    sender: thread::JoinHandle<Vec<(u32, Instant)>>,
+    receiver: thread::JoinHandle<BTreeSet<u32>>,
+}
+
+impl Traffic {
+    /// Sends requests for so long; each function in turn.
+    fn start(scheduler: &SchedulerProcess, interval: Duration, length: Duration) -> Traffic {
+        let mut client = FrameClient::connect(scheduler);
+        let mut output = client.stream.try_clone().unwrap();
+        let began_at = Instant::now();
+        let sender = thread::spawn(move || {
+            let mut sent = Vec::new();
+            for n in 1.. {
+                let at = began_at + interval * n;
+                if at > began_at + length {
+                    break;
+                }
+                thread::sleep(at.saturating_duration_since(Instant::now()));
+                let payload = request_to_function(n % FUNCTIONS + 1, &request_id(n), 2_000);
+                output
+                    .write_all(&frame(frame_type::REQUEST, n, &payload))
+                    .unwrap();
+                sent.push((n, Instant::now()));
+            }
+            output.shutdown(std::net::Shutdown::Write).unwrap();
+            sent
+        });
+        let receiver = thread::spawn(move || {
+            let mut served = BTreeSet::new();
+            while let Some(response) = client.next_response() {
+                if response.code() == code::SERVED {
+                    served.insert(response.stream);
+                }
+            }
+            served
+        });
+        Traffic { sender, receiver }
+    }
+
+    /// The fraction, 0 to 1, of the requests sent from then on that were served, once all have ended.
+    fn served_fraction_since(self, since: Instant) -> f64 {
+        let mut sent = self.sender.join().unwrap();
+        let served = self.receiver.join().unwrap();
+        sent.retain(|(_, at)| *at >= since);
+        assert!(!sent.is_empty(), "requests are sent until the end");
+        let served_late = sent.iter().filter(|(n, _)| served.contains(n)).count();
+        served_late as f64 / sent.len() as f64
+    }
+}
+
+/// What discovery does while it is out of reach.
+enum Unreachable {
+    /// Connections stay open and silent, new ones too.
+    Silent,
+    /// Connections are closed, and new ones are refused.
+    Refusing,
+}
+
+/// Two of six workers begin to drain in an outage of discovery, with a request in each interval.
+fn play_drain_in_an_outage(unreachable: &Unreachable, interval: Duration) {
+    let Deployment {
+        draining,
+        discovery,
+        mut watch,
+        scheduler,
+    } = Deployment::start();
+    let traffic = Traffic::start(&scheduler, interval, WARM_UP + OUTAGE);
+    thread::sleep(WARM_UP);
+    watch.send(&keep_alive_frame());
+    let outage_began_at = Instant::now();
+    // In the silent case both stay open to the end of the test.
+    let mut open = Some((discovery, watch));
+    if matches!(unreachable, Unreachable::Refusing) {
+        open = None;
+    }
+    thread::sleep(DRAIN_DELAY);
+    draining.iter().for_each(DrainSwitch::begin);
+    let served = traffic.served_fraction_since(outage_began_at + NOTIFIED_AFTER + GRACE);
+    drop(open);
+
+    let limit = outage_began_at + NOTIFIED_AFTER + GRACE + SLACK;
+    let late: Vec<(Instant, Value)> = draining
+        .iter()
+        .flat_map(|worker| worker.received_after(limit))
+        .collect();
+    let first = late.first().map(|(at, work)| (*at - outage_began_at, work));
+    assert!(
+        late.is_empty(),
+        "{} to draining workers, first {first:?}",
+        late.len()
+    );
+    assert!(
+        served >= MIN_SERVED,
+        "only {served:.3} of the requests were served"
+    );
+}
+
+#[test]
+fn draining_workers_get_nothing_new_while_discovery_is_silent() {
+    play_drain_in_an_outage(&Unreachable::Silent, Duration::from_millis(10));
+}
+
+#[test]
+fn draining_workers_get_nothing_new_from_a_scheduler_with_few_requests() {
+    play_drain_in_an_outage(&Unreachable::Refusing, Duration::from_millis(250));
+}
--- a/tests/server/main.rs
+++ b/tests/server/main.rs
@@ -3,6 +3,7 @@
 mod client_disconnect;
 mod connection_limits;
 mod correlation_ids;
+mod discovery_outage;
 mod discovery_watch;
 mod frame_frontend;
 mod frontend_equivalence;
