--- /dev/null
+++ b/src/cluster/acceptance.rs
@@ -0,0 +1,35 @@
+//! Which attempts a worker has accepted and rejected.
+
+use super::Attempt;
+use crate::model::{AttemptStatus, Time};
+
+/// The attempts that show whether a worker takes new work.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Acceptance {
+    last_accepted: Option<Time>,
+    rejections: u32,
+}
+
+impl Acceptance {
+    /// When the latest attempt was sent that the worker has accepted.
+    pub(crate) fn last_accepted(&self) -> Option<Time> {
+        self.last_accepted
+    }
+
+    /// How many attempts it has rejected since it last accepted one.
+    pub(crate) fn rejections(&self) -> u32 {
+        self.rejections
+    }
+
+    /// Records the end of an attempt.
+    pub(crate) fn record(&mut self, attempt: &Attempt, status: AttemptStatus) {
+        match status {
+            AttemptStatus::Ok => {
+                self.last_accepted = self.last_accepted.max(Some(attempt.sent_at));
+                self.rejections = 0;
+            }
+            AttemptStatus::AtCapacity => self.rejections = self.rejections.saturating_add(1),
+            _ => {}
+        }
+    }
+}
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -6,6 +6,7 @@
 //! here for functions and their loads, in `endpoints` for workers, in `traffic` for requests and attempts, and in
 //! `expiry` for what is dropped or decays.
 
+mod acceptance;
 mod endpoints;
 mod expiry;
 mod function;
--- a/src/cluster/tests/mod.rs
+++ b/src/cluster/tests/mod.rs
@@ -8,8 +8,8 @@
 
 use super::{Attempt, Cluster};
 use crate::model::{
-    CellId, ClassId, Endpoint, EndpointState, EndpointUpdateKind, FunctionId, IncomingRequest, KindId,
-    RequestId, Span, TenantId, Time, WorkerId, ZoneId,
+    CellId, ClassId, Endpoint, EndpointSource, EndpointState, EndpointUpdateKind, FunctionId,
+    IncomingRequest, KindId, RequestId, Span, TenantId, Time, WorkerId, ZoneId,
 };
 use crate::stats::DecayingAverage;
 
@@ -22,6 +22,7 @@
         zone: ZoneId((worker % 2) as u8),
         cell: CellId(0),
         state: EndpointState::Ready,
+        source: EndpointSource::Discovery,
         weight: 1.0,
         started_at: Some(Time(1)),
         kind: KindId(0),
--- a/src/cluster/worker.rs
+++ b/src/cluster/worker.rs
@@ -1,5 +1,6 @@
 //! Workers and their health.
 
+use super::acceptance::Acceptance;
 use super::{Attempt, Instance};
 use crate::collections::{AimdLimit, BackoffTimer, BurstCounter, Liveness};
 use crate::model::{AttemptStatus, Endpoint, FunctionId, Time};
@@ -25,6 +26,8 @@
     pub(crate) saturation: DecayingAverage,
     /// Its health.
     pub(crate) health: Health,
+    /// Whether it takes new work, by the attempts sent there.
+    pub(crate) acceptance: Acceptance,
 }
 
 /// The health of a worker.
@@ -106,6 +109,7 @@
         if let Some(reported) = reported_in_flight {
             self.load.report(reported);
         }
+        self.acceptance.record(attempt, status);
         self.load.end();
         self.instance_mut(attempt.function).end_request();
         was_silent
--- a/src/config/operator_file/mod.rs
+++ b/src/config/operator_file/mod.rs
@@ -5,7 +5,7 @@
 mod document;
 
 use super::error::{ConfigDocument, ConfigError, ConfigProblem};
-use crate::model::{Endpoint, Site, WorkerId};
+use crate::model::{Endpoint, EndpointSource, Site, WorkerId};
 use document::OperatorDocument;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
@@ -92,6 +92,7 @@
     fn endpoint(&self, site: &Site) -> JsonRpcWorkerEndpoint {
         let endpoint = Endpoint {
             worker: self.worker,
+            source: EndpointSource::Configuration,
             zone: site.zone_id(&self.zone),
             kind: site.kind_id(&self.kind),
             weight: self.weight,
--- a/src/config/scheduler_file/known_events.rs
+++ b/src/config/scheduler_file/known_events.rs
@@ -5,7 +5,7 @@
 use crate::config::error::ConfigProblem;
 use crate::config::worker::parse_worker_id;
 use crate::discovery::{EndpointRecord, WatchEvent, started_at};
-use crate::model::{CellId, Endpoint, EndpointState, EndpointUpdateKind, Site};
+use crate::model::{CellId, Endpoint, EndpointSource, EndpointState, EndpointUpdateKind, Site};
 
 /// The events by their offsets, whatever their order in the file.
 pub(super) fn parse(known: &KnownDocument, site: &Site) -> Result<Vec<WatchEvent>, ConfigProblem> {
@@ -40,6 +40,7 @@
         zone: site.zone_id(&document.zone),
         cell: CellId(document.cell),
         state: parse_state(&document.state)?,
+        source: EndpointSource::Discovery,
         weight: document.weight,
         started_at: started_at(document.started_at_unix_ms),
         kind: site.kind_id(&document.kind),
--- a/src/config/settings/convert.rs
+++ b/src/config/settings/convert.rs
@@ -88,6 +88,7 @@
         warm_up_duration: Span(document.warm_up_duration_ns),
         overload_multiple: document.overload_multiple,
         overload_window: Span(document.overload_window_ns),
+        drain_grace: Span(document.drain_grace_ns),
         load_rate_limit: load_rate_limit(loading),
     }
 }
--- a/src/config/settings/document.rs
+++ b/src/config/settings/document.rs
@@ -17,6 +17,9 @@
 /// Time limit of a load order where the settings give none: 10 s.
 const DEFAULT_LOAD_TIMEOUT_NS: u64 = 10_000_000_000;
 
+/// Time for which a draining worker may still be given new work where the settings give none: 500 ms.
+const DEFAULT_DRAIN_GRACE_NS: u64 = 500_000_000;
+
 #[derive(Deserialize)]
 #[serde(expecting = "struct Text")]
 pub(super) struct SettingsDocument {
@@ -91,6 +94,8 @@
     pub(super) overload_multiple: f64,
     #[serde(rename = "fallNs")]
     pub(super) overload_window_ns: u64,
+    #[serde(default = "default_drain_grace_ns", rename = "drainGraceNs")]
+    pub(super) drain_grace_ns: u64,
 }
 
 #[derive(Deserialize)]
@@ -181,3 +186,7 @@
 fn default_load_timeout_ns() -> u64 {
     DEFAULT_LOAD_TIMEOUT_NS
 }
+
+fn default_drain_grace_ns() -> u64 {
+    DEFAULT_DRAIN_GRACE_NS
+}
--- a/src/discovery/codec.rs
+++ b/src/discovery/codec.rs
@@ -8,7 +8,9 @@
 //! The format is that of "The event bus" in the platform's protocol page.
 
 use super::event::{EndpointRecord, WatchEvent, started_at};
-use crate::model::{CellId, Endpoint, EndpointState, EndpointUpdateKind, KindId, WorkerId, ZoneId};
+use crate::model::{
+    CellId, Endpoint, EndpointSource, EndpointState, EndpointUpdateKind, KindId, WorkerId, ZoneId,
+};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use thiserror::Error;
 
@@ -76,8 +78,11 @@
 /// What a frame says.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) enum Frame {
-    /// Nothing has changed; the connection works.
-    Heartbeat,
+    /// Nothing has changed since the event of this number; the connection works.
+    Heartbeat {
+        /// The number of the last event that the service has.
+        last_offset: u64,
+    },
     /// The endpoint list has changed.
     Event(WatchEvent),
 }
@@ -116,8 +121,9 @@
 
 /// Decodes what follows the length field.
 fn decode_body(header: &[u8; HEADER_LENGTH], records: &[u8]) -> Result<Frame, DecodeError> {
+    let offset = u64::from_be_bytes(bytes_at(header, frame_field::OFFSET));
     let kind = match header[frame_field::KIND] {
-        frame_kind::HEARTBEAT => return Ok(Frame::Heartbeat),
+        frame_kind::HEARTBEAT => return Ok(Frame::Heartbeat { last_offset: offset }),
         frame_kind::SNAPSHOT => EndpointUpdateKind::Snapshot,
         frame_kind::DELTA => EndpointUpdateKind::Delta,
         _ => return Err(DecodeError::UnknownFrameKind),
@@ -127,7 +133,7 @@
         return Err(DecodeError::TruncatedRecord);
     }
     Ok(Frame::Event(WatchEvent {
-        offset: u64::from_be_bytes(bytes_at(header, frame_field::OFFSET)),
+        offset,
         kind,
         endpoints: records.iter().map(decode_record).collect::<Result<_, _>>()?,
     }))
@@ -147,6 +153,7 @@
         zone: ZoneId(record[record_field::ZONE]),
         cell: CellId(u16::from_be_bytes(bytes_at(record, record_field::CELL))),
         state,
+        source: EndpointSource::Discovery,
         weight: f64::from(weight) / WEIGHT_PARTS,
         started_at: started_at(u64::from_be_bytes(bytes_at(record, record_field::STARTED_AT))),
         kind: KindId(record[record_field::KIND]),
--- a/src/discovery/mod.rs
+++ b/src/discovery/mod.rs
@@ -16,7 +16,7 @@
 pub use event::{EndpointRecord, WatchEvent, started_at};
 
 use crate::collections::ExponentialBackoff;
-use crate::model::{ConnectionId, Endpoint, EndpointUpdateKind, Span, Time};
+use crate::model::{ConnectionId, Endpoint, EndpointUpdateKind, Span, Time, WatchStatus};
 use crate::net::{BufferLimits, CloseCause};
 use crate::runtime::Reactor;
 use codec::{LENGTH_FIELD_LENGTH, MAX_FRAME_LENGTH};
@@ -26,7 +26,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tracing::warn;
-use watch_connection::{WatchConnection, WatchQueue};
+use watch_connection::{StatusChange, WatchConnection, WatchQueue};
 
 /// Delays before a new connection. They stay short: what the discovery service publishes counts as known to the
 /// scheduler whether it is connected or not.
@@ -63,6 +63,9 @@
         for event in known {
             queue.push(event);
         }
+        if watch_address.is_some() {
+            queue.record_status(now, WatchStatus::Requested);
+        }
         Discovery {
             endpoints: EndpointList::new(configured),
             watch_address,
@@ -93,6 +96,11 @@
         Some(self.endpoints.apply_watch_event(event))
     }
 
+    /// What became of the watch next, to be reported once [`Discovery::next_change`] has given all events.
+    pub(crate) fn next_status_change(&mut self) -> Option<StatusChange> {
+        self.queue.borrow_mut().status_changes.pop_front()
+    }
+
     /// Replaces the statically configured workers; `None` where there were and are none.
     pub(crate) fn set_configured(&mut self, configured: Vec<Endpoint>) -> Option<EndpointChange> {
         self.endpoints.set_configured(configured)
@@ -138,7 +146,13 @@
     /// once. It continues after the last event received; the end of the old one neither counts nor delays it.
     pub(crate) fn restart_watch(&mut self, now: Time, reactor: &mut Reactor) {
         let pending = std::mem::take(&mut self.queue.borrow_mut().events);
-        let queue = WatchQueue::new(pending, self.last_offset());
+        let mut queue = WatchQueue::new(pending, self.last_offset());
+        let status = if self.watch_address.is_some() {
+            WatchStatus::Disconnected
+        } else {
+            WatchStatus::Disabled
+        };
+        queue.record_status(now, status);
         self.queue = Rc::new(RefCell::new(queue));
         if let Some(connection) = self.connection.take() {
             reactor.close_connection(connection, CloseCause::NotNeeded);
--- a/src/discovery/tests/codec.rs
+++ b/src/discovery/tests/codec.rs
@@ -2,7 +2,9 @@
 
 use crate::discovery::codec::{DecodeError, DecodedFrame, Frame, MAX_FRAME_LENGTH, decode_frame};
 use crate::discovery::event::{EndpointRecord, WatchEvent, started_at};
-use crate::model::{CellId, Endpoint, EndpointState, EndpointUpdateKind, KindId, Time, WorkerId, ZoneId};
+use crate::model::{
+    CellId, Endpoint, EndpointSource, EndpointState, EndpointUpdateKind, KindId, Time, WorkerId, ZoneId,
+};
 
 const HEARTBEAT: u8 = 0;
 const SNAPSHOT: u8 = 1;
@@ -36,6 +38,7 @@
         zone: ZoneId(2),
         cell: CellId(2),
         state: EndpointState::Draining,
+        source: EndpointSource::Discovery,
         weight: 4.0,
         started_at: Some(Time(5_000_000)),
         kind: KindId(1),
@@ -65,9 +68,9 @@
 }
 
 #[test]
-fn a_heartbeat_carries_no_event() {
+fn a_heartbeat_carries_the_number_of_the_last_event_and_no_other() {
     let expected = DecodedFrame {
-        frame: Frame::Heartbeat,
+        frame: Frame::Heartbeat { last_offset: 41 },
         encoded_length: 13,
     };
     assert_eq!(decode_frame(&encode_frame(HEARTBEAT, &[])), Ok(Some(expected)));
--- a/src/discovery/watch_connection.rs
+++ b/src/discovery/watch_connection.rs
@@ -2,7 +2,7 @@
 
 use super::codec::{DecodeError, Frame, decode_frame};
 use super::event::WatchEvent;
-use crate::model::{Span, Time};
+use crate::model::{Span, Time, WatchStatus};
 use crate::net::{BufferedStream, CloseCause, Connection, ConnectionFlow};
 use crate::runtime::{Context, RuntimeState};
 use std::cell::RefCell;
@@ -13,11 +13,22 @@
 /// A connection without a frame for this long counts as dead: the discovery service sends a heartbeat each second.
 pub(super) const WATCH_SILENCE_TIMEOUT: Span = Span::from_millis(2_500);
 
+/// What became of the watch, and when.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct StatusChange {
+    /// When it happened, or the latest time before which it cannot have happened.
+    pub(crate) at: Time,
+    /// What happened.
+    pub(crate) status: WatchStatus,
+}
+
 /// What a connection of the watch leaves for [`Discovery`](super::Discovery), which shares it.
 #[derive(Debug)]
 pub(super) struct WatchQueue {
     /// Events in order, not yet applied.
     pub(super) events: VecDeque<WatchEvent>,
+    /// What became of the watch, in order; not yet reported. It holds once the events have been applied.
+    pub(super) status_changes: VecDeque<StatusChange>,
     /// The number of the last event received; a new connection continues after it.
     pub(super) last_offset: u64,
     /// The connection has ended and no other has been scheduled yet.
@@ -31,12 +42,35 @@
     pub(super) fn new(events: VecDeque<WatchEvent>, last_offset: u64) -> WatchQueue {
         WatchQueue {
             events,
+            status_changes: VecDeque::new(),
             last_offset,
             disconnected: true,
             failed_connections: 0,
         }
     }
 
+    /// Records what became of the watch.
+    pub(super) fn record_status(&mut self, at: Time, status: WatchStatus) {
+        self.status_changes.push_back(StatusChange { at, status });
+    }
+
+    /// Takes in what a frame says that cannot have come before `arrived_at`.
+    fn receive(&mut self, frame: Frame, arrived_at: Time) {
+        match frame {
+            // A service that lacks events which this scheduler has cannot say that there are no others.
+            Frame::Heartbeat { last_offset } if (1..self.last_offset).contains(&last_offset) => {
+                warn!(last_offset, "discovery service behind");
+            }
+            Frame::Heartbeat { .. } => self.record_status(arrived_at, WatchStatus::Confirmed),
+            // A new connection may repeat events; the list only moves forward.
+            Frame::Event(event) if event.offset <= self.last_offset => {}
+            Frame::Event(event) => {
+                self.record_status(arrived_at, WatchStatus::EventReceived);
+                self.push(event);
+            }
+        }
+    }
+
     /// Appends an event.
     pub(super) fn push(&mut self, event: WatchEvent) {
         self.last_offset = self.last_offset.max(event.offset);
@@ -59,16 +93,11 @@
         }
     }
 
-    fn handle_frame(&mut self, frame: Frame, now: Time) {
-        self.silent_at = now + WATCH_SILENCE_TIMEOUT;
+    fn handle_frame(&mut self, frame: Frame, context: &Context) {
+        self.silent_at = context.now + WATCH_SILENCE_TIMEOUT;
         let mut queue = self.queue.borrow_mut();
         queue.failed_connections = 0;
-        // A new connection may repeat events; the list only moves forward.
-        if let Frame::Event(event) = frame
-            && event.offset > queue.last_offset
-        {
-            queue.push(event);
-        }
+        queue.receive(frame, context.input_since);
     }
 
     fn handle_undecodable(&self, error: DecodeError, context: &mut Context) -> ConnectionFlow {
@@ -81,7 +110,9 @@
 impl Connection<RuntimeState> for WatchConnection {
     fn opened(&mut self, socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow {
         self.silent_at = context.now + WATCH_SILENCE_TIMEOUT;
-        socket.enqueue(&self.queue.borrow().last_offset.to_be_bytes());
+        let mut queue = self.queue.borrow_mut();
+        queue.record_status(context.now, WatchStatus::Requested);
+        socket.enqueue(&queue.last_offset.to_be_bytes());
         ConnectionFlow::Continue
     }
 
@@ -92,7 +123,7 @@
                 Ok(None) => break,
                 Ok(Some(decoded)) => {
                     consumed += decoded.encoded_length;
-                    self.handle_frame(decoded.frame, context.now);
+                    self.handle_frame(decoded.frame, context);
                 }
                 Err(error) => return self.handle_undecodable(error, context),
             }
@@ -117,9 +148,10 @@
         Some(self.silent_at)
     }
 
-    fn closed(&mut self, _socket: &BufferedStream, cause: CloseCause, _context: &mut Context) {
+    fn closed(&mut self, _socket: &BufferedStream, cause: CloseCause, context: &mut Context) {
         debug!(cause = cause.to_string(), "watch connection closed");
         let mut queue = self.queue.borrow_mut();
+        queue.record_status(context.now, WatchStatus::Disconnected);
         queue.disconnected = true;
         queue.failed_connections += 1;
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -48,6 +48,7 @@
 //!         warm_up_duration: Span::from_millis(18_000),
 //!         overload_multiple: 2.5,
 //!         overload_window: Span::from_millis(2_000),
+//!         drain_grace: Span::from_millis(500),
 //!         load_rate_limit: None,
 //!     },
 //!     permissions: Permissions {
@@ -75,6 +76,7 @@
 //!     zone: ZoneId(0),
 //!     cell: CellId(0),
 //!     state: EndpointState::Ready,
+//!     source: EndpointSource::Discovery,
 //!     weight: 1.0,
 //!     started_at: None,
 //!     kind: KindId(0),
@@ -117,9 +119,9 @@
 
 pub use model::{
     Action, AttemptOutcome, AttemptStatus, CellId, ClassId, ConnectionId, DeduplicationScope, DiscoveryMode,
-    Endpoint, EndpointState, EndpointUpdateKind, Event, FunctionId, HealthCheckStatus, Idempotency,
-    IncomingRequest, InstanceState, KindId, LoadMetric, LoadOutcome, LoadRateLimit, LoadStatus,
-    LoadingSettings, OnMiss, Permissions, Prices, RequestClass, RequestId, SafetyLimits, Settings, Site,
-    Span, StreamId, Tenant, TenantId, Time, WorkerId, ZoneId,
+    Endpoint, EndpointSource, EndpointState, EndpointUpdateKind, Event, FunctionId, HealthCheckStatus,
+    Idempotency, IncomingRequest, InstanceState, KindId, LoadMetric, LoadOutcome, LoadRateLimit, LoadStatus,
+    LoadingSettings, OnMiss, Permissions, Prices, RejectionCause, RequestClass, RequestId, SafetyLimits,
+    Settings, Site, Span, StreamId, Tenant, TenantId, Time, WatchStatus, WorkerId, ZoneId,
 };
-pub use policy::Policy;
+pub use policy::{ExpiredLease, Policy, WorkerUnavailable};
--- a/src/model/actions.rs
+++ b/src/model/actions.rs
@@ -2,6 +2,15 @@
 
 use super::{FunctionId, RequestId, Span, WorkerId};
 
+/// Why a request is rejected.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RejectionCause {
+    /// The workers could not serve it in time.
+    NotServed,
+    /// The endpoint list is stale, and no worker is confirmed to take new work.
+    NoConfirmedWorker,
+}
+
 /// What the policy decides on: the border between the policy and its host, which is the scheduler on real sockets or
 /// the adapter to the simulator. The host executes actions in the order in which the policy gives them.
 #[derive(Clone, Debug, PartialEq)]
@@ -29,6 +38,8 @@
         id: RequestId,
         /// How long the client should wait before it retries; zero for no advice.
         retry_after: Span,
+        /// Why it is rejected.
+        cause: RejectionCause,
     },
     /// Give the final response: failed, and the request may have run.
     Fail {
--- a/src/model/endpoints.rs
+++ b/src/model/endpoints.rs
@@ -14,6 +14,16 @@
     Gone,
 }
 
+/// Who has listed a worker.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum EndpointSource {
+    /// The discovery service, which publishes its changes.
+    #[default]
+    Discovery,
+    /// The configuration, which alone changes the entry.
+    Configuration,
+}
+
 /// An entry of the endpoint list.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Endpoint {
@@ -25,6 +35,8 @@
     pub cell: CellId,
     /// Its state.
     pub state: EndpointState,
+    /// Who has listed it.
+    pub source: EndpointSource,
     /// Its size in relation to other workers, without a unit. See [`Settings::weights_are_capacities`].
     ///
     /// [`Settings::weights_are_capacities`]: super::Settings::weights_are_capacities
@@ -64,3 +76,18 @@
         )
     }
 }
+
+/// What becomes of the watch of the endpoint list, as far as it says how old the list is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WatchStatus {
+    /// There is no discovery service to watch.
+    Disabled,
+    /// The discovery service has been asked, or is about to be asked, for what was published since the list.
+    Requested,
+    /// A change has arrived; others may follow it.
+    EventReceived,
+    /// All that was published before has arrived.
+    Confirmed,
+    /// The connection has ended.
+    Disconnected,
+}
--- a/src/model/mod.rs
+++ b/src/model/mod.rs
@@ -12,8 +12,8 @@
 mod tests;
 mod time;
 
-pub use actions::Action;
-pub use endpoints::{Endpoint, EndpointState, EndpointUpdateKind};
+pub use actions::{Action, RejectionCause};
+pub use endpoints::{Endpoint, EndpointSource, EndpointState, EndpointUpdateKind, WatchStatus};
 pub use events::{Event, IncomingRequest};
 pub use ids::{
     CellId, ClassId, ConnectionId, FunctionId, KindId, RequestId, StreamId, TenantId, WorkerId, ZoneId,
--- a/src/model/settings.rs
+++ b/src/model/settings.rs
@@ -100,6 +100,8 @@
     pub overload_multiple: f64,
     /// The window of `overload_multiple`.
     pub overload_window: Span,
+    /// How long new work may still be sent to a worker after its drain has been notified.
+    pub drain_grace: Span,
     /// Limit on load orders, where there is one.
     pub load_rate_limit: Option<LoadRateLimit>,
 }
--- a/src/model/tests.rs
+++ b/src/model/tests.rs
@@ -67,6 +67,7 @@
         warm_up_duration: Span(100),
         overload_multiple: 2.0,
         overload_window: Span(10),
+        drain_grace: Span(5),
         load_rate_limit: None,
     };
     let capacities = [0, 50, 100].map(|age| limits.capacity_at(Span(age)));
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -9,7 +9,7 @@
 use super::{Policy, Timer};
 use crate::cluster::{Attempt, Worker};
 use crate::collections::AimdBounds;
-use crate::model::{AttemptOutcome, AttemptStatus, RequestId, Span, Time};
+use crate::model::{AttemptOutcome, AttemptStatus, RejectionCause, RequestId, Span, Time};
 use rand_core::RngCore;
 
 /// Bounds of a worker's concurrency limit: the most requests of this scheduler in flight there.
@@ -137,7 +137,7 @@
         let is_late = is_overloaded && has_waited(request.latency_objective.mul_f64(OVERLOADED_MAX_WAIT));
         let is_hopeless = has_waited((request.deadline - request.received_at).mul_f64(MAX_WAIT));
         if is_late || is_hopeless || !self.may_retry(request.class, request.first_run()) {
-            self.reject_or_fail(id);
+            self.reject_or_fail(id, RejectionCause::NotServed);
         } else {
             self.schedule(RETRY_DELAY, Timer::Placement(id));
         }
--- a/src/policy/candidates.rs
+++ b/src/policy/candidates.rs
@@ -79,7 +79,7 @@
         let by_place: Vec<&Worker> = self.cluster.workers.values().collect();
         let workers = order.iter().map(|place| by_place[*place]);
         let allowed = workers.filter(|worker| {
-            worker.endpoint.is_ready()
+            self.is_available(worker)
                 && self.slow_start_admits(id, request.class, worker)
                 && self.may_retry_on(request, worker)
         });
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -7,6 +7,7 @@
 //! - `requests`: whether a request is retried, and how it ends;
 //! - `placement`: which worker it is sent to, out of the `candidates`;
 //! - `admission`: whether it is admitted, queued or shed, and the workers' concurrency limits;
+//! - `endpoint_lease`: until when a worker may be given new work, by the age of what is known of it;
 //! - `slow_start`: what a worker that is warming up may be sent;
 //! - `popularity`: the tiers of the functions, and how many instances are wanted;
 //! - `prewarm`: the load orders;
@@ -36,6 +37,7 @@
 
 mod admission;
 mod candidates;
+mod endpoint_lease;
 mod health;
 mod outcomes;
 mod placement;
@@ -44,10 +46,15 @@
 mod requests;
 mod slow_start;
 
+pub use endpoint_lease::{ExpiredLease, WorkerUnavailable};
+
 use crate::cluster::Cluster;
 use crate::collections::{BucketClock, ExponentialBackoff, TimerQueue};
-use crate::model::{Action, DiscoveryMode, EndpointUpdateKind, Event, RequestId, Settings, Span, Time};
+use crate::model::{
+    Action, DiscoveryMode, EndpointUpdateKind, Event, RejectionCause, RequestId, Settings, Span, Time,
+};
 use crate::stats::DecayingAverage;
+use endpoint_lease::ListLease;
 use rand_core::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
@@ -90,6 +97,7 @@
     /// The actions that the current event leads to, so far.
     actions: Vec<Action>,
     cluster: Cluster,
+    list_lease: ListLease,
     /// Mean fraction of the latency objective, 0 to 1, that attempts used, over all workers.
     saturation: DecayingAverage,
     /// Fraction of the workers, 0 to 1, that are at capacity, as last measured.
@@ -106,6 +114,7 @@
             timers: TimerQueue::default(),
             actions: Vec::new(),
             cluster: Cluster::default(),
+            list_lease: ListLease::default(),
             saturation: DecayingAverage::default(),
             fraction_at_capacity: 0.0,
         };
@@ -162,7 +171,7 @@
         while let Some(timer) = self.timers.pop_expired(self.now) {
             match timer {
                 Timer::Maintenance => self.run_maintenance(),
-                Timer::Deadline(id) => self.reject_or_fail(id),
+                Timer::Deadline(id) => self.reject_or_fail(id, RejectionCause::NotServed),
                 Timer::Placement(id) => self.place(id),
             }
         }
--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -7,7 +7,7 @@
 use super::{Policy, Timer};
 use crate::cluster::Request;
 use crate::collections::least_by_cost;
-use crate::model::{Action, OnMiss, RequestId, Span, WorkerId};
+use crate::model::{Action, OnMiss, RejectionCause, RequestId, Span, WorkerId};
 use rand_core::RngCore;
 
 /// Pause before a request that found no worker is placed again.
@@ -52,12 +52,15 @@
         let Some(request) = request else { return };
         request.awaits_load = false;
         if request.attempts() >= self.settings.permissions.max_attempts {
-            return self.reject_or_fail(id);
+            return self.reject_or_fail(id, RejectionCause::NotServed);
         }
         let function = request.function;
         let order = self.cluster.hash_order_places(function);
         let placement = self.placement(id, &order);
-        if !placement.candidates.iter().any(|c| c.has_capacity) {
+        if placement.candidates.is_empty() && self.lacks_leases() {
+            // Waiting brings no lease back, and the client may retry at another scheduler.
+            self.reject_or_fail(id, RejectionCause::NoConfirmedWorker);
+        } else if !placement.candidates.iter().any(|c| c.has_capacity) {
             self.queue_or_shed(id);
         } else if placement.candidates.iter().any(|c| c.is_presumed_warm) {
             self.place_warm(&placement, tie_break);
--- a/src/policy/prewarm.rs
+++ b/src/policy/prewarm.rs
@@ -64,7 +64,7 @@
         let is_bronze = self.is_bronze(function);
         let max_loads = if is_bronze { MAX_BRONZE_LOADS } else { MAX_LOADS };
         self.settings.permissions.may_order
-            && worker.endpoint.is_ready()
+            && self.is_available(worker)
             && (instance.is_loaded(self.now) || worker.ordered_loads(self.now) < max_loads)
             && instance.is_free_to_order(self.now)
             && self.load_rate_allows()
--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -3,7 +3,9 @@
 use super::placement::RETRY_DELAY;
 use super::{Policy, Timer};
 use crate::cluster::{Attempt, Request, Worker};
-use crate::model::{Action, AttemptOutcome, AttemptStatus, IncomingRequest, RequestId, Span, WorkerId};
+use crate::model::{
+    Action, AttemptOutcome, AttemptStatus, IncomingRequest, RejectionCause, RequestId, Span, WorkerId,
+};
 
 /// How long before the deduplication window ends a retry with an idempotency key must arrive.
 ///
@@ -27,7 +29,7 @@
         let last_tick = self.now + incoming.remaining - self.settings.tick;
         self.timers.schedule(last_tick, Timer::Deadline(id));
         if self.should_shed(class) {
-            self.reject_or_fail(id);
+            self.reject_or_fail(id, RejectionCause::NotServed);
         } else {
             self.place(id);
         }
@@ -65,7 +67,7 @@
             self.load_missing_instance(&attempt);
         }
         if is_over || !self.may_retry(attempt.class, first_run) {
-            self.reject_or_fail(id);
+            self.reject_or_fail(id, RejectionCause::NotServed);
         } else if is_out_of_resources {
             self.schedule(RETRY_DELAY, Timer::Placement(id));
         } else {
@@ -117,7 +119,7 @@
     }
 
     /// Ends a request unserved: rejected where a retry by the client is harmless, else failed.
-    pub(super) fn reject_or_fail(&mut self, id: RequestId) {
+    pub(super) fn reject_or_fail(&mut self, id: RequestId, cause: RejectionCause) {
         let request = self.cluster.requests.remove(&id);
         let Some(request) = request else { return };
         self.cancel_in_flight(id, &request);
@@ -126,7 +128,11 @@
             // The client is advised when to retry rather than kept waiting here.
             let max_retry_after = self.settings.permissions.max_retry_after;
             let retry_after = max_retry_after.map_or(Span(0), |max| max.min(RETRY_AFTER));
-            self.actions.push(Action::Reject { id, retry_after });
+            self.actions.push(Action::Reject {
+                id,
+                retry_after,
+                cause,
+            });
         } else {
             self.actions.push(Action::Fail { id });
         }
--- a/src/scheduler/counters.rs
+++ b/src/scheduler/counters.rs
@@ -74,6 +74,15 @@
     health_checks_failed,
     /// Updates of the endpoint list.
     endpoint_updates,
+    /// Times that the endpoint list has become stale.
+    endpoint_list_stale,
+    /// Leases of workers that expired while the endpoint list was stale.
+    worker_leases_expired,
+    /// Requests rejected because no worker was confirmed to take new work.
+    requests_rejected_unconfirmed,
+    /// Attempts and load orders held back at the last check before their write, because their worker was not confirmed
+    /// to take new work.
+    writes_denied_unconfirmed,
     /// Connections of clients accepted.
     client_connections_accepted,
     /// Connections opened to workers.
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -23,7 +23,7 @@
 //! | module | concern | called by |
 //! | --- | --- | --- |
 //! | `settings` | the site's settings, the memory limit | server |
-//! | `endpoint_states` | updates of the endpoint list, the state of each worker | event loop |
+//! | `endpoint_updates` | updates of the endpoint list, and how old it is | event loop, `timers` |
 //! | `intake` | requests: accepted, denied or cancelled | frontends |
 //! | `final_response` | the end of a request and its one response | the loop, `attempts`, `intake`, `timers` |
 //! | `attempts` | an attempt from its start to its end | the loop, backend, `timers` |
@@ -43,7 +43,7 @@
 mod attempts;
 mod command;
 mod counters;
-mod endpoint_states;
+mod endpoint_updates;
 mod errors;
 mod final_response;
 mod health_check_table;
@@ -80,7 +80,7 @@
 use crate::model::{Action, AttemptStatus, Event, Site, Time};
 use crate::policy::Policy;
 use attempt_table::AttemptTable;
-use endpoint_states::EndpointStates;
+use endpoint_updates::LeaseMonitor;
 use health_check_table::HealthCheckTable;
 use load_order_table::LoadOrderTable;
 use load_rate_limiter::LoadRateLimiter;
@@ -138,7 +138,7 @@
     health_checks: HealthCheckTable,
     /// Load orders and health checks share one sequence: correlation ids on the same connections are made of both.
     next_exchange_number: u64,
-    endpoint_states: EndpointStates,
+    lease_monitor: LeaseMonitor,
     load_rate_limiter: LoadRateLimiter,
     log_limiter: LogLimiter,
     timers: TimerQueue<Timer>,
@@ -160,7 +160,7 @@
             load_orders: LoadOrderTable::default(),
             health_checks: HealthCheckTable::default(),
             next_exchange_number: 0,
-            endpoint_states: EndpointStates::default(),
+            lease_monitor: LeaseMonitor::default(),
             load_rate_limiter: LoadRateLimiter::default(),
             log_limiter: LogLimiter::default(),
             timers: TimerQueue::default(),
@@ -210,7 +210,12 @@
                 };
                 self.cancel_attempt(now, attempt, AttemptStatus::Cancelled);
             }
-            Action::Reject { id, retry_after } => {
+            Action::Reject {
+                id,
+                retry_after,
+                cause,
+            } => {
+                self.note_rejection(id, cause);
                 self.finish_request(now, id, Outcome::Rejected { retry_after });
             }
             Action::Fail { id } => self.finish_request(now, id, Outcome::Failed),
--- a/src/scheduler/tests/counters.rs
+++ b/src/scheduler/tests/counters.rs
@@ -10,7 +10,8 @@
         attempts_ok=0 attempts_error=0 attempts_at_capacity=0 attempts_timeout=0 attempts_connect_failed=0 \
         attempts_reset=0 attempts_cancelled=0 attempts_expired=0 attempts_not_sent=0 attempts_miss=0 \
         load_orders_written=0 load_orders_rate_limited=0 health_checks=0 health_checks_failed=0 \
-        endpoint_updates=0 client_connections_accepted=0 worker_connections_opened=0 \
+        endpoint_updates=0 endpoint_list_stale=0 worker_leases_expired=0 requests_rejected_unconfirmed=0 \
+        writes_denied_unconfirmed=0 client_connections_accepted=0 worker_connections_opened=0 \
         client_connections_malformed=0 log_lines_suppressed=0 decode_errors=0 panics=0 \
         vrrp_advertisements_dropped=0 requests_failed_with_connection=0 event_registrations_failed=0 \
         clients_shed=0 violations=0";
--- a/src/scheduler/tests/mod.rs
+++ b/src/scheduler/tests/mod.rs
@@ -2,7 +2,7 @@
 
 mod attempts;
 mod counters;
-mod endpoint_states;
+mod endpoint_updates;
 mod final_response;
 mod invariants;
 mod load_rate_limiter;
--- a/src/scheduler/tests/write_admission.rs
+++ b/src/scheduler/tests/write_admission.rs
@@ -1,6 +1,7 @@
 //! The last check before the first byte of a command.
 
 use super::*;
+use crate::policy::WorkerUnavailable;
 use crate::scheduler::write_admission::WriteDenied;
 
 /// An attempt that waited for its connection while its worker began to drain must not be written.
@@ -21,11 +22,11 @@
     assert!(!scheduler.admits_load_order(at_millis(11), order));
     assert_eq!(
         scheduler.check_attempt(at_millis(11), sent.id),
-        Err(WriteDenied::WorkerNotReady)
+        Err(WriteDenied::WorkerUnavailable(WorkerUnavailable::NotReady))
     );
     assert_eq!(
         scheduler.check_load_order(at_millis(11), order),
-        Err(WriteDenied::WorkerNotReady)
+        Err(WriteDenied::WorkerUnavailable(WorkerUnavailable::NotReady))
     );
 
     let ready = endpoint_in_state(sent.worker, EndpointState::Ready);
--- a/src/scheduler/timers.rs
+++ b/src/scheduler/timers.rs
@@ -16,6 +16,8 @@
     LoadOrder(LoadOrderId),
     /// This health check has run out of time.
     HealthCheck(HealthCheckId),
+    /// The endpoint list, or a worker's lease, may have become stale.
+    EndpointLeases,
 }
 
 impl Scheduler {
@@ -40,6 +42,7 @@
             Timer::Attempt(id) => self.cancel_attempt(now, id, AttemptStatus::Timeout),
             Timer::LoadOrder(id) => self.time_out_load_order(now, id),
             Timer::HealthCheck(id) => self.time_out_health_check(id),
+            Timer::EndpointLeases => self.check_endpoint_leases(now),
         }
     }
 }
--- a/src/scheduler/write_admission.rs
+++ b/src/scheduler/write_admission.rs
@@ -9,6 +9,7 @@
 use super::request_table::OpenRequest;
 use super::{AttemptId, LoadOrderId, Scheduler};
 use crate::model::{Idempotency, Span, Time, WorkerId};
+use crate::policy::WorkerUnavailable;
 use thiserror::Error;
 use tracing::debug;
 
@@ -37,9 +38,9 @@
     /// An earlier attempt may have run and the workers may have forgotten its key.
     #[error("the deduplication window has passed")]
     DeduplicationWindowPassed,
-    /// The worker is draining or no longer on the endpoint list.
-    #[error("its worker takes no new work")]
-    WorkerNotReady,
+    /// The worker must not be given new work.
+    #[error(transparent)]
+    WorkerUnavailable(#[from] WorkerUnavailable),
     /// No client has requested the function recently.
     #[error("its function was not requested recently")]
     FunctionNotRequested,
@@ -57,6 +58,7 @@
                 true
             }
             Err(denied) => {
+                self.count_denied_write(denied);
                 debug!(
                     request = attempt.request.0,
                     attempt = attempt.number,
@@ -83,7 +85,14 @@
 
     /// Whether a load order may still be written at `now`; if so, it counts as written.
     pub fn admits_load_order(&mut self, now: Time, order: LoadOrderId) -> bool {
-        self.check_load_order(now, order).is_ok()
+        match self.check_load_order(now, order) {
+            Ok(()) => true,
+            Err(denied) => {
+                self.count_denied_write(denied);
+                debug!(order = order.0, cause = denied.to_string(), "load order denied");
+                false
+            }
+        }
     }
 
     /// Whether an attempt may be written, and why not.
@@ -94,7 +103,7 @@
         }
         let request = self.requests.get(id.request).ok_or(WriteDenied::RequestEnded)?;
         check_retry(now, request)?;
-        self.check_worker(attempt.worker)
+        self.check_worker(now, attempt.worker)
     }
 
     /// Whether a load order may be written, and why not. If it may, it is counted against the rate limit.
@@ -103,7 +112,7 @@
         if order.is_query() {
             return Ok(());
         }
-        self.check_worker(order.worker)?;
+        self.check_worker(now, order.worker)?;
         if !self.load_orders.is_for_requested_function(order) {
             return Err(WriteDenied::FunctionNotRequested);
         }
@@ -117,12 +126,15 @@
     }
 
     /// A change of the endpoint list holds from the moment it was published, which may be long before it
-    /// arrived here. So no grace period applies: nothing is written once a worker is known to drain.
-    fn check_worker(&self, worker: WorkerId) -> Result<(), WriteDenied> {
-        if self.endpoint_states.is_ready(worker) {
-            Ok(())
-        } else {
-            Err(WriteDenied::WorkerNotReady)
+    /// arrived here. So no grace period applies: nothing is written once a worker is known to drain. Since discovery
+    /// may be out of reach, the policy is asked again whether what is known of the worker still holds.
+    pub(super) fn check_worker(&self, now: Time, worker: WorkerId) -> Result<(), WriteDenied> {
+        Ok(self.policy.check_available(now, worker)?)
+    }
+
+    fn count_denied_write(&mut self, denied: WriteDenied) {
+        if denied == WriteDenied::WorkerUnavailable(WorkerUnavailable::LeaseExpired) {
+            self.counters.writes_denied_unconfirmed += 1;
         }
     }
 }
--- a/src/server/endpoints.rs
+++ b/src/server/endpoints.rs
@@ -14,6 +14,10 @@
             self.apply_endpoint_change(now, change);
         }
         self.discovery.poll_watch(now, &mut self.reactor);
+        while let Some(change) = self.discovery.next_status_change() {
+            let scheduler = &mut self.reactor.shared.scheduler;
+            scheduler.watch_changed(now, change.at, change.status);
+        }
     }
 
     /// Makes the statically configured workers known at the start.
--- a/src/simulator_codec/records.rs
+++ b/src/simulator_codec/records.rs
@@ -6,8 +6,8 @@
 use super::error::{RecordLocation, WireError};
 use super::ids::{InstanceId, ListId};
 use crate::{
-    AttemptOutcome, CellId, ClassId, Endpoint, EndpointUpdateKind, Event, FunctionId, IncomingRequest,
-    KindId, LoadOutcome, RequestId, Span, TenantId, Time, ZoneId,
+    AttemptOutcome, CellId, ClassId, Endpoint, EndpointSource, EndpointUpdateKind, Event, FunctionId,
+    IncomingRequest, KindId, LoadOutcome, RequestId, Span, TenantId, Time, ZoneId,
 };
 
 /// A record of a batch.
@@ -147,6 +147,7 @@
         zone: ZoneId(fields.u8()?),
         cell: CellId(fields.u16()?),
         state: fields.code()?,
+        source: EndpointSource::Discovery,
         worker: fields.worker()?,
         weight: f64::from(fields.f32()?),
         started_at: Some(Time(fields.u64()?)).filter(|started_at| started_at.0 > 0),
--- a/src/simulator_codec/reply.rs
+++ b/src/simulator_codec/reply.rs
@@ -78,7 +78,7 @@
     match action {
         Action::Send { id, worker, timeout } => fields.u32(id.0).u64(timeout.0).worker(*worker),
         Action::Cancel { id, attempt } => fields.u32(id.0).u16(*attempt),
-        Action::Reject { id, retry_after } => fields.u32(id.0).u64(retry_after.0),
+        Action::Reject { id, retry_after, .. } => fields.u32(id.0).u64(retry_after.0),
         Action::Fail { id } => fields.u32(id.0),
         Action::Load {
             worker,
--- a/tests/config/operator_file.rs
+++ b/tests/config/operator_file.rs
@@ -115,6 +115,7 @@
         .jsonrpc_worker_endpoints(&site(&settings).unwrap());
     let endpoint = |worker, zone, kind, weight| Endpoint {
         worker: WorkerId(worker),
+        source: EndpointSource::Configuration,
         zone: ZoneId(zone),
         kind: KindId(kind),
         weight,
--- a/tests/policy/admission.rs
+++ b/tests/policy/admission.rs
@@ -2,7 +2,9 @@
 
 use crate::support::policy_fixtures::{request, test_settings};
 use crate::support::policy_harness::{PolicyHarness, rejections_and_failures, workers_sent_to};
-use function_scheduler::{Action, AttemptStatus, IncomingRequest, OnMiss, RequestId, Settings, Span};
+use function_scheduler::{
+    Action, AttemptStatus, IncomingRequest, OnMiss, RejectionCause, RequestId, Settings, Span,
+};
 
 /// The policy once held requests that no worker could serve until just before their deadline.
 #[test]
@@ -18,6 +20,7 @@
     let rejection = Action::Reject {
         id: RequestId(1),
         retry_after: Span::from_millis(250),
+        cause: RejectionCause::NotServed,
     };
     let actions = harness.advance_ms(100);
     assert_eq!(
--- a/tests/policy/main.rs
+++ b/tests/policy/main.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod concurrency_limit;
+mod endpoint_lease;
 mod health;
 mod load_rate_limit;
 mod placement;
--- a/tests/server/discovery_outage.rs
+++ b/tests/server/discovery_outage.rs
@@ -15,16 +15,22 @@
 //! outage lasts, and stop doing so where the age of the list is asked, too.
 
 use crate::support::configuration::Configuration;
-use crate::support::discovery::{StandInDiscovery, WatchConnection, keep_alive_frame};
-use crate::support::frame_client::{FrameClient, code, frame, frame_type, request_to_function};
+use crate::support::discovery::{StandInDiscovery, WatchConnection, heartbeat_frame};
+use crate::support::frame_client::{
+    FrameClient, ReceivedFrame, code, frame, frame_type, request_to_function,
+};
+use crate::support::jsonrpc_client::operator_file;
+use crate::support::raw_worker::UnacceptingWorker;
 use crate::support::request_id;
 use crate::support::scheduler_process::SchedulerProcess;
 use crate::support::settings::default_settings;
+use crate::support::temp_folder::TempFolder;
 use crate::support::worker::{StandInWorker, echo};
 use crate::support::worker_command::{CommandKind, ReceivedCommand, WorkerReply, WorkerStatus};
 use serde_json::{Value, json};
 use std::collections::BTreeSet;
 use std::io::Write;
+use std::net::Shutdown;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -44,6 +50,8 @@
 const WARM_UP: Duration = Duration::from_millis(1_000);
 const DRAIN_DELAY: Duration = Duration::from_millis(200);
 const OUTAGE: Duration = Duration::from_millis(8_000);
+/// Time for the last responses, before the client leaves.
+const LAST_RESPONSES: Duration = Duration::from_millis(500);
 /// The fraction of the requests, 0 to 1, that the remaining workers have to serve late in the outage.
 const MIN_SERVED: f64 = 0.95;
 
@@ -104,8 +112,7 @@
             .settings(settings)
             .discovery(discovery.address())
             .start();
-        let mut watch = discovery.accept_from(1);
-        watch.send(&keep_alive_frame());
+        let watch = discovery.accept_from(1);
         switches.truncate(DRAINING_WORKERS);
         Deployment {
             draining: switches,
@@ -142,7 +149,8 @@
                     .unwrap();
                 sent.push((n, Instant::now()));
             }
-            output.shutdown(std::net::Shutdown::Write).unwrap();
+            thread::sleep(LAST_RESPONSES);
+            output.shutdown(Shutdown::Write).unwrap();
             sent
         });
         let receiver = thread::spawn(move || {
@@ -186,7 +194,7 @@
     } = Deployment::start();
     let traffic = Traffic::start(&scheduler, interval, WARM_UP + OUTAGE);
     thread::sleep(WARM_UP);
-    watch.send(&keep_alive_frame());
+    watch.send(&heartbeat_frame(1));
     let outage_began_at = Instant::now();
     // In the silent case both stay open to the end of the test.
     let mut open = Some((discovery, watch));
@@ -224,3 +232,74 @@
 fn draining_workers_get_nothing_new_from_a_scheduler_with_few_requests() {
     play_drain_in_an_outage(&Unreachable::Refusing, Duration::from_millis(250));
 }
+
+/// Settings under which the endpoint list is stale soon after the start, unless discovery confirms it.
+fn short_grace_settings() -> Value {
+    let mut settings = default_settings();
+    settings["contract"]["drainGraceNs"] = json!(100_000_000);
+    settings
+}
+
+/// Whether a response has a field of this name.
+fn has_field(response: &ReceivedFrame, name: &str) -> bool {
+    let name = [&[name.len() as u8][..], name.as_bytes()].concat();
+    response.payload.windows(name.len()).any(|bytes| bytes == name)
+}
+
+/// Without evidence the rule goes before the request: the client is told at once when to come back. The log alone says
+/// what happened, and service comes back with the next heartbeat.
+#[test]
+fn requests_are_rejected_at_once_while_no_worker_is_confirmed() {
+    let worker = StandInWorker::node_agent();
+    let address = worker.address();
+    worker.serve(echo);
+    let unresponsive = UnacceptingWorker::new();
+    let scheduler = Configuration::new(&[address])
+        .settings(short_grace_settings())
+        .discovery(unresponsive.address())
+        .start();
+    scheduler.wait_for_log("endpoint list stale");
+    let mut client = FrameClient::connect(&scheduler);
+    for n in 1..=3 {
+        let sent_at = Instant::now();
+        client.send_idempotent(n, 2_900, b"x");
+        let response = client.next_response().expect("a response comes");
+        assert_eq!((response.stream, response.code()), (n, code::REJECTED));
+        assert!(has_field(&response, "cooldown"), "{response:?}");
+        assert!(sent_at.elapsed() < Duration::from_millis(900), "at once");
+    }
+    scheduler.assert_counters([
+        ("endpoint_list_stale", 1),
+        ("worker_leases_expired", 1),
+        ("requests_rejected_unconfirmed", 3),
+        ("attempts_written", 0),
+    ]);
+    let discovery = StandInDiscovery::new();
+    scheduler.apply_change(|config| config["bus"] = json!(discovery.address().to_string()));
+    let _watch = discovery.accept_from(1);
+    let log = scheduler.wait_for_log("endpoint list confirmed");
+    assert!(log.contains("requests_rejected=3"), "{log}");
+    client.send_idempotent(4, 2_900, b"x");
+    client.expect_served(4, b"x");
+}
+
+/// Workers of the operator's file are not published by discovery, so their entries do not age.
+#[test]
+fn a_worker_of_the_operators_file_serves_without_discovery() {
+    let folder = TempFolder::new();
+    let path = folder.file("worker.sock");
+    StandInWorker::jsonrpc(&path).serve(echo);
+    let unresponsive = UnacceptingWorker::new();
+    let scheduler = Configuration::new(&[])
+        .settings(short_grace_settings())
+        .discovery(unresponsive.address())
+        .operator_file(|folder| {
+            operator_file(folder) + &format!("[[checkers]]\nid = \"s-0000c001\"\nsocket = {path:?}\n")
+        })
+        .start();
+    scheduler.wait_for_log("endpoint list stale");
+    let mut client = FrameClient::connect(&scheduler);
+    client.send_idempotent(1, 2_900, b"x");
+    client.expect_served(1, b"x");
+    scheduler.assert_counters([("worker_leases_expired", 0)]);
+}
--- a/tests/server/discovery_watch.rs
+++ b/tests/server/discovery_watch.rs
@@ -3,7 +3,7 @@
 use crate::support::configuration::Configuration;
 use crate::support::deployment::deploy_watching;
 use crate::support::discovery::{
-    StandInDiscovery, WorkerState, delta_event, keep_alive_frame, snapshot_event,
+    StandInDiscovery, WorkerState, delta_event, heartbeat_frame, snapshot_event,
 };
 use crate::support::frame_client::{FrameClient, request_to_function};
 use crate::support::raw_worker::UnacceptingWorker;
@@ -65,7 +65,7 @@
 #[test]
 fn silent_watch_is_replaced() {
     let (_worker, discovery, scheduler, mut watch) = deploy_watching(default_settings());
-    watch.send(&keep_alive_frame());
+    watch.send(&heartbeat_frame(1));
     let replacement = discovery.accept();
     assert_eq!(replacement.offset, 1);
     scheduler.wait_for_log("watch connection silent");
--- a/tests/simulator/actions.rs
+++ b/tests/simulator/actions.rs
@@ -3,7 +3,7 @@
 use super::support::simulator_wire::hex;
 use super::{FUNCTION, INSTANCE, OTHER_REQUEST, REQUEST, WORKER};
 use function_scheduler::simulator_codec::Reply;
-use function_scheduler::{Action, Span};
+use function_scheduler::{Action, RejectionCause, Span};
 
 #[test]
 fn actions_are_encoded_as_the_wire_page_writes_them() {
@@ -29,6 +29,7 @@
         Action::Reject {
             id: OTHER_REQUEST,
             retry_after: Span(250_000_000),
+            cause: RejectionCause::NotServed,
         },
         Action::HealthCheck { worker: WORKER },
         Action::Fail { id: OTHER_REQUEST },
--- a/tests/support/discovery.rs
+++ b/tests/support/discovery.rs
@@ -18,7 +18,7 @@
     Delta = 2,
 }
 
-/// A discovery service, which sends nothing by itself.
+/// A discovery service, which sends nothing by itself but a heartbeat on each new connection.
 pub(crate) struct StandInDiscovery {
     listener: TcpListener,
 }
@@ -44,15 +44,17 @@
         watch
     }
 
-    /// Waits for the next watch connection.
+    /// Waits for the next watch connection, and sends it a heartbeat: there is nothing new.
     pub(crate) fn accept(&self) -> WatchConnection {
         let (mut stream, _) = self.listener.accept().unwrap();
         let mut offset = [0; 8];
         stream.read_exact(&mut offset).unwrap();
-        WatchConnection {
+        let mut watch = WatchConnection {
             stream,
             offset: u64::from_be_bytes(offset),
-        }
+        };
+        watch.try_send(&heartbeat_frame(watch.offset));
+        watch
     }
 }
 
@@ -102,9 +104,9 @@
     )
 }
 
-/// The heartbeat that the service sends each second.
-pub(crate) fn keep_alive_frame() -> Vec<u8> {
-    [&[0, 0, 0, 9][..], &[0; 9]].concat()
+/// The heartbeat that the service sends each second, with the number of its last event.
+pub(crate) fn heartbeat_frame(number: u64) -> Vec<u8> {
+    [&[0, 0, 0, 9][..], &number.to_be_bytes(), &[0]].concat()
 }
 
 fn event_frame(kind: EventKind, number: u64, record: &[u8]) -> Vec<u8> {
--- a/tests/support/policy_fixtures.rs
+++ b/tests/support/policy_fixtures.rs
@@ -2,9 +2,9 @@
 
 use function_scheduler::{
     AttemptOutcome, AttemptStatus, CellId, ClassId, DeduplicationScope, DiscoveryMode, Endpoint,
-    EndpointState, FunctionId, Idempotency, IncomingRequest, InstanceState, KindId, LoadingSettings, OnMiss,
-    Permissions, Prices, RequestClass, RequestId, SafetyLimits, Settings, Span, TenantId, Time, WorkerId,
-    ZoneId,
+    EndpointSource, EndpointState, FunctionId, Idempotency, IncomingRequest, InstanceState, KindId,
+    LoadingSettings, OnMiss, Permissions, Prices, RequestClass, RequestId, SafetyLimits, Settings, Span,
+    TenantId, Time, WorkerId, ZoneId,
 };
 
 /// The class of [`test_settings`] whose requests may be repeated freely.
@@ -41,6 +41,7 @@
             warm_up_duration: Span::from_millis(18_000),
             overload_multiple: 2.5,
             overload_window: Span::from_millis(2_000),
+            drain_grace: Span::from_millis(500),
             load_rate_limit: None,
         },
         permissions: Permissions {
@@ -80,6 +81,7 @@
         zone: ZoneId(0),
         cell: CellId((worker % 2) as u16),
         state: EndpointState::Ready,
+        source: EndpointSource::Discovery,
         weight: 1.0,
         started_at: None,
         kind: KindId(0),
--- a/tests/support/policy_harness.rs
+++ b/tests/support/policy_harness.rs
@@ -3,7 +3,7 @@
 use super::policy_fixtures::{attempt_outcome, ready_endpoint};
 use function_scheduler::{
     Action, AttemptStatus, Endpoint, EndpointUpdateKind, Event, FunctionId, IncomingRequest, LoadOutcome,
-    LoadStatus, Policy, RequestId, Settings, Span, Time, WorkerId,
+    LoadStatus, Policy, RequestId, Settings, Span, Time, WatchStatus, WorkerId,
 };
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -88,6 +88,16 @@
         self.handle(Event::EndpointsUpdated { kind, endpoints });
     }
 
+    /// The watch of the endpoint list changes now.
+    pub(crate) fn watch_changed(&mut self, status: WatchStatus) {
+        self.policy.watch_changed(self.now, status);
+    }
+
+    /// The policy, to be asked what it knows.
+    pub(crate) fn policy(&self) -> &Policy {
+        &self.policy
+    }
+
     /// Lets time pass, with a timer event at each step of the clock.
     pub(crate) fn advance(&mut self, span: Span) -> Vec<Action> {
         let end = self.now + span;
--- a/tests/support/settings.rs
+++ b/tests/support/settings.rs
@@ -86,10 +86,11 @@
     settings
 }
 
-/// The settings of a large fleet, with a connect timeout that no test reaches.
+/// The settings of a large fleet, with a connect timeout and a grace period for drains that no test reaches.
 pub(crate) fn slow_connect_settings() -> Value {
     let mut settings = large_fleet_settings();
     settings["bounds"]["connectTimeoutNs"] = json!(15_000_000_000u64);
+    settings["contract"]["drainGraceNs"] = json!(20_000_000_000u64);
     settings
 }
 
