Failing test: with short deadlines a shutdown outlasts the earliest kill

Cause: SIGKILL may come the longest deadline, counted as 3 s at most, and 0.7 s after SIGTERM. The code counts it as 3 s at least. Change: the test of a client that keeps sending takes the deadline as a parameter, 3 s as before and 0.3 s.

--- a/tests/server/shutdown.rs
+++ b/tests/server/shutdown.rs
@@ -1,7 +1,7 @@
 //! Graceful shutdown on SIGTERM: clients are notified, open and new requests are answered, and the program ends.
 
 use crate::support::configuration::Configuration;
-use crate::support::deployment::{deploy, deploy_jsonrpc, deploy_watching};
+use crate::support::deployment::{deploy, deploy_jsonrpc, deploy_watching, deploy_with_settings};
 use crate::support::discovery::StandInDiscovery;
 use crate::support::frame_client::{
     FrameClient, ReceivedFrame, code, decode_frames, frame_type, go_away, idempotent_frame, request, served,
@@ -224,21 +224,26 @@
     }
 }
 
-/// A client that ignores the notice keeps requests open at a worker that answers none. The process is killed once the
-/// longest deadline and 0.7 s have passed since SIGTERM (page PROTOCOL): it has to have answered all of them by then.
-#[test]
-fn a_client_that_keeps_sending_does_not_hold_the_shutdown_up() {
-    const INTERVAL: Duration = Duration::from_millis(100);
-    const REQUESTS: u32 = 60;
-    const KILLED_AFTER: Duration = Duration::from_millis(3_700);
+/// A client that ignores the notice keeps requests open at a worker that answers none, until the process is killed. By
+/// then it has to have answered all of them, and to have ended.
+fn end_before_the_kill(deadline_ms: u64) {
+    const INTERVAL: Duration = Duration::from_millis(50);
+    const REQUESTS: u32 = 120;
     /// A request that crosses the end of its connection by less is sent again.
     const CROSSING: Duration = Duration::from_millis(50);
-    let (worker, mut scheduler, mut client) = deploy();
+    // The longest deadline, which counts as 3 s at most, and 0.7 s (page PROTOCOL).
+    let killed_after = Duration::from_millis(deadline_ms.min(3_000) + 700);
+    let mut settings = default_settings();
+    for class in settings["classes"].as_array_mut().expect("there are classes") {
+        class["deadlineNs"] = json!(deadline_ms * 1_000_000);
+        class["objectiveNs"] = json!(deadline_ms * 500_000);
+    }
+    let (worker, mut scheduler, mut client) = deploy_with_settings(settings);
     let mut output = client.stream.try_clone().unwrap();
     let sender = thread::spawn(move || {
         let mut sent = Vec::new();
         for n in 1..=REQUESTS {
-            if output.write_all(&idempotent_frame(n, 2_500, b"")).is_err() {
+            if output.write_all(&idempotent_frame(n, deadline_ms, b"")).is_err() {
                 return sent;
             }
             sent.push((n, Instant::now()));
@@ -252,7 +257,7 @@
     let frames = client.frames_until_close();
     let ended_at = Instant::now();
     scheduler.expect_orderly_exit();
-    assert!(began_at.elapsed() < KILLED_AFTER, "{:?}", began_at.elapsed());
+    assert!(began_at.elapsed() < killed_after, "{:?}", began_at.elapsed());
     let responses = frames
         .iter()
         .filter(|frame| frame.frame_type == frame_type::RESPONSE);
@@ -262,3 +267,15 @@
         assert!(crossed || answered.contains(&n), "request {n} has no response");
     }
 }
+
+#[test]
+fn a_client_that_keeps_sending_does_not_hold_the_shutdown_up() {
+    end_before_the_kill(3_000);
+}
+
+/// What was seen: with deadlines of 0.3 s the process ended later than 1.0 s after SIGTERM, when it may be killed. The
+/// longest deadline was counted as 3 s at least, where the page counts it as 3 s at most.
+#[test]
+fn a_shutdown_ends_before_the_kill_where_deadlines_are_short() {
+    end_before_the_kill(300);
+}
