Shutdown: the earliest kill counts the longest deadline as 3 s at most

Cause: shutdown counted the longest deadline as 3 s at least. With short deadlines the process was killed with requests open, and the least time of a shutdown, 1.2 s, lay beyond the kill. Change: Shutdown knows when it may be killed; late requests end 0.3 s before that, and the grace period and the time to write end 0.1 s before it, if no request is open then.

--- a/src/server/shutdown.rs
+++ b/src/server/shutdown.rs
@@ -8,12 +8,6 @@
 use crate::vrrp::Event;
 use tracing::info;
 
-/// The process is killed no sooner than 0.7 s after the longest deadline has passed since the beginning, which counts as
-/// 3 s where it is shorter (page PROTOCOL). Late requests end some time before that, so that their responses can be
-/// written.
-const LATE_REQUESTS_END: Span = Span::from_millis(400);
-/// What the longest deadline counts as at least.
-const MIN_LONGEST_DEADLINE: Span = Span::from_millis(3_000);
 impl Server {
     /// Begins a graceful shutdown, unless one has begun: the server is no longer ready, and clients are asked
     /// to send no new requests.
@@ -26,7 +20,7 @@
             open_requests = self.reactor.shared.scheduler.open_requests(),
             "ending"
         );
-        self.shutdown = Some(Shutdown::new(self.reactor.now()));
+        self.shutdown = Some(Shutdown::new(self.reactor.now(), self.longest_deadline()));
         self.reactor.shared.ready = false;
         self.update_leader(Event::Shutdown);
         frontend::notify_draining(&mut self.reactor);
@@ -63,14 +57,16 @@
     /// A client that goes on sending must not put the end off: each request from now on ends before the process is
     /// killed.
     fn limit_late_requests(&mut self) {
-        let Some(shutdown) = &self.shutdown else {
-            return;
-        };
+        if let Some(shutdown) = &self.shutdown {
+            let ends_at = shutdown.late_requests_end();
+            self.reactor.shared.scheduler.end_requests_by(ends_at);
+        }
+    }
+
+    fn longest_deadline(&self) -> Span {
         let classes = &self.reactor.shared.scheduler.site().settings.classes;
         let deadlines = classes.iter().map(|class| class.deadline);
-        let longest = deadlines.max().unwrap_or_default().max(MIN_LONGEST_DEADLINE);
-        let ends_at = shutdown.began_at() + longest + LATE_REQUESTS_END;
-        self.reactor.shared.scheduler.end_requests_by(ends_at);
+        deadlines.max().unwrap_or_default()
     }
 
     fn enter_next_shutdown_phase(&mut self, now: Time) -> Option<ShutdownPhase> {
--- a/src/server/shutdown_phases.rs
+++ b/src/server/shutdown_phases.rs
@@ -1,16 +1,25 @@
 //! The phases of a graceful shutdown, and what ends each of them.
 //!
-//! SIGTERM only announces the end. The platform's protocol page says that new connections keep coming for
-//! some 0.4 s after it and requests for 0.2 s more, and that the program is not killed before every request's
-//! time has run out.
+//! SIGTERM only announces the end. The platform's protocol page says that new connections keep coming for some 0.4 s after
+//! it and requests for 0.2 s more, and that the program is killed no sooner than 0.7 s after the longest deadline, which
+//! counts as 3 s where it is longer. Clients may go on sending on open connections until then.
 
 use crate::model::{Span, Time};
 
 /// Time from the beginning until clients are notified again: those that have connected since. The answer to a request
 /// that comes later is owed even if the process is killed (page PROTOCOL).
 const LATE_NOTICE_DELAY: Span = Span::from_millis(700);
-/// Time from the beginning during which clients may still come; the program ends no sooner.
+/// Time from the beginning during which clients may still come; the program ends no sooner, unless it may be killed
+/// before.
 const GRACE_PERIOD: Span = Span::from_millis(1_200);
+/// The program may be killed so long after the longest deadline (page PROTOCOL).
+const KILL_DELAY: Span = Span::from_millis(700);
+/// The longest deadline counts as no more than this (page PROTOCOL).
+const MAX_LONGEST_DEADLINE: Span = Span::from_millis(3_000);
+/// How long before the kill requests that come late have ended, so that their responses can be written.
+const LATE_REQUESTS_MARGIN: Span = Span::from_millis(300);
+/// How long before the kill the program ends, if no request is open then.
+const EXIT_MARGIN: Span = Span::from_millis(100);
 /// How long responses may take to be written once no request is open.
 const FLUSH_TIMEOUT: Span = Span::from_millis(500);
 
@@ -47,16 +56,19 @@
 #[derive(Debug)]
 pub(super) struct Shutdown {
     began_at: Time,
+    /// When the program may be killed at the earliest.
+    killed_at: Time,
     phase: ShutdownPhase,
     /// Since when no request has been open; none while one is.
     drained_at: Option<Time>,
 }
 
 impl Shutdown {
-    /// A shutdown that begins at `now`, with all clients notified.
-    pub(super) fn new(now: Time) -> Shutdown {
+    /// A shutdown that begins at `now`, with all clients notified, where no request has a longer deadline.
+    pub(super) fn new(now: Time, longest_deadline: Span) -> Shutdown {
         Shutdown {
             began_at: now,
+            killed_at: now + longest_deadline.min(MAX_LONGEST_DEADLINE) + KILL_DELAY,
             phase: ShutdownPhase::LateConnections,
             drained_at: None,
         }
@@ -77,15 +89,14 @@
     fn next_phase(&self, now: Time, activity: Activity) -> Option<ShutdownPhase> {
         match self.phase {
             ShutdownPhase::LateConnections => {
-                let notice_due = now >= self.began_at + LATE_NOTICE_DELAY;
-                notice_due.then_some(ShutdownPhase::LateRequests)
+                (now >= self.late_notice_at()).then_some(ShutdownPhase::LateRequests)
             }
             ShutdownPhase::LateRequests => (now >= self.grace_end()).then_some(ShutdownPhase::Draining),
             ShutdownPhase::Draining => {
                 let drained_at = self.drained_at?;
                 // The last response may come as late as its request allows: the time to write it counts from
                 // then.
-                let deadline = drained_at.max(self.grace_end()) + FLUSH_TIMEOUT;
+                let deadline = self.flush_deadline(drained_at.max(self.grace_end()));
                 Some(ShutdownPhase::Flushing { deadline })
             }
             ShutdownPhase::Flushing { .. } if self.drained_at.is_none() => Some(ShutdownPhase::Draining),
@@ -103,7 +114,7 @@
     /// When to advance although nothing happens on the connections.
     pub(super) fn next_timer(&self, now: Time, has_unsent_output: bool) -> Option<Time> {
         match self.phase {
-            ShutdownPhase::LateConnections => Some(self.began_at + LATE_NOTICE_DELAY),
+            ShutdownPhase::LateConnections => Some(self.late_notice_at()),
             ShutdownPhase::LateRequests => Some(self.grace_end()),
             ShutdownPhase::Draining => None,
             ShutdownPhase::Flushing { deadline } if has_unsent_output => Some(deadline),
@@ -111,12 +122,31 @@
         }
     }
 
-    /// When the shutdown began.
-    pub(super) fn began_at(&self) -> Time {
-        self.began_at
+    /// When requests that come from the late notice on have to have ended.
+    pub(super) fn late_requests_end(&self) -> Time {
+        self.killed_at - LATE_REQUESTS_MARGIN
+    }
+
+    /// When writing is given up that begins then. A client that sends without a pause must not hold the end up beyond
+    /// the kill.
+    fn flush_deadline(&self, begins_at: Time) -> Time {
+        let deadline = begins_at + FLUSH_TIMEOUT;
+        if begins_at < self.killed_at {
+            deadline.min(self.last_exit_at()).max(begins_at)
+        } else {
+            deadline
+        }
+    }
+
+    fn late_notice_at(&self) -> Time {
+        (self.began_at + LATE_NOTICE_DELAY).min(self.last_exit_at())
     }
 
     fn grace_end(&self) -> Time {
-        self.began_at + GRACE_PERIOD
+        (self.began_at + GRACE_PERIOD).min(self.last_exit_at())
+    }
+
+    fn last_exit_at(&self) -> Time {
+        self.killed_at - EXIT_MARGIN
     }
 }
--- a/src/server/tests/shutdown.rs
+++ b/src/server/tests/shutdown.rs
@@ -4,6 +4,7 @@
 use crate::server::shutdown_phases::{Activity, Shutdown, ShutdownPhase};
 
 const BEGAN_AT: Time = Time(1_000_000_000);
+const LONGEST_DEADLINE: Span = Span::from_millis(3_000);
 const IDLE: Activity = Activity {
     open_requests: 0,
     has_unsent_output: false,
@@ -40,7 +41,7 @@
 
 #[test]
 fn clients_are_notified_again_and_nothing_ends_before_the_grace_period() {
-    let mut shutdown = Shutdown::new(BEGAN_AT);
+    let mut shutdown = Shutdown::new(BEGAN_AT, LONGEST_DEADLINE);
     assert_eq!(advance(&mut shutdown, 0, IDLE), []);
     assert_eq!(advance(&mut shutdown, 699, IDLE), []);
     assert_eq!(advance(&mut shutdown, 700, IDLE), [ShutdownPhase::LateRequests]);
@@ -61,14 +62,14 @@
         flushing_until(1_700),
         ShutdownPhase::Complete,
     ];
-    let mut shutdown = Shutdown::new(BEGAN_AT);
+    let mut shutdown = Shutdown::new(BEGAN_AT, LONGEST_DEADLINE);
     advance(&mut shutdown, 0, IDLE);
     assert_eq!(advance(&mut shutdown, 1_300, IDLE), phases);
 }
 
 #[test]
 fn open_requests_are_waited_for_without_limit() {
-    let mut shutdown = Shutdown::new(BEGAN_AT);
+    let mut shutdown = Shutdown::new(BEGAN_AT, LONGEST_DEADLINE);
     advance(&mut shutdown, 750, ONE_REQUEST);
     assert_eq!(
         advance(&mut shutdown, 1_200, ONE_REQUEST),
@@ -81,7 +82,7 @@
 
 #[test]
 fn unsent_output_is_waited_for_until_the_flush_timeout() {
-    let mut shutdown = Shutdown::new(BEGAN_AT);
+    let mut shutdown = Shutdown::new(BEGAN_AT, LONGEST_DEADLINE);
     advance(&mut shutdown, 1_200, ONE_REQUEST);
     assert_eq!(
         advance(&mut shutdown, 2_000, UNSENT_OUTPUT),
@@ -96,7 +97,7 @@
 
 #[test]
 fn the_flush_timeout_counts_from_the_end_of_the_grace_period_at_the_earliest() {
-    let mut shutdown = Shutdown::new(BEGAN_AT);
+    let mut shutdown = Shutdown::new(BEGAN_AT, LONGEST_DEADLINE);
     advance(&mut shutdown, 100, UNSENT_OUTPUT);
     let phases = [
         ShutdownPhase::LateRequests,
@@ -108,7 +109,7 @@
 
 #[test]
 fn sockets_with_input_are_looked_at_once_more() {
-    let mut shutdown = Shutdown::new(BEGAN_AT);
+    let mut shutdown = Shutdown::new(BEGAN_AT, LONGEST_DEADLINE);
     advance(&mut shutdown, 1_200, BUSY_SOCKETS);
     assert_eq!(advance(&mut shutdown, 1_201, BUSY_SOCKETS), []);
     assert_eq!(advance(&mut shutdown, 1_202, IDLE), [ShutdownPhase::Complete]);
@@ -116,7 +117,7 @@
 
 #[test]
 fn a_request_that_comes_while_flushing_is_drained_too() {
-    let mut shutdown = Shutdown::new(BEGAN_AT);
+    let mut shutdown = Shutdown::new(BEGAN_AT, LONGEST_DEADLINE);
     advance(&mut shutdown, 1_200, UNSENT_OUTPUT);
     assert_eq!(
         advance(&mut shutdown, 1_300, ONE_REQUEST),
@@ -131,7 +132,7 @@
 
 #[test]
 fn timers_follow_the_phases() {
-    let mut shutdown = Shutdown::new(BEGAN_AT);
+    let mut shutdown = Shutdown::new(BEGAN_AT, LONGEST_DEADLINE);
     assert_eq!(shutdown.next_timer(after(0), false), Some(after(700)));
     advance(&mut shutdown, 750, ONE_REQUEST);
     assert_eq!(shutdown.next_timer(after(751), false), Some(after(1_200)));
@@ -149,3 +150,35 @@
         "one more poll"
     );
 }
+
+/// The kill comes 0.7 s after the longest deadline, which counts as 3 s at most.
+#[test]
+fn a_shutdown_ends_before_the_process_may_be_killed() {
+    for (longest_deadline, killed_after) in [(300, 1_000), (1_000, 1_700), (3_000, 3_700), (60_000, 3_700)] {
+        let mut shutdown = Shutdown::new(BEGAN_AT, Span::from_millis(longest_deadline));
+        assert!(
+            shutdown.late_requests_end() < after(killed_after),
+            "{longest_deadline}"
+        );
+        // A client sends without a pause, and its requests are answered at once.
+        let phases = advance(&mut shutdown, killed_after - 50, BUSY_SOCKETS);
+        let last = phases.last().copied();
+        let is_over = last == Some(ShutdownPhase::Complete)
+            || !advance(&mut shutdown, killed_after - 49, BUSY_SOCKETS).is_empty();
+        assert!(is_over, "{longest_deadline}: {phases:?}");
+    }
+}
+
+#[test]
+fn with_short_deadlines_the_grace_period_ends_before_the_kill() {
+    let mut shutdown = Shutdown::new(BEGAN_AT, Span::from_millis(100));
+    assert_eq!(shutdown.next_timer(after(0), false), Some(after(700)));
+    assert_eq!(advance(&mut shutdown, 699, IDLE), []);
+    let phases = [
+        ShutdownPhase::LateRequests,
+        ShutdownPhase::Draining,
+        flushing_until(700),
+        ShutdownPhase::Complete,
+    ];
+    assert_eq!(advance(&mut shutdown, 700, IDLE), phases);
+}
