Soak: discovery outages longer than every clock, with drains, signal series and crowds

Cause: no check could see the incident. Outages lasted 1.5 s at most, draining workers ran what they were sent, the oracle counted the 4 s from the drain, and the kill came at 3.7 s whatever the deadlines.

--- a/crates/fault-soak/src/coverage.rs
+++ b/crates/fault-soak/src/coverage.rs
@@ -1,7 +1,7 @@
 //! What was covered over all seeds, and which invariants were violated.
 
 use crate::faults::{FaultKind, PlannedFault};
-use crate::invariants::Invariant;
+use crate::invariants::{Invariant, OutageService, count_outage_service};
 use crate::recorder::Event;
 use crate::request::ResponseStatus;
 use crate::run::RunResult;
@@ -17,6 +17,7 @@
     /// The kinds of two faults, and of three, that were active at the same time.
     overlapping_pairs: BTreeSet<[FaultKind; 2]>,
     overlapping_triples: BTreeSet<[FaultKind; 3]>,
+    outage_service: OutageService,
     violations: BTreeMap<Invariant, usize>,
     violating_seeds: Vec<u64>,
 }
@@ -35,6 +36,9 @@
         for fault in schedule {
             *self.faults.entry(fault.kind).or_default() += 1;
         }
+        let outage_service = count_outage_service(&result.records);
+        self.outage_service.sent += outage_service.sent;
+        self.outage_service.served += outage_service.served;
         self.add_overlaps(schedule);
         for violation in &result.violations {
             *self.violations.entry(violation.invariant).or_default() += 1;
@@ -80,6 +84,10 @@
             self.overlapping_pairs.len(),
             self.overlapping_triples.len()
         );
+        println!(
+            "of {} requests sent while discovery was out of reach for long, {} were served",
+            self.outage_service.sent, self.outage_service.served
+        );
         println!(
             "violated invariants {:?}, in seeds {:?}",
             self.violations, self.violating_seeds
--- a/crates/fault-soak/src/environment/client/connection.rs
+++ b/crates/fault-soak/src/environment/client/connection.rs
@@ -1,13 +1,13 @@
 //! The sending side of a client's connection.
 
 use super::connection_state::ConnectionState;
-use super::{Clients, request_body, response_reader};
+use super::{Clients, has_come, request_body, response_reader};
 use crate::environment::frame_codec::{self, RequestFrame};
 use crate::recorder::{Event, Incarnation};
 use crate::request::RequestClass;
 use std::ops::RangeInclusive;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedWriteHalf;
@@ -15,8 +15,10 @@
 
 /// Pause between two actions, in milliseconds.
 const PAUSES_MS: RangeInclusive<u64> = 20..=160;
-/// Timeout of a request, in milliseconds.
-const TIMEOUTS_MS: RangeInclusive<u64> = 300..=2_000;
+/// Timeout of a request, in hundredths of the longest deadline.
+const TIMEOUTS_PERCENT: RangeInclusive<u32> = 15..=100;
+/// How many of a hundred connections ignore GOAWAY.
+const PERSISTENT_PERCENT: u8 = 40;
 /// Functions that are called.
 const FUNCTIONS: RangeInclusive<u64> = 1..=24;
 /// Requests on a connection before it is closed.
@@ -29,7 +31,7 @@
 /// How many of a thousand actions send a malformed frame during the fault.
 const MALFORMED_FRAMES_PER_MILLE: u16 = 150;
 /// How long responses are awaited after the last request: longer than any request's timeout.
-const LAST_RESPONSES_TIMEOUT: Duration = Duration::from_millis(3_000);
+const LAST_RESPONSES_TIMEOUT: Duration = Duration::from_millis(4_500);
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
 /// A connection as its client sees it.
@@ -39,6 +41,8 @@
     output: OwnedWriteHalf,
     next_stream: u32,
     requests_left: u32,
+    /// It goes on sending after a GOAWAY, until the connection ends.
+    is_persistent: bool,
 }
 
 /// What a client does next on a connection.
@@ -69,12 +73,13 @@
             output,
             next_stream: 1,
             requests_left: fastrand::u32(REQUESTS_PER_CONNECTION),
+            is_persistent: fastrand::u8(..100) < PERSISTENT_PERCENT,
         }
     }
 
-    /// Acts until the connection is closed or the clients are stopped.
-    pub(super) async fn run(mut self) {
-        while !self.state.is_closed() && !self.state.clients.is_stopped() {
+    /// Acts until the connection is closed, `ends_at` has come or the clients are stopped.
+    pub(super) async fn run(mut self, ends_at: Option<Instant>) {
+        while !self.state.is_closed() && !self.state.clients.is_stopped() && !has_come(ends_at) {
             match self.choose_action() {
                 Action::SendRequest => {
                     self.requests_left -= 1;
@@ -95,7 +100,8 @@
 
     fn choose_action(&self) -> Action {
         let switches = self.state.switches();
-        let obeys_go_away = self.state.has_received_go_away() && !switches.ignore_go_away.is_on();
+        let ignores_go_away = self.is_persistent || switches.ignore_go_away.is_on();
+        let obeys_go_away = self.state.has_received_go_away() && !ignores_go_away;
         if self.requests_left == 0 || obeys_go_away {
             return Action::Close;
         }
@@ -126,7 +132,8 @@
         }
         let request = self.state.clients.next_request();
         let class = random_class();
-        let timeout = Duration::from_millis(fastrand::u64(TIMEOUTS_MS));
+        let timeout = self.state.clients.longest_deadline * fastrand::u32(TIMEOUTS_PERCENT) / 100;
+        let timeout = Duration::from_millis(timeout.as_millis() as u64);
         let stream = self.next_stream;
         self.next_stream += 1;
         let frame = RequestFrame {
--- a/crates/fault-soak/src/environment/client/mod.rs
+++ b/crates/fault-soak/src/environment/client/mod.rs
@@ -11,7 +11,7 @@
 use connection::ClientConnection;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
@@ -27,16 +27,19 @@
 pub(crate) struct Clients {
     pub(crate) switches: ClientSwitches,
     recorder: Arc<Recorder>,
+    /// No request waits longer.
+    longest_deadline: Duration,
     next_request: AtomicU64,
     next_connection: AtomicU64,
     is_stopped: AtomicBool,
 }
 
 impl Clients {
-    pub(super) fn new(recorder: &Arc<Recorder>) -> Clients {
+    pub(super) fn new(recorder: &Arc<Recorder>, longest_deadline: Duration) -> Clients {
         Clients {
             switches: ClientSwitches::default(),
             recorder: Arc::clone(recorder),
+            longest_deadline,
             next_request: AtomicU64::new(1),
             next_connection: AtomicU64::new(1),
             is_stopped: AtomicBool::new(false),
@@ -61,9 +64,9 @@
     }
 }
 
-/// Sends requests to a scheduler, on one connection after another, until the clients are stopped.
-pub(super) async fn run(clients: Arc<Clients>, scheduler: Arc<Scheduler>) {
-    while !clients.is_stopped() {
+/// Sends requests to a scheduler, on one connection after another, until `ends_at` or until the clients are stopped.
+pub(super) async fn run(clients: Arc<Clients>, scheduler: Arc<Scheduler>, ends_at: Option<Instant>) {
+    while !clients.is_stopped() && !has_come(ends_at) {
         let Some(incarnation) = scheduler.incarnation_in_rotation() else {
             sleep(RECONNECT_DELAY).await;
             continue;
@@ -73,10 +76,17 @@
             sleep(RECONNECT_DELAY).await;
             continue;
         };
-        ClientConnection::start(&clients, incarnation, stream).run().await;
+        ClientConnection::start(&clients, incarnation, stream)
+            .run(ends_at)
+            .await;
     }
 }
 
+/// Whether a time has come, if there is one.
+fn has_come(time: Option<Instant>) -> bool {
+    time.is_some_and(|time| time <= Instant::now())
+}
+
 /// The body of a request, which no other request has. It depends on the id alone, so that the reader of the response knows
 /// it too.
 fn request_body(request: RequestId) -> Vec<u8> {
--- a/crates/fault-soak/src/environment/discovery/watch.rs
+++ b/crates/fault-soak/src/environment/discovery/watch.rs
@@ -33,7 +33,8 @@
 /// Sends events and heartbeats until a fault, a switch of the address or the scheduler ends the watch.
 async fn serve_watch(discovery: &Discovery, address: AddressId, mut stream: TcpStream) -> io::Result<()> {
     let mut last_event = stream.read_u64().await?;
-    let mut time_without_event = Duration::ZERO;
+    // A new watch without events gets a heartbeat at once.
+    let mut time_without_event = HEARTBEAT_INTERVAL;
     let mut time_at_former_address = Duration::ZERO;
     while !discovery.switches.down.is_on() && time_at_former_address < FORMER_ADDRESS_LINGER {
         let is_active = discovery.is_active(address);
--- a/crates/fault-soak/src/environment/mod.rs
+++ b/crates/fault-soak/src/environment/mod.rs
@@ -29,9 +29,12 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use worker::Worker;
 
+/// Clients of a crowd.
+const CROWD_CLIENTS: usize = 30;
+
 /// The size of an environment.
 #[derive(Clone, Debug)]
 pub(crate) struct EnvironmentSize {
@@ -60,6 +63,7 @@
     pub(crate) clients: Arc<Clients>,
     workers: Vec<ListedWorker>,
     next_worker_id: AtomicU32,
+    longest_deadline: Duration,
 }
 
 impl Environment {
@@ -78,13 +82,15 @@
             let scheduler = Scheduler::new(index, address, seed, launch, recorder)?;
             schedulers.push(Arc::new(scheduler));
         }
+        let longest_deadline = settings::longest_deadline(seed);
         let environment = Environment {
             recorder: Arc::clone(recorder),
             discovery,
             schedulers,
-            clients: Arc::new(Clients::new(recorder)),
+            clients: Arc::new(Clients::new(recorder, longest_deadline)),
             workers,
             next_worker_id: AtomicU32::new(first_worker_id(size.workers)),
+            longest_deadline,
         };
         for scheduler in &environment.schedulers {
             environment.write_config(scheduler)?;
@@ -97,11 +103,30 @@
     pub(crate) fn start_clients(&self, clients_per_scheduler: usize) {
         for scheduler in &self.schedulers {
             for _ in 0..clients_per_scheduler {
-                tokio::spawn(client::run(Arc::clone(&self.clients), Arc::clone(scheduler)));
+                tokio::spawn(client::run(
+                    Arc::clone(&self.clients),
+                    Arc::clone(scheduler),
+                    None,
+                ));
             }
         }
     }
 
+    /// Has many more clients send requests to a scheduler for some time.
+    pub(crate) async fn run_crowd(&self, scheduler: &Arc<Scheduler>, length: Duration) {
+        let ends_at = Instant::now() + length;
+        let crowd: Vec<_> = (0..CROWD_CLIENTS)
+            .map(|_| {
+                let (clients, scheduler) = (Arc::clone(&self.clients), Arc::clone(scheduler));
+                tokio::spawn(client::run(clients, scheduler, Some(ends_at)))
+            })
+            .collect();
+        for client in crowd {
+            // A task fails by a panic only, which the runtime has printed.
+            let _ = client.await;
+        }
+    }
+
     /// Has the clients send no further request.
     pub(crate) fn stop_clients(&self) {
         self.clients.stop();
@@ -140,6 +165,7 @@
             scheduler.address,
             self.discovery.address(scheduler.index),
             &self.discovery.known_events(),
+            self.longest_deadline,
         );
         configuration.to_string()
     }
--- a/crates/fault-soak/src/environment/scheduler/lifecycle.rs
+++ b/crates/fault-soak/src/environment/scheduler/lifecycle.rs
@@ -19,8 +19,6 @@
 /// A process has to be ready within this time (page STANDING has 10 s for nine in ten).
 const READY_TIMEOUT: Duration = Duration::from_secs(10);
 const READINESS_CHECK_TIMEOUT: Duration = Duration::from_millis(500);
-/// A terminated process is killed after this time: 3 s, the longest deadline at least, and 0.7 s (page PROTOCOL).
-const TERMINATION_TIMEOUT: Duration = Duration::from_millis(3_700);
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
 impl Scheduler {
@@ -113,7 +111,7 @@
         self.set_in_rotation(false);
         while process.is_running() {
             let after_sigterm = terminated_at.elapsed();
-            if after_sigterm > TERMINATION_TIMEOUT {
+            if after_sigterm > self.termination_timeout {
                 let problem = HealthProblem::NotGoneInTime { after_sigterm };
                 self.record_for(process.incarnation, ProcessEvent::Unhealthy(problem));
                 self.kill().await;
--- a/crates/fault-soak/src/environment/scheduler/mod.rs
+++ b/crates/fault-soak/src/environment/scheduler/mod.rs
@@ -6,6 +6,7 @@
 #[cfg(test)]
 mod tests;
 
+use super::settings::{longest_deadline, termination_timeout};
 use super::switches::FaultSwitch;
 use crate::recorder::{Event, Incarnation, ProcessEvent, Recorder};
 use anyhow::Result;
@@ -19,6 +20,7 @@
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 use tempfile::TempDir;
 
 /// Files of a scheduler in its folder.
@@ -51,6 +53,8 @@
     control_file: File,
     log_tail: LogTail,
     launch: LaunchOptions,
+    /// How long after SIGTERM a process is killed.
+    termination_timeout: Duration,
     recorder: Arc<Recorder>,
 }
 
@@ -81,6 +85,7 @@
             control_file,
             log_tail: LogTail::default(),
             launch: launch.clone(),
+            termination_timeout: termination_timeout(longest_deadline(seed)),
             recorder: Arc::clone(recorder),
         };
         let shim_seed = (seed as i64).wrapping_add(index as i64);
--- a/crates/fault-soak/src/environment/settings.rs
+++ b/crates/fault-soak/src/environment/settings.rs
@@ -11,6 +11,25 @@
 pub(crate) const DEDUPLICATION_WINDOW: Duration = Duration::from_millis(1_500);
 /// Attempts of a request at most.
 pub(crate) const MAX_ATTEMPTS: usize = 4;
+/// The longest deadlines of the deployments, in milliseconds; a seed selects one.
+const LONGEST_DEADLINES_MS: [u64; 4] = [2_000, 400, 3_500, 1_000];
+/// The longest deadline counts as no more than this for the kill of a terminated process (page PROTOCOL).
+const MAX_LONGEST_DEADLINE: Duration = Duration::from_secs(3);
+/// A terminated process is killed so long after the longest deadline (page PROTOCOL).
+const KILL_DELAY: Duration = Duration::from_millis(700);
+/// The latency objective, as a fraction of the deadline.
+const OBJECTIVE_FRACTION: f64 = 0.3;
+
+/// The longest deadline of the deployment of a seed: that of all its classes.
+pub(crate) fn longest_deadline(seed: u64) -> Duration {
+    let place = seed % LONGEST_DEADLINES_MS.len() as u64;
+    Duration::from_millis(LONGEST_DEADLINES_MS[place as usize])
+}
+
+/// How long after SIGTERM a process is killed, which is as early as the page allows.
+pub(super) fn termination_timeout(longest_deadline: Duration) -> Duration {
+    longest_deadline.min(MAX_LONGEST_DEADLINE) + KILL_DELAY
+}
 
 /// The configuration of the scheduler with this index; `known_events` is what the endpoint list holds so far.
 pub(super) fn configuration(
@@ -19,6 +38,7 @@
     listen: SocketAddr,
     discovery: SocketAddr,
     known_events: &Value,
+    longest_deadline: Duration,
 ) -> Value {
     json!({
         "name": format!("n{index}"), "listen": listen.to_string(), "seed": format!("{index:x}"),
@@ -28,9 +48,9 @@
             "fleetSize": schedulers, "index": index, "zone": 0, "tickNs": 2_000_000,
             "zones": ["a"], "kinds": ["std"], "discovery": "pushed", "weightSource": "none",
             "classes": [
-                class_settings(RequestClass::Idempotent, "retryable"),
-                class_settings(RequestClass::IdempotencyKey, "dedup"),
-                class_settings(RequestClass::NonIdempotent, "fragile"),
+                class_settings(RequestClass::Idempotent, "retryable", longest_deadline),
+                class_settings(RequestClass::IdempotencyKey, "dedup", longest_deadline),
+                class_settings(RequestClass::NonIdempotent, "fragile", longest_deadline),
             ],
             "bounds": {
                 "mostTries": MAX_ATTEMPTS, "mayCancel": true, "retryAfter": true, "maxRetryAfterNs": 500_000_000,
@@ -49,9 +69,11 @@
     })
 }
 
-fn class_settings(class: RequestClass, effect: &str) -> Value {
+fn class_settings(class: RequestClass, effect: &str, deadline: Duration) -> Value {
+    let objective = deadline.mul_f64(OBJECTIVE_FRACTION);
     json!({
-        "name": class.service_name(), "deadlineNs": 2_000_000_000u64, "objectiveNs": 600_000_000, "worth": 1.0,
+        "name": class.service_name(), "deadlineNs": deadline.as_nanos() as u64,
+        "objectiveNs": objective.as_nanos() as u64, "worth": 1.0,
         "lateShare": 0.3, "effect": effect, "group": "all",
         "repeatWindowNs": DEDUPLICATION_WINDOW.as_nanos() as u64,
     })
--- a/crates/fault-soak/src/environment/switches.rs
+++ b/crates/fault-soak/src/environment/switches.rs
@@ -59,6 +59,8 @@
     pub(crate) fragmentation: FaultSwitch,
     pub(crate) resets: FaultSwitch,
     pub(crate) black_hole: FaultSwitch,
+    /// Its process completes what it has, and rejects what is new.
+    pub(crate) process_is_draining: AtomicBool,
     /// Its process has exited, and no other process has taken its address yet.
     pub(crate) process_is_down: AtomicBool,
 }
--- a/crates/fault-soak/src/environment/worker/mod.rs
+++ b/crates/fault-soak/src/environment/worker/mod.rs
@@ -65,6 +65,11 @@
         self.switches.process_is_down.load(Ordering::Relaxed)
     }
 
+    /// Whether its process rejects what is new.
+    fn is_draining(&self) -> bool {
+        self.switches.process_is_draining.load(Ordering::Relaxed)
+    }
+
     async fn serve(self: Arc<Worker>, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let (input, output) = stream.into_split();
@@ -105,7 +110,10 @@
     fn begin_run(self: Arc<Worker>, run: RunCommand, output: Output) {
         let responds_with_error =
             self.switches.error_responses.is_on() && fastrand::u8(..100) < ERRORS_PERCENT;
-        let status = if responds_with_error {
+        let is_draining = self.is_draining();
+        let status = if is_draining {
+            Status::AtCapacity
+        } else if responds_with_error {
             Status::random_error()
         } else {
             Status::Ok
@@ -118,7 +126,7 @@
             is_undelayed: self.is_undelayed(),
         });
         tokio::spawn(async move {
-            if !responds_with_error {
+            if status == Status::Ok {
                 sleep(Duration::from_millis(fastrand::u64(EXECUTION_TIMES_MS))).await;
             }
             self.respond(&output, &protocol::run_response(&run, status)).await;
@@ -141,12 +149,19 @@
     }
 
     fn begin_load(self: Arc<Worker>, id: CorrelationId, replicas: Value, output: Output) {
-        if replicas.as_u64().is_some_and(|count| count > 0) {
+        // A query, which asks for no replicas, is no new work.
+        let is_new_work = replicas.as_u64().is_some_and(|count| count > 0);
+        if is_new_work {
             self.recorder.record(Event::LoadOrderReceived {
                 worker: self.index,
                 is_undelayed: self.is_undelayed(),
             });
         }
+        if is_new_work && self.is_draining() {
+            let response = protocol::load_rejection(&id);
+            tokio::spawn(async move { write_line(&output, &response).await });
+            return;
+        }
         let response = protocol::load_response(&id, &replicas);
         tokio::spawn(async move {
             sleep(LOAD_TIME).await;
--- a/crates/fault-soak/src/environment/worker/protocol.rs
+++ b/crates/fault-soak/src/environment/worker/protocol.rs
@@ -118,6 +118,11 @@
     json!({"verb": "200", "rid": id, "attrs": {"replicas": replicas}})
 }
 
+/// The response of a draining worker to a load order.
+pub(super) fn load_rejection(id: &CorrelationId) -> Value {
+    json!({"verb": Status::AtCapacity.verb(), "rid": id, "attrs": {"replicas": 0}})
+}
+
 /// The response to a health check.
 pub(super) fn health_check_response(id: &CorrelationId) -> Value {
     json!({"verb": "alive", "rid": id})
--- a/crates/fault-soak/src/faults/kind.rs
+++ b/crates/fault-soak/src/faults/kind.rs
@@ -1,6 +1,8 @@
 //! The kinds of faults. The first line of a kind's comment is its description on the command line.
 
+use crate::recorder::DiscoveryEffect;
 use clap::ValueEnum;
+use std::ops::RangeInclusive;
 
 /// A kind of fault. A schedule depends on the order of the kinds: a new one goes to the end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, ValueEnum)]
@@ -53,8 +55,20 @@
     ClientsIgnoreGoAway,
     /// Opens many client connections that send nothing.
     ClientsIdle,
+    /// Makes discovery unreachable for longer than all clocks for that, and drains workers early and late in it.
+    LongDiscoveryOutage,
+    /// Sends a scheduler SIGHUP, SIGUSR1 and SIGTERM in a row, some of them again while it shuts down.
+    SignalSeries,
+    /// Has many more clients send requests to one scheduler.
+    ClientsCrowd,
 }
 
+/// How long most faults last, in milliseconds.
+const DURATIONS_MS: RangeInclusive<u64> = 200..=1_500;
+/// How long an outage lasts that is longer than the time after which a change counts as notified (4 s) and the grace
+/// period, in milliseconds.
+const LONG_DURATIONS_MS: RangeInclusive<u64> = 6_000..=9_000;
+
 impl FaultKind {
     /// Its name and its description, as the command line has them.
     pub(crate) fn name_and_description(self) -> (String, String) {
@@ -63,19 +77,29 @@
         (value.get_name().to_owned(), description.unwrap_or_default())
     }
 
-    /// Whether a scheduler may learn late of a change of the endpoint list.
-    pub(crate) fn delays_endpoint_updates(self) -> bool {
-        matches!(
-            self,
+    /// How long a fault of this kind lasts, in milliseconds.
+    pub(super) fn durations_ms(self) -> RangeInclusive<u64> {
+        match self {
+            FaultKind::LongDiscoveryOutage => LONG_DURATIONS_MS,
+            _ => DURATIONS_MS,
+        }
+    }
+
+    /// What it does to the updates of the endpoint list.
+    pub(crate) fn discovery_effect(self) -> DiscoveryEffect {
+        match self {
+            FaultKind::DiscoveryDown | FaultKind::DiscoveryBlackHole | FaultKind::LongDiscoveryOutage => {
+                DiscoveryEffect::Outage
+            }
             FaultKind::Terminate
-                | FaultKind::Kill
-                | FaultKind::Reload
-                | FaultKind::ReloadTruncatedConfig
-                | FaultKind::Pause
-                | FaultKind::SystemCallErrors
-                | FaultKind::ShortIo
-                | FaultKind::DiscoveryDown
-                | FaultKind::DiscoveryBlackHole
-        )
+            | FaultKind::Kill
+            | FaultKind::Reload
+            | FaultKind::ReloadTruncatedConfig
+            | FaultKind::Pause
+            | FaultKind::SystemCallErrors
+            | FaultKind::ShortIo
+            | FaultKind::SignalSeries => DiscoveryEffect::DelaysUpdates,
+            _ => DiscoveryEffect::None,
+        }
     }
 }
--- a/crates/fault-soak/src/faults/mod.rs
+++ b/crates/fault-soak/src/faults/mod.rs
@@ -1,6 +1,7 @@
 //! The faults: their kinds, the schedule of a seed, and how each kind is injected.
 
 mod client_connections;
+mod discovery_outage;
 mod kind;
 mod reload;
 mod schedule;
@@ -38,7 +39,9 @@
         FaultKind::WorkerErrors => activate(&worker_faults.error_responses).await,
         FaultKind::WorkerCorruptResponses => activate(&worker_faults.corrupt_responses).await,
         FaultKind::WorkerDuplicateResponses => activate(&worker_faults.duplicate_responses).await,
-        FaultKind::WorkerReplacement => worker_replacement::replace(environment, worker).await,
+        FaultKind::WorkerReplacement => {
+            worker_replacement::replace(environment, worker, worker_replacement::random_drain_time()).await;
+        }
         FaultKind::NetworkDelay => activate(&worker_faults.delay).await,
         FaultKind::NetworkFragmentation => activate(&worker_faults.fragmentation).await,
         FaultKind::NetworkReset => activate(&worker_faults.resets).await,
@@ -49,6 +52,9 @@
         FaultKind::ClientsMalformedFrames => activate(&client_faults.malformed_frames).await,
         FaultKind::ClientsIgnoreGoAway => activate(&client_faults.ignore_go_away).await,
         FaultKind::ClientsIdle => client_connections::open_idle(scheduler, fault).await,
+        FaultKind::LongDiscoveryOutage => discovery_outage::isolate(environment, fault).await,
+        FaultKind::SignalSeries => scheduler_process::send_signal_series(environment, scheduler).await,
+        FaultKind::ClientsCrowd => environment.run_crowd(scheduler, fault.duration).await,
     }
 }
 
--- a/crates/fault-soak/src/faults/schedule.rs
+++ b/crates/fault-soak/src/faults/schedule.rs
@@ -14,8 +14,6 @@
 const GROUP_INTERVALS_MS: RangeInclusive<u64> = 500..=1_300;
 /// How much later than its group a fault starts, in milliseconds.
 const OFFSETS_MS: RangeInclusive<u64> = 0..=250;
-/// How long a fault lasts, in milliseconds.
-const DURATIONS_MS: RangeInclusive<u64> = 200..=1_500;
 /// Targets are drawn below this and then taken modulo the number of schedulers or workers.
 const TARGETS: usize = 1000;
 
@@ -88,11 +86,12 @@
     group_at: Duration,
     shared_target: Option<usize>,
 ) -> PlannedFault {
+    let kind = kinds[random.usize(..kinds.len())];
     PlannedFault {
-        kind: kinds[random.usize(..kinds.len())],
+        kind,
         target: shared_target.unwrap_or_else(|| random.usize(..TARGETS)),
         starts_at: group_at + Duration::from_millis(random.u64(OFFSETS_MS)),
-        duration: Duration::from_millis(random.u64(DURATIONS_MS)),
+        duration: Duration::from_millis(random.u64(kind.durations_ms())),
         variant: random.u64(..),
     }
 }
--- a/crates/fault-soak/src/faults/scheduler_process.rs
+++ b/crates/fault-soak/src/faults/scheduler_process.rs
@@ -14,6 +14,8 @@
 const MAX_PAUSE: Duration = Duration::from_millis(100);
 /// How long a terminated scheduler still gets new clients, in milliseconds.
 const ROTATION_DELAYS_MS: RangeInclusive<u64> = 200..=400;
+/// Time between two signals of a series, in milliseconds.
+const SIGNAL_INTERVALS_MS: RangeInclusive<u64> = 0..=120;
 /// How many of a thousand reads and writes are short.
 const SHORT_IO_PER_MILLE: i64 = 500;
 /// Steps of the wall clock, in seconds.
@@ -30,6 +32,38 @@
     restart(environment, scheduler).await;
 }
 
+/// Sends SIGHUP and SIGUSR1, then SIGTERM and the same again while the scheduler shuts down, and starts it again.
+pub(super) async fn send_signal_series(environment: &Environment, scheduler: &Arc<Scheduler>) {
+    let Ok(_lifecycle) = scheduler.lifecycle.try_lock() else {
+        return;
+    };
+    for signal in [Signal::SIGHUP, Signal::SIGUSR1, Signal::SIGHUP] {
+        if scheduler.is_ready() {
+            scheduler.signal(signal);
+        }
+        pause_between_signals().await;
+    }
+    let late_signals = async {
+        for signal in [
+            Signal::SIGHUP,
+            Signal::SIGTERM,
+            Signal::SIGUSR1,
+            Signal::SIGTERM,
+            Signal::SIGHUP,
+        ] {
+            pause_between_signals().await;
+            scheduler.signal(signal);
+        }
+    };
+    let rotation_delay = Duration::from_millis(fastrand::u64(ROTATION_DELAYS_MS));
+    tokio::join!(scheduler.terminate(rotation_delay), late_signals);
+    restart(environment, scheduler).await;
+}
+
+async fn pause_between_signals() {
+    sleep(Duration::from_millis(fastrand::u64(SIGNAL_INTERVALS_MS))).await;
+}
+
 /// Sends SIGKILL, and starts the scheduler again after half of the fault's duration.
 pub(super) async fn kill_and_restart(
     environment: &Environment,
--- a/crates/fault-soak/src/faults/worker_replacement.rs
+++ b/crates/fault-soak/src/faults/worker_replacement.rs
@@ -12,28 +12,35 @@
 /// How long nothing listens at the address.
 const DOWNTIME: Duration = Duration::from_millis(300);
 
+/// How long a worker drains that is replaced without an outage.
+pub(super) fn random_drain_time() -> Duration {
+    Duration::from_millis(fastrand::u64(DRAIN_TIMES_MS))
+}
+
 /// Drains a worker, removes it, and starts another process at its address. Nothing is done if the worker is being
 /// replaced already.
-pub(super) async fn replace(environment: &Environment, listed: &ListedWorker) {
+pub(super) async fn replace(environment: &Environment, listed: &ListedWorker, drain_time: Duration) {
     let Ok(_replacement) = listed.replacement.try_lock() else {
         return;
     };
     let (discovery, recorder) = (&environment.discovery, &environment.recorder);
     let worker = listed.stand_in.index;
-    let process_is_down = &listed.stand_in.switches.process_is_down;
+    let switches = &listed.stand_in.switches;
 
     let id = listed.id.load(Ordering::Relaxed);
     recorder.record(Event::WorkerDraining { worker });
     discovery.publish(id, listed.address, WorkerState::Draining);
-    sleep(Duration::from_millis(fastrand::u64(DRAIN_TIMES_MS))).await;
+    switches.process_is_draining.store(true, Ordering::Relaxed);
+    sleep(drain_time).await;
 
     discovery.publish(id, listed.address, WorkerState::Deleted);
-    process_is_down.store(true, Ordering::Relaxed);
+    switches.process_is_down.store(true, Ordering::Relaxed);
     sleep(DOWNTIME).await;
 
     let id = environment.next_worker_id();
     listed.id.store(id, Ordering::Relaxed);
-    process_is_down.store(false, Ordering::Relaxed);
+    switches.process_is_draining.store(false, Ordering::Relaxed);
+    switches.process_is_down.store(false, Ordering::Relaxed);
     recorder.record(Event::WorkerReady { worker });
     discovery.publish_started(id, listed.address);
 }
--- a/crates/fault-soak/src/invariants/draining.rs
+++ b/crates/fault-soak/src/invariants/draining.rs
@@ -10,6 +10,11 @@
 /// A scheduler counts as notified of a change this long after it, whatever is wrong with discovery (page TERMS).
 const MAX_NOTIFICATION_DELAY: Duration = Duration::from_secs(4);
 
+/// How long a change takes to every scheduler that watches: an outage that begins before that may cut it off.
+const DELIVERY_TIME: Duration = Duration::from_millis(50);
+/// How long schedulers take to connect to discovery again, once it is back.
+const RECONNECT_TIME: Duration = Duration::from_millis(600);
+
 pub(super) fn check(history: &RunHistory, timer_lag: &TimerLag) -> Vec<Violation> {
     let mut violations = Vec::new();
     for dispatch in &history.dispatches {
@@ -24,14 +29,31 @@
 }
 
 fn is_violation(dispatch: &Dispatch, drain: &Drain, history: &RunHistory, timer_lag: &TimerLag) -> bool {
-    let notified_at = drain.started_at + notification_delay(history, drain.started_at, dispatch.at);
+    let notified_at = notified_at(history, drain.started_at, dispatch.at);
     let limit = notified_at + DRAIN_GRACE + SOCKET_TOLERANCE + timer_lag.around(dispatch.at);
     let was_ready_again = drain.ready_at.is_some_and(|ready_at| dispatch.at >= ready_at);
     dispatch.is_undelayed && dispatch.at > limit && !was_ready_again
 }
 
-/// How long after a change of the endpoint list every scheduler counts as notified, at the time of a dispatch.
-fn notification_delay(history: &RunHistory, changed_at: Duration, dispatched_at: Duration) -> Duration {
+/// When every scheduler counts as notified of a change of the endpoint list, as far as it matters for a dispatch.
+///
+/// In an outage the time counts from its beginning, for all that is published in it: a change that is published later
+/// than [`MAX_NOTIFICATION_DELAY`] after the beginning counts as notified at once.
+fn notified_at(history: &RunHistory, changed_at: Duration, dispatched_at: Duration) -> Duration {
+    let mut outages = history.outages.iter().rev();
+    let outage = outages.find(|outage| {
+        outage.includes(changed_at, RECONNECT_TIME)
+            || outage.includes(changed_at + DELIVERY_TIME, Duration::ZERO)
+    });
+    match outage {
+        Some(outage) => changed_at.max(outage.started_at + MAX_NOTIFICATION_DELAY),
+        None if is_delayed(history, changed_at, dispatched_at) => changed_at + MAX_NOTIFICATION_DELAY,
+        None => changed_at,
+    }
+}
+
+/// Whether a fault may delay a change of the endpoint list on its way to a scheduler, other than an outage.
+fn is_delayed(history: &RunHistory, changed_at: Duration, dispatched_at: Duration) -> bool {
     let mut active_faults = 0;
     for fault in &history.endpoint_update_faults {
         if fault.at > dispatched_at {
@@ -41,14 +63,9 @@
             FaultPhase::Started => active_faults += 1,
             FaultPhase::Ended => active_faults -= 1,
         }
-        let is_recent = fault.at + MAX_NOTIFICATION_DELAY > changed_at;
-        if is_recent {
-            return MAX_NOTIFICATION_DELAY;
+        if fault.at + MAX_NOTIFICATION_DELAY > changed_at {
+            return true;
         }
     }
-    if active_faults > 0 {
-        MAX_NOTIFICATION_DELAY
-    } else {
-        Duration::ZERO
-    }
+    active_faults > 0
 }
--- a/crates/fault-soak/src/invariants/history.rs
+++ b/crates/fault-soak/src/invariants/history.rs
@@ -1,6 +1,6 @@
 //! The records of a run, ordered by what they are about.
 
-use crate::recorder::{Event, FaultPhase, Incarnation, ProcessEvent, Record};
+use crate::recorder::{DiscoveryEffect, Event, FaultPhase, Incarnation, ProcessEvent, Record};
 use crate::request::{ConnectionId, RequestClass, RequestId, ResponseStatus};
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
@@ -17,6 +17,8 @@
     pub(super) drains: HashMap<usize, Vec<Drain>>,
     /// Starts and ends of the faults that delay updates of the endpoint list, in order.
     pub(super) endpoint_update_faults: Vec<EndpointUpdateFault>,
+    /// The outages of the discovery service, in order.
+    pub(super) outages: Vec<Outage>,
     /// All work that workers have received, in order.
     pub(super) dispatches: Vec<Dispatch>,
 }
@@ -82,6 +84,23 @@
     pub(super) phase: FaultPhase,
 }
 
+/// A time in which the discovery service is out of reach.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Outage {
+    pub(super) started_at: Duration,
+    /// When the last fault ended so far.
+    last_fault_at: Duration,
+    active_faults: usize,
+}
+
+impl Outage {
+    /// Whether it had begun by then and had not ended, or not for longer than `span`.
+    pub(super) fn includes(&self, at: Duration, span: Duration) -> bool {
+        let has_ended = self.active_faults == 0 && at > self.last_fault_at + span;
+        self.started_at <= at && !has_ended
+    }
+}
+
 impl RunHistory {
     pub(super) fn from_records(records: &[Record]) -> RunHistory {
         let mut history = RunHistory::default();
@@ -128,14 +147,15 @@
             }
             Event::Fault {
                 phase,
-                delays_endpoint_updates,
+                discovery_effect,
                 ..
-            } => {
-                if delays_endpoint_updates {
-                    self.endpoint_update_faults
-                        .push(EndpointUpdateFault { at, phase });
-                }
-            }
+            } => match discovery_effect {
+                DiscoveryEffect::None => {}
+                DiscoveryEffect::DelaysUpdates => self
+                    .endpoint_update_faults
+                    .push(EndpointUpdateFault { at, phase }),
+                DiscoveryEffect::Outage => self.add_outage_fault(at, phase),
+            },
             Event::Process {
                 incarnation,
                 event: ProcessEvent::Killed,
@@ -146,6 +166,24 @@
         }
     }
 
+    /// Faults that overlap make one outage.
+    fn add_outage_fault(&mut self, at: Duration, phase: FaultPhase) {
+        let present = self.outages.last_mut().filter(|outage| outage.active_faults > 0);
+        match (present, phase) {
+            (Some(outage), FaultPhase::Started) => outage.active_faults += 1,
+            (Some(outage), FaultPhase::Ended) => {
+                outage.active_faults -= 1;
+                outage.last_fault_at = at;
+            }
+            (None, FaultPhase::Started) => self.outages.push(Outage {
+                started_at: at,
+                last_fault_at: at,
+                active_faults: 1,
+            }),
+            (None, FaultPhase::Ended) => {}
+        }
+    }
+
     fn request(&mut self, id: RequestId) -> &mut RequestHistory {
         self.requests.entry(id).or_insert_with(|| RequestHistory::new(id))
     }
--- a/crates/fault-soak/src/invariants/mod.rs
+++ b/crates/fault-soak/src/invariants/mod.rs
@@ -11,6 +11,7 @@
 mod draining;
 mod final_response;
 mod history;
+mod outage_service;
 mod process_exit;
 mod process_health;
 mod recovery;
@@ -23,6 +24,7 @@
 mod time_limit;
 mod violation;
 
+pub(crate) use outage_service::{OutageService, count as count_outage_service};
 pub(crate) use recovery::check as check_recovery;
 pub(crate) use violation::{Invariant, Violation};
 
--- a/crates/fault-soak/src/invariants/tests.rs
+++ b/crates/fault-soak/src/invariants/tests.rs
@@ -1,7 +1,7 @@
 //! Tests of the oracle: it finds each violation, and none in a correct run.
 
 use super::{Invariant, check, check_recovery};
-use crate::recorder::{Event, FaultPhase, HealthProblem, Incarnation, ProcessEvent, Record};
+use crate::recorder::{DiscoveryEffect, Event, FaultPhase, HealthProblem, Incarnation, ProcessEvent, Record};
 use crate::request::{ConnectionId, RequestClass, RequestId, ResponseStatus};
 use crate::timer_lag::TimerLag;
 use std::time::Duration;
@@ -200,7 +200,7 @@
             number: 0,
             description: String::new(),
             phase,
-            delays_endpoint_updates: true,
+            discovery_effect: DiscoveryEffect::DelaysUpdates,
         };
         at(milliseconds, event)
     };
@@ -228,6 +228,59 @@
     assert_eq!(violated(&[process(900, unhealthy)]), [Invariant::ProcessHealth]);
 }
 
+/// What is published in an outage counts as notified 4 s after the outage began, or at once where it comes later.
+#[test]
+fn in_an_outage_of_discovery_the_time_of_a_drain_counts_from_the_beginning_of_the_outage() {
+    let outage_fault = |milliseconds, phase| {
+        let event = Event::Fault {
+            number: 0,
+            description: String::new(),
+            phase,
+            discovery_effect: DiscoveryEffect::Outage,
+        };
+        at(milliseconds, event)
+    };
+    // Two faults that overlap are one outage, from 1.0 s to 11.0 s.
+    let started = outage_fault(1_000, FaultPhase::Started);
+    let started_again = outage_fault(2_000, FaultPhase::Started);
+    let ended_once = outage_fault(3_000, FaultPhase::Ended);
+    let ended = outage_fault(11_000, FaultPhase::Ended);
+    let load_order = |milliseconds| {
+        let event = Event::LoadOrderReceived {
+            worker: 2,
+            is_undelayed: true,
+        };
+        at(milliseconds, event)
+    };
+    let cases = [
+        (980, 5_550),
+        (1_500, 5_550),
+        (4_900, 5_550),
+        (7_000, 7_550),
+        (11_500, 12_050),
+        (13_000, 13_550),
+    ];
+    for (drained_at, limit) in cases {
+        for (dispatched_at, is_violation) in [(limit, false), (limit + 1, true)] {
+            let mut records = vec![
+                started.clone(),
+                started_again.clone(),
+                ended_once.clone(),
+                ended.clone(),
+                at(drained_at, Event::WorkerDraining { worker: 2 }),
+                load_order(dispatched_at),
+            ];
+            records.sort_by_key(|record| record.at);
+            let expected = if is_violation {
+                vec![Invariant::Draining]
+            } else {
+                vec![]
+            };
+            assert_eq!(violated(&records), expected, "{drained_at} {dispatched_at}");
+        }
+    }
+}
+
 #[test]
 fn service_that_does_not_come_back_is_a_violation() {
     let clients_stopped_at = Duration::from_secs(10);
--- a/crates/fault-soak/src/recorder.rs
+++ b/crates/fault-soak/src/recorder.rs
@@ -52,8 +52,7 @@
         number: usize,
         description: String,
         phase: FaultPhase,
-        /// While it lasts, and for some time after, a scheduler may not know of changes of the endpoint list.
-        delays_endpoint_updates: bool,
+        discovery_effect: DiscoveryEffect,
     },
     /// The state of a scheduler's process has changed.
     Process {
@@ -62,6 +61,16 @@
     },
 }
 
+/// What a fault does to the updates of the endpoint list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum DiscoveryEffect {
+    None,
+    /// While it lasts, and for some time after, a scheduler may not know of changes.
+    DelaysUpdates,
+    /// The discovery service is out of reach of every scheduler.
+    Outage,
+}
+
 /// Whether a fault starts or ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum FaultPhase {
--- a/crates/fault-soak/src/run.rs
+++ b/crates/fault-soak/src/run.rs
@@ -1,5 +1,6 @@
 //! One run: the faults of a schedule, injected into an environment, and the oracle's verdict.
 
+use crate::environment::settings::longest_deadline;
 use crate::environment::{Environment, EnvironmentSize, LaunchOptions};
 use crate::faults::{self, PlannedFault};
 use crate::invariants::{self, Violation};
@@ -15,8 +16,8 @@
 const WARM_UP: Duration = Duration::from_millis(800);
 /// Time without faults after the last one, in which service has to come back.
 const RECOVERY_TIME: Duration = Duration::from_millis(4_500);
-/// Time for the last responses: longer than any client waits.
-const LAST_RESPONSES_TIME: Duration = Duration::from_millis(2_800);
+/// Time for the last responses beyond the longest deadline.
+const LAST_RESPONSES_MARGIN: Duration = Duration::from_millis(800);
 
 /// The result of a run.
 #[derive(Debug)]
@@ -45,7 +46,7 @@
     sleep(RECOVERY_TIME).await;
     let clients_stopped_at = recorder.now();
     environment.stop_clients();
-    sleep(LAST_RESPONSES_TIME).await;
+    sleep(longest_deadline(seed) + LAST_RESPONSES_MARGIN).await;
     environment.check_schedulers_at_rest();
     let ended_at = recorder.now();
     environment.terminate_schedulers().await;
@@ -89,7 +90,7 @@
         number,
         description: fault.to_string(),
         phase,
-        delays_endpoint_updates: fault.kind.delays_endpoint_updates(),
+        discovery_effect: fault.kind.discovery_effect(),
     };
     environment.recorder.record(event(FaultPhase::Started));
     faults::inject(environment, fault).await;
