Lease renewal: few requests keep the last lease alive through an outage

Cause: with few requests the pause between two of them is often longer than the grace period; then no worker has a lease, and nothing but discovery brings one back. Requests wait for an attempt in flight that may bring a lease instead of being rejected.

--- a/src/cluster/acceptance.rs
+++ b/src/cluster/acceptance.rs
@@ -7,6 +7,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Acceptance {
     last_accepted: Option<Time>,
+    last_sent: Option<Time>,
     rejections: u32,
 }
 
@@ -16,6 +17,18 @@
         self.last_accepted
     }
 
+    /// When the latest attempt was sent that the worker has accepted, or will accept if it has rejected none since it
+    /// last accepted one.
+    pub(crate) fn last_expected(&self) -> Option<Time> {
+        let expected = self.last_sent.filter(|_| self.rejections == 0);
+        self.last_accepted.max(expected)
+    }
+
+    /// An attempt is sent.
+    pub(crate) fn sent(&mut self, now: Time) {
+        self.last_sent = Some(now);
+    }
+
     /// How many attempts it has rejected since it last accepted one.
     pub(crate) fn rejections(&self) -> u32 {
         self.rejections
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -59,7 +59,7 @@
 ///
 /// Fraction, 0 to 0.5: PROTOCOL prices a rejection after more than half of the time. Source: inherited,
 /// within the range of PROTOCOL.
-const MAX_WAIT: f64 = 0.4;
+pub(super) const MAX_WAIT: f64 = 0.4;
 /// Least divisor where a time is divided by.
 ///
 /// Seconds, above 0. Source: inherited.
--- a/src/policy/endpoint_lease.rs
+++ b/src/policy/endpoint_lease.rs
@@ -31,6 +31,11 @@
 ///
 /// Time, above 0. Source: PROTOCOL, "The event bus" (a heartbeat each second).
 const HEARTBEAT_INTERVAL: Span = Span::from_millis(1_000);
+/// From so long before what was not delivered counts as notified, an outage is expected: two heartbeats are
+/// missing then.
+///
+/// Time, above 0. Source: PROTOCOL, as above.
+const MAX_DOUBT: Span = Span::from_millis(2_000);
 /// Fraction of the grace period in which new work may still be sent; the rest is for the way to the worker.
 ///
 /// Fraction, 0 to 1. Source: judgement.
@@ -99,6 +104,14 @@
         self.list_stale_at().is_some_and(|stale_at| stale_at <= now)
     }
 
+    /// Whether several heartbeats are missing, and what was not delivered counts as notified soon.
+    pub(super) fn is_list_doubtful(&self) -> bool {
+        let soon = self.now + self.usable_grace().min(MAX_DOUBT);
+        self.list_lease
+            .notified_from
+            .is_some_and(|notified_from| notified_from <= soon)
+    }
+
     /// Whether new work may be written to a worker at `now`, and why not.
     ///
     /// # Errors
@@ -133,10 +146,22 @@
         worker.endpoint.is_ready() && self.has_lease(worker, self.now)
     }
 
-    /// Whether no worker may be given new work for want of a lease.
+    /// Whether no worker may be given new work for want of a lease, and no attempt in flight may bring one.
     pub(super) fn lacks_leases(&self) -> bool {
+        let has_prospect =
+            |worker: &Worker| self.expected_lease(worker).is_some_and(|until| until > self.now);
         let mut workers = self.cluster.workers.values();
-        self.is_list_stale(self.now) && !workers.any(|worker| self.is_available(worker))
+        self.is_list_stale(self.now)
+            && !workers.any(|worker| self.is_available(worker) || has_prospect(worker))
+    }
+
+    /// Until when a ready worker may be given new work by what it has accepted, and by what is in flight
+    /// there if it accepts that.
+    pub(super) fn expected_lease(&self, worker: &Worker) -> Option<Time> {
+        if !worker.endpoint.is_ready() {
+            return None;
+        }
+        Some(worker.acceptance.last_expected()? + self.usable_grace())
     }
 
     fn has_lease(&self, worker: &Worker, now: Time) -> bool {
@@ -147,7 +172,7 @@
         last_accepted.is_some_and(|at| now < at + self.usable_grace())
     }
 
-    fn usable_grace(&self) -> Span {
+    pub(super) fn usable_grace(&self) -> Span {
         self.settings.safety_limits.drain_grace.mul_f64(GRACE_FRACTION)
     }
 }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -8,6 +8,7 @@
 //! - `placement`: which worker it is sent to, out of the `candidates`;
 //! - `admission`: whether it is admitted, queued or shed, and the workers' concurrency limits;
 //! - `endpoint_lease`: until when a worker may be given new work, by the age of what is known of it;
+//! - `lease_renewal`: which requests wait to renew a lease;
 //! - `slow_start`: what a worker that is warming up may be sent;
 //! - `popularity`: the tiers of the functions, and how many instances are wanted;
 //! - `prewarm`: the load orders;
@@ -39,6 +40,7 @@
 mod candidates;
 mod endpoint_lease;
 mod health;
+mod lease_renewal;
 mod outcomes;
 mod placement;
 mod popularity;
@@ -57,6 +59,7 @@
 use endpoint_lease::ListLease;
 use rand_core::SeedableRng;
 use rand_pcg::Pcg64Mcg;
+use std::collections::BTreeSet;
 
 /// Time between two rounds of maintenance: short against any keep-alive.
 ///
@@ -98,6 +101,8 @@
     actions: Vec<Action>,
     cluster: Cluster,
     list_lease: ListLease,
+    /// Requests that wait to renew a lease.
+    reserve: BTreeSet<RequestId>,
     /// Mean fraction of the latency objective, 0 to 1, that attempts used, over all workers.
     saturation: DecayingAverage,
     /// Fraction of the workers, 0 to 1, that are at capacity, as last measured.
@@ -115,6 +120,7 @@
             actions: Vec::new(),
             cluster: Cluster::default(),
             list_lease: ListLease::default(),
+            reserve: BTreeSet::new(),
             saturation: DecayingAverage::default(),
             fraction_at_capacity: 0.0,
         };
--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -47,6 +47,13 @@
 impl Policy {
     /// Sends a request to a worker, has it wait, or ends it.
     pub(super) fn place(&mut self, id: RequestId) {
+        if !self.keep_in_reserve(id) {
+            self.place_now(id);
+        }
+    }
+
+    /// Places a request that need not wait to renew a lease.
+    pub(super) fn place_now(&mut self, id: RequestId) {
         let tie_break = self.rng.next_u64();
         let request = self.cluster.idle_request(id);
         let Some(request) = request else { return };
--- a/tests/policy/main.rs
+++ b/tests/policy/main.rs
@@ -5,6 +5,7 @@
 mod endpoint_lease;
 mod health;
 mod load_rate_limit;
+mod outage_service;
 mod placement;
 mod prewarm;
 mod retries;
