Soak: a scheduler that starts during a reload is sent SIGHUP once it is ready

Cause: a reload whose SIGHUP fell between the start of a process and its readiness was never announced to that process. Change: the SIGHUP is sent as soon as the process is ready.

--- a/crates/fault-soak/src/environment/scheduler/lifecycle.rs
+++ b/crates/fault-soak/src/environment/scheduler/lifecycle.rs
@@ -88,6 +88,7 @@
             if reports_readiness(self.address).await {
                 self.record_for(process.incarnation, ProcessEvent::Ready);
                 process.set_ready();
+                self.reload_if_due();
                 self.set_in_rotation(true);
                 return;
             }
--- a/crates/fault-soak/src/environment/scheduler/mod.rs
+++ b/crates/fault-soak/src/environment/scheduler/mod.rs
@@ -47,6 +47,8 @@
     pub(crate) log_stall: FaultSwitch,
     /// Whether new clients connect here, as behind a load balancer.
     is_in_rotation: AtomicBool,
+    /// The configuration has been replaced, and no process has been sent SIGHUP for it yet.
+    reload_is_due: AtomicBool,
     /// The current process, or the last; none before the first start.
     process: Mutex<Option<Arc<SchedulerProcess>>>,
     folder: TempDir,
@@ -80,6 +82,7 @@
             lifecycle: tokio::sync::Mutex::default(),
             log_stall: FaultSwitch::default(),
             is_in_rotation: AtomicBool::new(false),
+            reload_is_due: AtomicBool::new(false),
             process: Mutex::default(),
             folder,
             control_file,
@@ -164,6 +167,19 @@
         self.process().map_or(0, |process| process.count_entries("task"))
     }
 
+    /// Sends SIGHUP for a configuration that has been replaced: at once, or as soon as the process is ready. Before that
+    /// it may not handle signals yet, and it may have read the configuration of before.
+    pub(crate) fn request_reload(&self) {
+        self.reload_is_due.store(true, Ordering::SeqCst);
+        self.reload_if_due();
+    }
+
+    fn reload_if_due(&self) {
+        if self.is_ready() && self.reload_is_due.swap(false, Ordering::SeqCst) {
+            self.signal(Signal::SIGHUP);
+        }
+    }
+
     /// Records an event of its current process.
     pub(super) fn record(&self, event: ProcessEvent) {
         if let Some(process) = self.process() {
--- a/crates/fault-soak/src/faults/reload.rs
+++ b/crates/fault-soak/src/faults/reload.rs
@@ -2,7 +2,6 @@
 
 use super::schedule::PlannedFault;
 use crate::environment::{Environment, Scheduler};
-use nix::sys::signal::Signal;
 use std::ops::Range;
 use std::sync::Arc;
 use std::time::Duration;
@@ -22,7 +21,7 @@
         .filter(|other| !Arc::ptr_eq(other, target));
     for scheduler in std::iter::once(target).chain(others) {
         let _ = environment.write_config(scheduler);
-        signal_if_ready(scheduler, Signal::SIGHUP);
+        scheduler.request_reload();
     }
 }
 
@@ -36,19 +35,12 @@
     environment.discovery.switch_address();
     let length = TRUNCATED_BYTES.start + fault.variant as usize % TRUNCATED_BYTES.len();
     let _ = environment.write_truncated_config(target, length);
-    signal_if_ready(target, Signal::SIGHUP);
+    target.request_reload();
     sleep(fault.duration.min(MAX_TRUNCATED_TIME)).await;
     for scheduler in &environment.schedulers {
         let _ = environment.write_config(scheduler);
         if !Arc::ptr_eq(scheduler, target) {
-            signal_if_ready(scheduler, Signal::SIGHUP);
+            scheduler.request_reload();
         }
     }
 }
-
-/// Before a process is ready it may not handle signals yet.
-fn signal_if_ready(scheduler: &Scheduler, signal: Signal) {
-    if scheduler.is_ready() {
-        scheduler.signal(signal);
-    }
-}
