--- a/src/cluster/acceptance.rs
+++ b/src/cluster/acceptance.rs
@@ -9,6 +9,7 @@
     last_accepted: Option<Time>,
     last_sent: Option<Time>,
     rejections: u32,
+    lost_at: Option<Time>,
 }
 
 impl Acceptance {
@@ -29,6 +30,16 @@
         self.last_sent = Some(now);
     }
 
+    /// The worker could not be reached: what answers there next may be another process.
+    pub(crate) fn lost(&mut self, now: Time) {
+        self.lost_at = Some(now);
+    }
+
+    /// Whether it could not be reached at some time since then.
+    pub(crate) fn was_lost_since(&self, since: Time) -> bool {
+        self.lost_at >= Some(since)
+    }
+
     /// How many attempts it has rejected since it last accepted one.
     pub(crate) fn rejections(&self) -> u32 {
         self.rejections
--- a/src/discovery/tests/watch/mod.rs
+++ b/src/discovery/tests/watch/mod.rs
@@ -3,6 +3,7 @@
 mod address_change;
 mod events;
 mod reconnect;
+mod status;
 
 use crate::config::parse_site;
 use crate::discovery::Discovery;
--- a/src/policy/endpoint_lease.rs
+++ b/src/policy/endpoint_lease.rs
@@ -69,12 +69,17 @@
     /// From when a change that has not been delivered counts as notified. None without a discovery service:
     /// such a list does not age.
     notified_from: Option<Time>,
+    /// When discovery last confirmed the list.
+    confirmed_at: Time,
 }
 
 impl ListLease {
     /// Takes in what has become of the watch at `at`.
     fn update(&mut self, at: Time, status: WatchStatus) {
         let no_later_than = |limit: Time| self.notified_from.map_or(limit, |present| present.min(limit));
+        if status == WatchStatus::Confirmed {
+            self.confirmed_at = at;
+        }
         let no_earlier_than = |limit: Time| self.notified_from.map_or(limit, |present| present.max(limit));
         self.notified_from = match status {
             WatchStatus::Disabled => None,
@@ -158,7 +163,7 @@
     /// Until when a ready worker may be given new work by what it has accepted, and by what is in flight
     /// there if it accepts that.
     pub(super) fn expected_lease(&self, worker: &Worker) -> Option<Time> {
-        if !worker.endpoint.is_ready() {
+        if !worker.endpoint.is_ready() || worker.acceptance.was_lost_since(self.list_lease.confirmed_at) {
             return None;
         }
         Some(worker.acceptance.last_expected()? + self.usable_grace())
@@ -168,8 +173,10 @@
         if worker.endpoint.source == EndpointSource::Configuration || !self.is_list_stale(now) {
             return true;
         }
+        // A process that has started unnoticed must be spared while it warms up: nobody says that it has.
+        let is_same_process = !worker.acceptance.was_lost_since(self.list_lease.confirmed_at);
         let last_accepted = worker.acceptance.last_accepted();
-        last_accepted.is_some_and(|at| now < at + self.usable_grace())
+        is_same_process && last_accepted.is_some_and(|at| now < at + self.usable_grace())
     }
 
     pub(super) fn usable_grace(&self) -> Span {
--- a/src/policy/health.rs
+++ b/src/policy/health.rs
@@ -31,6 +31,7 @@
     /// Ejects a worker that cannot be reached; nothing is expected loaded there.
     pub(super) fn eject(&mut self, now: Time) {
         self.health.ejection.begin(now, BACKOFF);
+        self.acceptance.lost(now);
         self.expire_instances();
     }
 }
--- a/tests/policy/endpoint_lease.rs
+++ b/tests/policy/endpoint_lease.rs
@@ -259,3 +259,34 @@
         Err(WorkerUnavailable::LeaseExpired)
     );
 }
+
+/// Discovery cannot say when a process has started, so another one at the address would be taken for one that is warm.
+#[test]
+fn a_worker_that_was_unreachable_in_the_outage_gets_no_lease_before_the_list_is_confirmed() {
+    for status in [AttemptStatus::ConnectFailed, AttemptStatus::Error] {
+        let mut harness = harness(1);
+        harness.watch_changed(WatchStatus::Confirmed);
+        harness.advance_ms(100);
+        harness.receive(request(1, 7));
+        harness.finish_last_attempt(status);
+        harness.advance_ms(500);
+        harness.watch_changed(WatchStatus::Requested);
+        harness.receive(request(2, 7));
+        let sent_before = harness.sent.len();
+        while harness.sent.len() == sent_before {
+            harness.advance_ms(10);
+        }
+        harness.finish_last_attempt(AttemptStatus::Ok);
+        harness.advance_ms(100);
+        let was_lost = status == AttemptStatus::ConnectFailed;
+        let expected = if was_lost {
+            Err(WorkerUnavailable::LeaseExpired)
+        } else {
+            Ok(())
+        };
+        let check = |harness: &PolicyHarness| harness.policy().check_available(harness.now, WorkerId(1));
+        assert_eq!(check(&harness), expected, "{status:?}");
+        harness.watch_changed(WatchStatus::Confirmed);
+        assert_eq!(check(&harness), Ok(()), "{status:?}");
+    }
+}
