Leases: no cost in quiet operation over fleets of any size

Cause: each placement asked for each worker anew whether the list was stale, and the records of workers had grown. Change: the list is asked once for a placement, and the times of a worker's attempts take half the memory.

--- a/src/cluster/acceptance.rs
+++ b/src/cluster/acceptance.rs
@@ -3,41 +3,48 @@
 use super::Attempt;
 use crate::model::{AttemptStatus, Time};
 
+/// No time: fleets are large, and an `Option` would take twice the memory.
+const NEVER: Time = Time(0);
+
 /// The attempts that show whether a worker takes new work.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Acceptance {
-    last_accepted: Option<Time>,
-    last_sent: Option<Time>,
+    last_accepted: Time,
+    last_sent: Time,
+    lost_at: Time,
     rejections: u32,
-    lost_at: Option<Time>,
 }
 
 impl Acceptance {
-    /// When the latest attempt was sent that the worker has accepted.
+    /// When the latest attempt was sent that the worker has accepted; none where it has not accepted any.
     pub(crate) fn last_accepted(&self) -> Option<Time> {
-        self.last_accepted
+        Some(self.last_accepted).filter(|at| *at != NEVER)
     }
 
-    /// When the latest attempt was sent that the worker has accepted, or will accept if it has rejected none since it
-    /// last accepted one.
+    /// The same, or when the latest attempt was sent that it will accept if it still takes new work: it has rejected none
+    /// since it last accepted one.
     pub(crate) fn last_expected(&self) -> Option<Time> {
-        let expected = self.last_sent.filter(|_| self.rejections == 0);
-        self.last_accepted.max(expected)
+        let expected = if self.rejections == 0 {
+            self.last_sent
+        } else {
+            NEVER
+        };
+        Some(self.last_accepted.max(expected)).filter(|at| *at != NEVER)
     }
 
     /// An attempt is sent.
     pub(crate) fn sent(&mut self, now: Time) {
-        self.last_sent = Some(now);
+        self.last_sent = now;
     }
 
     /// The worker could not be reached: what answers there next may be another process.
     pub(crate) fn lost(&mut self, now: Time) {
-        self.lost_at = Some(now);
+        self.lost_at = now;
     }
 
     /// Whether it could not be reached at some time since then.
     pub(crate) fn was_lost_since(&self, since: Time) -> bool {
-        self.lost_at >= Some(since)
+        self.lost_at != NEVER && self.lost_at >= since
     }
 
     /// How many attempts it has rejected since it last accepted one.
@@ -49,7 +56,7 @@
     pub(crate) fn record(&mut self, attempt: &Attempt, status: AttemptStatus) {
         match status {
             AttemptStatus::Ok => {
-                self.last_accepted = self.last_accepted.max(Some(attempt.sent_at));
+                self.last_accepted = self.last_accepted.max(attempt.sent_at);
                 self.rejections = 0;
             }
             AttemptStatus::AtCapacity => self.rejections = self.rejections.saturating_add(1),
--- a/src/policy/candidates.rs
+++ b/src/policy/candidates.rs
@@ -78,8 +78,10 @@
         let demand = self.demand(function, request.class);
         let by_place: Vec<&Worker> = self.cluster.workers.values().collect();
         let workers = order.iter().map(|place| by_place[*place]);
+        let needs_lease = self.is_list_stale(self.now);
         let allowed = workers.filter(|worker| {
-            self.is_available(worker)
+            worker.endpoint.is_ready()
+                && (!needs_lease || self.has_lease(worker, self.now))
                 && self.slow_start_admits(id, request.class, worker)
                 && self.may_retry_on(request, worker)
         });
--- a/src/policy/endpoint_lease.rs
+++ b/src/policy/endpoint_lease.rs
@@ -126,7 +126,7 @@
         let worker = self.cluster.workers.get(&worker);
         let worker = worker.filter(|worker| worker.endpoint.is_ready());
         let worker = worker.ok_or(WorkerUnavailable::NotReady)?;
-        if self.has_lease(worker, now) {
+        if !self.is_list_stale(now) || self.has_lease(worker, now) {
             Ok(())
         } else {
             Err(WorkerUnavailable::LeaseExpired)
@@ -135,7 +135,7 @@
 
     /// The ready workers whose leases have expired at `now`.
     pub fn expired_leases(&self, now: Time) -> Vec<ExpiredLease> {
-        let workers = self.cluster.workers.values();
+        let workers = self.cluster.workers.values().filter(|_| self.is_list_stale(now));
         let expired = workers.filter(|worker| worker.endpoint.is_ready() && !self.has_lease(worker, now));
         expired
             .map(|worker| ExpiredLease {
@@ -148,7 +148,7 @@
 
     /// Whether a worker may be given new work: it is listed as ready, and that still holds.
     pub(super) fn is_available(&self, worker: &Worker) -> bool {
-        worker.endpoint.is_ready() && self.has_lease(worker, self.now)
+        worker.endpoint.is_ready() && (!self.is_list_stale(self.now) || self.has_lease(worker, self.now))
     }
 
     /// Whether no worker may be given new work for want of a lease, and no attempt in flight may bring one.
@@ -169,8 +169,9 @@
         Some(worker.acceptance.last_expected()? + self.usable_grace())
     }
 
-    fn has_lease(&self, worker: &Worker, now: Time) -> bool {
-        if worker.endpoint.source == EndpointSource::Configuration || !self.is_list_stale(now) {
+    /// Whether a worker may be given new work although the list is stale.
+    pub(super) fn has_lease(&self, worker: &Worker, now: Time) -> bool {
+        if worker.endpoint.source == EndpointSource::Configuration {
             return true;
         }
         // A process that has started unnoticed must be spared while it warms up: nobody says that it has.
