Watch: a heartbeat confirms the list only if it names the last event

Cause: a discovery service that sends heartbeats but withholds events, or has fewer than the scheduler, would keep the list fresh. Change: a heartbeat with another number than the last event's confirms nothing and counts as silence; 0 says nothing.

--- a/src/discovery/tests/watch/status.rs
+++ b/src/discovery/tests/watch/status.rs
@@ -20,8 +20,8 @@
     assert_eq!(statuses(&mut watch), []);
 }
 
-/// Only what is new is reported: neither an event that came before, nor a heartbeat of a service that lacks events, says
-/// that there are no others.
+/// Only what is new is reported: neither an event that came before, nor a heartbeat of a service that lacks events or has
+/// not sent them all, says that there are no others.
 #[test]
 fn heartbeats_and_new_events_are_reported() {
     let (listener, address) = listen();
@@ -34,6 +34,7 @@
         encode_frame(5, HEARTBEAT),
         empty_delta(5),
         encode_frame(4, HEARTBEAT),
+        encode_frame(7, HEARTBEAT),
         empty_delta(6),
         encode_frame(6, HEARTBEAT),
     ];
--- a/src/discovery/watch_connection.rs
+++ b/src/discovery/watch_connection.rs
@@ -54,12 +54,16 @@
         self.status_changes.push_back(StatusChange { at, status });
     }
 
-    /// Takes in what a frame says that cannot have come before `arrived_at`.
-    fn receive(&mut self, frame: Frame, arrived_at: Time) {
+    /// Takes in what a frame says that cannot have come before `arrived_at`; whether it shows that the watch works.
+    fn receive(&mut self, frame: Frame, arrived_at: Time) -> bool {
         match frame {
-            // A service that lacks events which this scheduler has cannot say that there are no others.
-            Frame::Heartbeat { last_offset } if (1..self.last_offset).contains(&last_offset) => {
-                warn!(last_offset, "discovery service behind");
+            Frame::Heartbeat { last_offset } if !self.matches(last_offset) => {
+                warn!(
+                    last_offset,
+                    expected = self.last_offset,
+                    "heartbeat of another offset"
+                );
+                return false;
             }
             Frame::Heartbeat { .. } => self.record_status(arrived_at, WatchStatus::Confirmed),
             // A new connection may repeat events; the list only moves forward.
@@ -69,6 +73,13 @@
                 self.push(event);
             }
         }
+        true
+    }
+
+    /// Whether a heartbeat confirms the list: a service with fewer events cannot say that there are no others, and one
+    /// with more has not sent them all. Zero says nothing.
+    fn matches(&self, last_offset: u64) -> bool {
+        last_offset == self.last_offset || last_offset == 0
     }
 
     /// Appends an event.
@@ -94,10 +105,11 @@
     }
 
     fn handle_frame(&mut self, frame: Frame, context: &Context) {
-        self.silent_at = context.now + WATCH_SILENCE_TIMEOUT;
         let mut queue = self.queue.borrow_mut();
         queue.failed_connections = 0;
-        queue.receive(frame, context.input_since);
+        if queue.receive(frame, context.input_since) {
+            self.silent_at = context.now + WATCH_SILENCE_TIMEOUT;
+        }
     }
 
     fn handle_undecodable(&self, error: DecodeError, context: &mut Context) -> ConnectionFlow {
--- a/tests/server/discovery_watch.rs
+++ b/tests/server/discovery_watch.rs
@@ -71,6 +71,22 @@
     scheduler.wait_for_log("watch connection silent");
 }
 
+/// A service that sends heartbeats but withholds events is no better than a silent one.
+#[test]
+fn a_watch_whose_heartbeats_name_missing_events_is_replaced() {
+    let (_worker, discovery, scheduler, mut watch) = deploy_watching(default_settings());
+    let sender = std::thread::spawn(move || {
+        for _ in 0..30 {
+            watch.try_send(&heartbeat_frame(9));
+            std::thread::sleep(std::time::Duration::from_millis(100));
+        }
+    });
+    let replacement = discovery.accept();
+    assert_eq!(replacement.offset, 1);
+    scheduler.wait_for_log("heartbeat of another offset");
+    sender.join().unwrap();
+}
+
 /// A machine is gone and a new one has its address, but no event has reported the old one gone. Requests sent to the
 /// old id would reach the new machine and not count against its slow start.
 #[test]
