Lease renewal: requests wait no longer once the list is confirmed

Cause: a request that came between a new watch connection and its first heartbeat waited for most of the grace period, although the list was confirmed meanwhile; and one could wait although a worker of the operator's file needs no lease. Change: the heartbeat has the waiting requests placed, and none waits beside a worker without a lease. Measured: two new tests, which fail without the change, and the suite pass.

--- a/src/policy/endpoint_lease.rs
+++ b/src/policy/endpoint_lease.rs
@@ -93,9 +93,15 @@
 }
 
 impl Policy {
-    /// Takes in what has become of the watch of the endpoint list at `at`.
-    pub fn watch_changed(&mut self, at: Time, status: WatchStatus) {
+    /// Takes in what has become of the watch of the endpoint list at `at`. Returns whether requests need not
+    /// wait any longer: then an [`Event::TimerFired`](crate::model::Event::TimerFired) is to follow.
+    pub fn watch_changed(&mut self, at: Time, status: WatchStatus) -> bool {
         self.list_lease.update(at, status);
+        let releases = status == WatchStatus::Confirmed && !self.reserve.is_empty();
+        if releases {
+            self.release_reserve(at);
+        }
+        releases
     }
 
     /// When the endpoint list becomes stale, if discovery does not confirm it before; none if it does not
--- a/src/policy/lease_renewal.rs
+++ b/src/policy/lease_renewal.rs
@@ -4,7 +4,7 @@
 use super::admission::MAX_WAIT;
 use super::{Policy, Timer};
 use crate::cluster::Request;
-use crate::model::{RequestId, Time};
+use crate::model::{EndpointSource, RequestId, Time};
 
 /// Requests that wait to renew a lease.
 ///
@@ -54,8 +54,20 @@
         Some(due_at.min(waits_until))
     }
 
+    /// Has the requests in reserve placed at `at`: the list is confirmed, and they need not wait any longer.
+    pub(super) fn release_reserve(&mut self, at: Time) {
+        for id in std::mem::take(&mut self.reserve) {
+            self.timers.schedule(at, Timer::Placement(id));
+        }
+    }
+
     /// When the last lease expires, that on the list included, if few workers have a lease after `limit`.
+    /// None also where a worker needs no lease.
     fn last_of_few_leases(&self, limit: Time) -> Option<Time> {
+        let mut workers = self.cluster.workers.values();
+        if workers.any(|worker| worker.endpoint.source == EndpointSource::Configuration) {
+            return None;
+        }
         let workers = self.cluster.workers.values();
         let leases = workers.filter_map(|worker| self.expected_lease(worker));
         let lasting: Vec<Time> = leases.filter(|expires_at| *expires_at > limit).collect();
--- a/src/scheduler/endpoint_updates.rs
+++ b/src/scheduler/endpoint_updates.rs
@@ -50,7 +50,9 @@
 
     /// Takes in what became of the watch of the endpoint list at `at`, which may be before `now`.
     pub fn watch_changed(&mut self, now: Time, at: Time, status: WatchStatus) {
-        self.policy.watch_changed(at, status);
+        if self.policy.watch_changed(at, status) {
+            self.handle_event(now, Event::TimerFired);
+        }
         if !self.policy.is_list_stale(now) {
             self.report_confirmed_list(now);
         }
--- a/tests/policy/endpoint_lease.rs
+++ b/tests/policy/endpoint_lease.rs
@@ -179,6 +179,31 @@
     assert!(stale_at - harness.now < Span::from_millis(100), "shortly before");
 }
 
+#[test]
+fn a_waiting_request_is_sent_once_the_list_is_confirmed() {
+    let mut harness = harness(3);
+    harness.watch_changed(WatchStatus::Requested);
+    assert_eq!(harness.receive_and_place(request(1, 7)), []);
+    harness.advance_ms(50);
+    assert!(harness.sent.is_empty(), "it waits to renew the last lease");
+    let actions = harness.watch_changed(WatchStatus::Confirmed);
+    assert_eq!(workers_sent_to(&actions).len(), 1);
+}
+
+#[test]
+fn no_request_waits_where_a_worker_needs_no_lease() {
+    let mut harness = harness(3);
+    let configured = Endpoint {
+        worker: WorkerId(9),
+        source: EndpointSource::Configuration,
+        weight: 1.0,
+        ..Endpoint::default()
+    };
+    harness.update_endpoints(EndpointUpdateKind::Delta, vec![configured]);
+    harness.watch_changed(WatchStatus::Requested);
+    assert_eq!(harness.receive_and_place(request(1, 7)).len(), 1);
+}
+
 /// An attempt in flight that was sent in time may still bring a lease: requests wait for its response.
 #[test]
 fn requests_wait_for_an_attempt_that_may_bring_a_lease() {
--- a/tests/support/policy_harness.rs
+++ b/tests/support/policy_harness.rs
@@ -89,8 +89,12 @@
     }
 
     /// The watch of the endpoint list changes now.
-    pub(crate) fn watch_changed(&mut self, status: WatchStatus) {
-        self.policy.watch_changed(self.now, status);
+    pub(crate) fn watch_changed(&mut self, status: WatchStatus) -> Vec<Action> {
+        if self.policy.watch_changed(self.now, status) {
+            self.handle(Event::TimerFired)
+        } else {
+            vec![]
+        }
     }
 
     /// The policy, to be asked what it knows.
