--- a/tests/policy/endpoint_lease.rs
+++ b/tests/policy/endpoint_lease.rs
@@ -10,6 +10,8 @@
 /// What may be used of the grace period of [`test_settings`], which is 500 ms.
 const USABLE_GRACE: Span = Span::from_millis(450);
 const ONE_STEP: Span = Span(1);
+/// No request waits longer to renew a lease.
+const LONGEST_WAIT: Span = Span::from_millis(2_500);
 
 /// What becomes of the watch, and when, in milliseconds.
 type Change = (u64, WatchStatus);
@@ -67,9 +69,11 @@
     }
 }
 
-/// Lets time pass until the first attempt is sent, which may wait to renew the last lease; when that is.
-fn advance_until_sent(harness: &mut PolicyHarness) -> Time {
-    while harness.sent.is_empty() {
+/// Lets time pass until the next attempt is sent, which may wait to renew the last lease; when that is.
+fn advance_until_sent(harness: &mut PolicyHarness, sent_before: usize) -> Time {
+    let end = harness.now + LONGEST_WAIT;
+    while harness.sent.len() == sent_before {
+        assert!(harness.now < end, "no attempt is sent");
         harness.advance_ms(10);
     }
     harness.now
@@ -89,7 +93,7 @@
         let mut harness = harness(1);
         harness.watch_changed(WatchStatus::Requested);
         harness.receive(request(1, 7));
-        let sent_at = advance_until_sent(&mut harness);
+        let sent_at = advance_until_sent(&mut harness, 0);
         harness.now = harness.now + Span::from_millis(100);
         harness.finish_last_attempt(status);
         let check = |at: Time| harness.policy().check_available(at, WorkerId(1));
@@ -172,9 +176,7 @@
     let stale_at = harness.now + USABLE_GRACE;
     assert_eq!(harness.receive_and_place(request(2, 7)), []);
     let sent_before = harness.sent.len();
-    while harness.sent.len() == sent_before {
-        harness.advance_ms(10);
-    }
+    advance_until_sent(&mut harness, sent_before);
     assert!(harness.now < stale_at, "before the lease expires");
     assert!(stale_at - harness.now < Span::from_millis(100), "shortly before");
 }
@@ -210,7 +212,7 @@
     let mut harness = harness(1);
     harness.watch_changed(WatchStatus::Requested);
     harness.receive(request(1, 7));
-    advance_until_sent(&mut harness);
+    advance_until_sent(&mut harness, 0);
     harness.advance_ms(100);
     let actions = harness.receive(request(2, 7));
     assert_eq!(
@@ -267,7 +269,7 @@
     let mut harness = harness(1);
     harness.watch_changed(WatchStatus::Requested);
     harness.receive(request(1, 7));
-    advance_until_sent(&mut harness);
+    advance_until_sent(&mut harness, 0);
     harness.finish_last_attempt(AttemptStatus::Ok);
     harness.now = harness.now + Span(USABLE_GRACE.0 - 1);
     assert_eq!(harness.policy().check_available(harness.now, WorkerId(1)), Ok(()));
@@ -298,9 +300,7 @@
         harness.watch_changed(WatchStatus::Requested);
         harness.receive(request(2, 7));
         let sent_before = harness.sent.len();
-        while harness.sent.len() == sent_before {
-            harness.advance_ms(10);
-        }
+        advance_until_sent(&mut harness, sent_before);
         harness.finish_last_attempt(AttemptStatus::Ok);
         harness.advance_ms(100);
         let was_lost = status == AttemptStatus::ConnectFailed;
