Test: workers without a lease are not prewarmed

Cause: a mutant in which load orders ask only the list passed the policy's tests. Change: a test of prewarming while the list is stale. Measured: it fails with that mutant and passes without.

--- a/tests/policy/endpoint_lease.rs
+++ b/tests/policy/endpoint_lease.rs
@@ -250,6 +250,27 @@
     }
 }
 
+/// Prewarming gives load orders without a request that could find no worker.
+#[test]
+fn an_unconfirmed_worker_is_not_prewarmed() {
+    for is_stale in [false, true] {
+        let mut harness = PolicyHarness::new(test_settings(OnMiss::Miss), 4);
+        for n in 0..200 {
+            harness.watch_changed(WatchStatus::Confirmed);
+            if !harness.receive_and_place(request(n, 7)).is_empty() {
+                harness.finish_last_attempt(AttemptStatus::Ok);
+            }
+            harness.advance_ms(20);
+        }
+        if is_stale {
+            harness.watch_changed(WatchStatus::Requested);
+            harness.now = harness.now + USABLE_GRACE;
+        }
+        let loads = requested_loads(&harness.advance_ms(3_000));
+        assert_eq!(loads.is_empty(), is_stale, "{loads:?}");
+    }
+}
+
 /// Nobody publishes changes of workers that the configuration lists.
 #[test]
 fn a_worker_of_the_configuration_needs_no_lease() {
