--- a/tests/policy/endpoint_lease.rs
+++ b/tests/policy/endpoint_lease.rs
@@ -13,6 +13,19 @@
 /// No request waits longer to renew a lease.
 const LONGEST_WAIT: Span = Span::from_millis(2_500);
 
+/// A worker that the configuration lists.
+const CONFIGURED_WORKER: WorkerId = WorkerId(9);
+
+fn list_configured_worker(harness: &mut PolicyHarness) {
+    let configured = Endpoint {
+        worker: CONFIGURED_WORKER,
+        source: EndpointSource::Configuration,
+        weight: 1.0,
+        ..Endpoint::default()
+    };
+    harness.update_endpoints(EndpointUpdateKind::Delta, vec![configured]);
+}
+
 /// What becomes of the watch, and when, in milliseconds.
 type Change = (u64, WatchStatus);
 
@@ -195,13 +208,7 @@
 #[test]
 fn no_request_waits_where_a_worker_needs_no_lease() {
     let mut harness = harness(3);
-    let configured = Endpoint {
-        worker: WorkerId(9),
-        source: EndpointSource::Configuration,
-        weight: 1.0,
-        ..Endpoint::default()
-    };
-    harness.update_endpoints(EndpointUpdateKind::Delta, vec![configured]);
+    list_configured_worker(&mut harness);
     harness.watch_changed(WatchStatus::Requested);
     assert_eq!(harness.receive_and_place(request(1, 7)).len(), 1);
 }
@@ -275,14 +282,8 @@
 #[test]
 fn a_worker_of_the_configuration_needs_no_lease() {
     let mut harness = harness_with_stale_list(0);
-    let configured = Endpoint {
-        worker: WorkerId(9),
-        source: EndpointSource::Configuration,
-        weight: 1.0,
-        ..Endpoint::default()
-    };
-    harness.update_endpoints(EndpointUpdateKind::Delta, vec![configured]);
-    assert_eq!(harness.receive_and_place(request(1, 7)), [WorkerId(9)]);
+    list_configured_worker(&mut harness);
+    assert_eq!(harness.receive_and_place(request(1, 7)), [CONFIGURED_WORKER]);
 }
 
 #[test]
