Write attempts after all events of a poll, and check their clients if the poll is old

Callers saw: an attempt of a request whose client had closed or cancelled before it was written.

Cause: a worker connection wrote its queued commands in its own callback, when it was established or writable again. An event of the same poll that came later in the batch could be that the client had left. Commands that waited for the end of the batch were written with what the last poll had told, however old it was after the process had been stopped.

Change: the reactor lets connections write once the whole batch is handled (`Reactor::run_due_writes`). A poll whose event list is full is not complete.

Looked at elsewhere: the rest of a partly written attempt follows at most 100 ms after its first byte (`MAX_WRITE_TIME`).

--- a/src/backend/connection.rs
+++ b/src/backend/connection.rs
@@ -9,7 +9,7 @@
 use super::correlation::{CorrelationTable, Exchange, health_check_correlation_id};
 use super::limits::Limits;
 use super::write_queue::WriteQueue;
-use crate::model::Time;
+use crate::model::{ConnectionId, Time};
 use crate::net::{BufferLimits, BufferedStream, CloseCause, Connection, ConnectionFlow, PartialMessage};
 use crate::runtime::{Context, RuntimeState};
 use crate::scheduler::{ExchangeError, FailureCause, WriteProgress};
@@ -113,10 +113,10 @@
 }
 
 impl Connection<RuntimeState> for WorkerConnection {
-    fn opened(&mut self, socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow {
+    fn opened(&mut self, _socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow {
         self.phase = Phase::established(context.now);
         context.shared.scheduler.counters().worker_connections_opened += 1;
-        self.flush_commands(socket, context)
+        ConnectionFlow::Continue
     }
 
     fn received(&mut self, socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow {
@@ -137,7 +137,7 @@
         }
         let line = PartialMessage::after_read(!socket.input.is_empty(), consumed > 0);
         self.phase.track_line(line, context.now);
-        self.flush_commands(socket, context)
+        ConnectionFlow::Continue
     }
 
     fn may_write_remaining(&self, context: &mut Context) -> bool {
@@ -150,8 +150,22 @@
         }
     }
 
-    fn flushed(&mut self, socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow {
-        self.flush_commands(socket, context)
+    fn flushed(&mut self, _socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow {
+        self.finish_write(context);
+        ConnectionFlow::Continue
+    }
+
+    fn is_write_due(&self, socket: &BufferedStream) -> bool {
+        self.can_write(socket)
+    }
+
+    fn next_write_depends_on(&self, shared: &RuntimeState) -> Option<ConnectionId> {
+        let origin = shared.scheduler.origin_of(self.next_attempt()?)?;
+        Some(origin.connection)
+    }
+
+    fn write_next(&mut self, socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow {
+        self.write_next_command(socket, context)
     }
 
     fn timer_expired(&mut self, _socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow {
--- a/src/backend/connection/commands.rs
+++ b/src/backend/connection/commands.rs
@@ -10,21 +10,16 @@
 use crate::scheduler::{AttemptId, LoadOrderId, RequestPayload};
 
 impl WorkerConnection {
-    /// Queues a command for the worker and writes as many queued commands as the socket accepts. Drops a
-    /// cancellation that the worker does not need.
-    pub(in crate::backend) fn submit(
-        &mut self,
-        command: WorkerCommand,
-        socket: &mut BufferedStream,
-        context: &mut Context,
-    ) -> ConnectionFlow {
+    /// Queues a command for the worker; the reactor has it written. Drops a cancellation that the worker does
+    /// not need.
+    pub(in crate::backend) fn submit(&mut self, command: WorkerCommand, context: &mut Context) {
         match &command {
             WorkerCommand::Send { attempt, payload, .. } => {
                 self.correlations.open_attempt(*attempt, &payload.correlation_id);
             }
             WorkerCommand::Cancel { attempt } => {
                 if !self.cancel_attempt(*attempt, context.now) {
-                    return ConnectionFlow::Continue;
+                    return;
                 }
             }
             WorkerCommand::Load { order, .. } => self.correlations.open_load_order(*order),
@@ -39,7 +34,19 @@
         }
         self.phase.record_activity(context.now);
         self.write_queue.push(command);
-        self.flush_commands(socket, context)
+    }
+
+    /// Returns whether a command is queued and the previous one has been written completely.
+    pub(super) fn can_write(&self, socket: &BufferedStream) -> bool {
+        socket.is_connected() && socket.unsent_bytes() == 0 && self.write_queue.len() > 0
+    }
+
+    /// Returns the attempt that the next queued command starts, if it starts one.
+    pub(super) fn next_attempt(&self) -> Option<AttemptId> {
+        match self.write_queue.front()?.exchange()? {
+            Exchange::Attempt(attempt) => Some(attempt),
+            Exchange::LoadOrder(_) | Exchange::HealthCheck(_) => None,
+        }
     }
 
     /// Cancels an attempt. Returns whether the cancellation must be sent to the worker. It need not be sent
@@ -57,30 +64,38 @@
         true
     }
 
-    /// Writes the queued commands in order, each one after the previous one has been written completely.
-    pub(super) fn flush_commands(
+    /// Writes the next queued command, if [`WorkerConnection::can_write`] holds.
+    pub(super) fn write_next_command(
         &mut self,
         socket: &mut BufferedStream,
         context: &mut Context,
     ) -> ConnectionFlow {
-        while socket.is_connected() && socket.unsent_bytes() == 0 {
-            if let Some(Exchange::Attempt(attempt)) = self.write_queue.finish_write() {
-                context.shared.scheduler.attempt_written(context.now, attempt);
-            }
-            let Some(command) = self.write_queue.pop() else {
-                break;
-            };
-            let Some(line) = self.encode(command, context) else {
-                continue;
-            };
-            socket.enqueue(&line);
-            if socket.flush().is_err() {
-                return ConnectionFlow::Close;
-            }
+        if !self.can_write(socket) {
+            return ConnectionFlow::Continue;
+        }
+        let Some(line) = self
+            .write_queue
+            .pop()
+            .and_then(|command| self.encode(command, context))
+        else {
+            return ConnectionFlow::Continue;
+        };
+        socket.enqueue(&line);
+        match socket.flush() {
+            Ok(true) => self.finish_write(context),
+            Ok(false) => {}
+            Err(_) => return ConnectionFlow::Close,
         }
         ConnectionFlow::Continue
     }
 
+    /// Records that the operating system has accepted the command that was being written.
+    pub(super) fn finish_write(&mut self, context: &mut Context) {
+        if let Some(Exchange::Attempt(attempt)) = self.write_queue.finish_write() {
+            context.shared.scheduler.attempt_written(context.now, attempt);
+        }
+    }
+
     /// Encodes a command immediately before it is written. Returns `None` if it must no longer be written.
     fn encode(&mut self, command: WorkerCommand, context: &mut Context) -> Option<Vec<u8>> {
         match command {
--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -247,8 +247,9 @@
 /// Submits a command to a connection. If the connection has closed, a cancellation is dropped: its attempt
 /// has already ended.
 fn submit_to(connection: ConnectionId, command: WorkerCommand, reactor: &mut Reactor) {
-    reactor.with_connection_of_type(connection, |worker: &mut WorkerConnection, socket, context| {
-        worker.submit(command, socket, context)
+    reactor.with_connection_of_type(connection, |worker: &mut WorkerConnection, _, context| {
+        worker.submit(command, context);
+        ConnectionFlow::Continue
     });
 }
 
--- a/src/backend/tests/mod.rs
+++ b/src/backend/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod connection;
 mod correlation;
+mod due_writes;
 mod jsonrpc_codec;
 mod node_agent_codec;
 mod write_queue;
--- a/src/backend/write_queue.rs
+++ b/src/backend/write_queue.rs
@@ -27,6 +27,11 @@
         self.waiting.push_back(command);
     }
 
+    /// Returns the next command.
+    pub(super) fn front(&self) -> Option<&WorkerCommand> {
+        self.waiting.front()
+    }
+
     /// Removes and returns the next command. It may be written only after the previous one has been written
     /// completely.
     pub(super) fn pop(&mut self) -> Option<WorkerCommand> {
--- a/src/client.rs
+++ b/src/client.rs
@@ -196,6 +196,15 @@
     fn run_commands(&mut self) {
         let now = self.reactor.now();
         self.reactor.shared.scheduler.fire_timers(now);
+        self.execute_commands();
+        while self.reactor.has_due_writes() {
+            self.reactor.run_due_writes();
+            self.execute_commands();
+        }
+        self.pool.remove_ended_attempts(&self.reactor.shared.scheduler);
+    }
+
+    fn execute_commands(&mut self) {
         while let Some(command) = self.reactor.shared.scheduler.next_command() {
             match command {
                 Command::Respond { origin, response } => {
@@ -205,7 +214,6 @@
                 command => self.pool.execute(command, &mut self.reactor),
             }
         }
-        self.pool.remove_ended_attempts(&self.reactor.shared.scheduler);
     }
 
     /// Returns the correlation id of a request, which consists of 16 hexadecimal digits.
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -1,7 +1,7 @@
 //! The interface between the reactor and its connections.
 
 use super::BufferedStream;
-use crate::model::Time;
+use crate::model::{ConnectionId, Time};
 use std::any::Any;
 use std::io;
 use thiserror::Error;
@@ -69,6 +69,9 @@
 
     /// Called when registering a connection for its events failed. The reactor retries the registration.
     fn registration_failed(&mut self);
+
+    /// Called when a connection was read again because another is about to write what depends on it.
+    fn connection_rechecked(&mut self);
 }
 
 /// The state and times that a callback may use.
@@ -105,6 +108,25 @@
         ConnectionFlow::Continue
     }
 
+    /// Returns whether the connection has something to write by [`Connection::write_next`]. The reactor asks
+    /// after every callback.
+    fn is_write_due(&self, _socket: &BufferedStream) -> bool {
+        false
+    }
+
+    /// Returns the connection whose input must be known before the next write.
+    fn next_write_depends_on(&self, _shared: &S) -> Option<ConnectionId> {
+        None
+    }
+
+    /// Called when all events of a poll have been handled, as long as [`Connection::is_write_due`] holds.
+    ///
+    /// A callback for an event may not write what depends on another connection, because the next event of
+    /// the same poll may be that the other connection has closed.
+    fn write_next(&mut self, _socket: &mut BufferedStream, _context: &mut Context<S>) -> ConnectionFlow {
+        ConnectionFlow::Continue
+    }
+
     /// Called when the time returned by [`Connection::deadline`] has passed.
     fn timer_expired(&mut self, _socket: &mut BufferedStream, _context: &mut Context<S>) -> ConnectionFlow {
         ConnectionFlow::Continue
--- a/src/net/reactor/connections.rs
+++ b/src/net/reactor/connections.rs
@@ -63,10 +63,15 @@
     /// Reads the available input of a connection, which may have been waiting since the given time.
     pub fn read_pending_input(&mut self, id: ConnectionId, since: Time) {
         self.set_earliest_input_at(id, Some(since));
-        self.run_callback(id, |managed, context| managed.handle_event(true, context));
+        self.read_unreported_input(id);
         self.set_earliest_input_at(id, None);
     }
 
+    /// Reads the available input of a connection without waiting for a poll to report it.
+    pub(super) fn read_unreported_input(&mut self, id: ConnectionId) {
+        self.run_callback(id, |managed, context| managed.handle_event(true, context));
+    }
+
     fn set_earliest_input_at(&mut self, id: ConnectionId, since: Option<Time>) {
         if let Some(managed) = self.connections.get_mut(&id) {
             managed.earliest_input_at = since;
@@ -203,6 +208,9 @@
         if managed.apply_flow(flow) {
             return self.remove_connection(id);
         }
+        if managed.connection.is_write_due(&managed.stream) {
+            self.due_writes.insert(id);
+        }
         managed.register(self.poll.registry(), &mut context);
         let deadline = managed.deadline();
         if deadline != managed.timer {
--- a/src/net/reactor/idle_connections.rs
+++ b/src/net/reactor/idle_connections.rs
@@ -35,7 +35,7 @@
     /// Closes a connection to free its descriptor, unless input that no poll has reported yet makes it busy.
     /// Returns whether the connection is closed.
     pub fn close_if_idle(&mut self, id: ConnectionId) -> bool {
-        self.run_callback(id, |managed, context| managed.handle_event(true, context));
+        self.read_unreported_input(id);
         let is_busy = |managed: &ManagedConnection<S>| managed.idle_since().is_none();
         if self.connections.get(&id).is_some_and(is_busy) {
             return false;
--- a/src/net/reactor/mod.rs
+++ b/src/net/reactor/mod.rs
@@ -1,10 +1,12 @@
 //! The reactor: waits for the events of all sockets and timers, and calls connections back.
 //!
 //! This module holds the reactor's state and its other sockets. `polling` waits for events, `connections`
-//! adds, calls back and closes connections, `idle_connections` closes idle connections, and
+//! adds, calls back and closes connections, `due_writes` lets them write after the events of a poll,
+//! `idle_connections` closes idle connections, and
 //! `managed_connection` holds the state of one connection.
 
 mod connections;
+mod due_writes;
 mod idle_connections;
 mod listeners;
 mod managed_connection;
@@ -26,7 +28,7 @@
 use managed_connection::ManagedConnection;
 use mio::{Events, Poll};
 use pipes::Pipes;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::io;
 use std::net::SocketAddr;
 use std::os::unix::net::{UnixListener, UnixStream};
@@ -65,11 +67,15 @@
     next_connection: ConnectionId,
     /// Timers of the connections, at most one for each.
     timers: TimerQueue<ConnectionId>,
+    /// Connections for which [`Connection::is_write_due`](super::Connection::is_write_due) holds.
+    due_writes: BTreeSet<ConnectionId>,
     last_poll_was_empty: bool,
     /// Time at which the last poll returned. All input that arrived before has been reported.
     polled_at: Time,
     /// Earliest time at which input reported by the last poll may have arrived.
     earliest_input_at: Time,
+    /// Time at which the last poll returned that reported everything that had happened until then.
+    complete_poll_at: Time,
     /// Number of unsent output bytes on all connections together.
     unsent_bytes: usize,
     /// Limit on the unsent output of all connections together, in bytes. While it is exceeded, a connection
@@ -96,9 +102,11 @@
             clients: 0,
             next_connection: token::FIRST_CONNECTION,
             timers: TimerQueue::default(),
+            due_writes: BTreeSet::new(),
             last_poll_was_empty: false,
             polled_at: clock.now(),
             earliest_input_at: clock.now(),
+            complete_poll_at: clock.now(),
             unsent_bytes: 0,
             max_unsent_bytes: usize::MAX,
         })
--- a/src/net/reactor/polling.rs
+++ b/src/net/reactor/polling.rs
@@ -2,7 +2,7 @@
 
 use super::managed_connection::ManagedConnection;
 use super::token::EventSource;
-use super::{Reactor, ReactorEvent};
+use super::{EVENT_CAPACITY, Reactor, ReactorEvent};
 use crate::model::{Span, Time};
 use crate::net::SharedState;
 use std::io;
@@ -33,8 +33,8 @@
         self.last_poll_was_empty
     }
 
-    /// Waits until something happens or `until` has passed, calls connections back, and returns the other
-    /// events.
+    /// Waits until something happens or `until` has passed, calls connections back, lets them write, and
+    /// returns the other events.
     ///
     /// # Errors
     ///
@@ -49,6 +49,7 @@
             .filter_map(|ready| self.dispatch(ready))
             .collect();
         self.fire_timers();
+        self.run_due_writes();
         Ok(events)
     }
 
@@ -92,6 +93,10 @@
             returned_at
         };
         self.polled_at = returned_at;
+        // A full list of events may have left some unreported.
+        if self.events.iter().count() < EVENT_CAPACITY {
+            self.complete_poll_at = returned_at;
+        }
     }
 
     fn ready_sources(&self) -> Vec<ReadySource> {
--- a/src/net/reactor/tests.rs
+++ b/src/net/reactor/tests.rs
@@ -21,6 +21,8 @@
     fn registration_failed(&mut self) {
         self.failed_registrations += 1;
     }
+
+    fn connection_rechecked(&mut self) {}
 }
 
 /// A connection that echoes its input, and panics if the input contains `!`.
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -40,6 +40,10 @@
     fn registration_failed(&mut self) {
         self.scheduler.counters().event_registrations_failed += 1;
     }
+
+    fn connection_rechecked(&mut self) {
+        self.scheduler.counters().clients_rechecked += 1;
+    }
 }
 
 /// Creates a reactor without connections that owns this scheduler.
--- a/src/scheduler/attempts.rs
+++ b/src/scheduler/attempts.rs
@@ -2,7 +2,7 @@
 
 use super::attempt_table::Attempt;
 use super::timers::Timer;
-use super::{AttemptId, Command, ExchangeError, ReportedMetric, Scheduler, WorkerResponse};
+use super::{AttemptId, Command, ExchangeError, ReportedMetric, RequestOrigin, Scheduler, WorkerResponse};
 use crate::model::{AttemptStatus, Event, RequestId, Span, Time, WorkerId};
 use tracing::debug;
 
@@ -12,6 +12,11 @@
         self.attempts.len()
     }
 
+    /// Returns the origin of the request that an attempt is for, unless the request has ended.
+    pub fn origin_of(&self, attempt: AttemptId) -> Option<RequestOrigin> {
+        Some(self.requests.get(attempt.request)?.origin)
+    }
+
     /// Returns whether an attempt is in flight or queued for writing.
     pub fn is_in_flight(&self, attempt: AttemptId) -> bool {
         self.attempts.contains(attempt)
--- a/src/scheduler/counters.rs
+++ b/src/scheduler/counters.rs
@@ -106,6 +106,9 @@
     /// Client connections accepted beyond the file descriptors reserved for clients; their requests are
     /// rejected.
     clients_shed,
+    /// Clients whose connections were read again before an attempt was written, because the last poll was too
+    /// old.
+    clients_rechecked,
     /// Invariant violations at run time; the log has the kind of each.
     violations,
 }
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -176,10 +176,18 @@
         if scheduler_timer.is_some_and(|at| at <= now) {
             self.catch_panic("timer", |server| server.reactor.shared.scheduler.fire_timers(now));
         }
+        self.execute_commands();
+        while self.reactor.has_due_writes() {
+            self.catch_panic("write", |server| server.reactor.run_due_writes());
+            self.execute_commands();
+        }
+        self.pool.remove_ended_attempts(&self.reactor.shared.scheduler);
+    }
+
+    fn execute_commands(&mut self) {
         while let Some(command) = self.reactor.shared.scheduler.next_command() {
             self.catch_panic("command", |server| server.execute(command));
         }
-        self.pool.remove_ended_attempts(&self.reactor.shared.scheduler);
     }
 
     /// Runs one part of the work and catches its panic. No connection can be closed for such a panic;
--- a/tests/server/client_disconnect.rs
+++ b/tests/server/client_disconnect.rs
@@ -119,6 +119,35 @@
     }
 }
 
+/// Guards against an attempt for a client that has left: its connection to the worker is established, and the
+/// client cancels or disconnects, in the same turn of the event loop.
+#[test]
+fn request_is_not_written_if_its_client_leaves_in_the_turn_in_which_its_connection_is_established() {
+    for closes in [false, true] {
+        let worker = FullBacklogWorker::new();
+        let scheduler = SchedulerProcess::start_with_settings(&[worker.address()], slow_connect_settings());
+        let mut other = FrameClient::connect(&scheduler);
+        let mut client = FrameClient::connect(&scheduler);
+        client.send_idempotent(1, 20_000, b"");
+        // The second response comes after the turn in which the scheduler connects to the worker.
+        client.assert_ready();
+        client.assert_ready();
+        scheduler.signal("STOP");
+        let mut connection = worker.accept_pending();
+        if closes {
+            drop(client);
+        } else {
+            client.send_cancel(1);
+        }
+        scheduler.signal("CONT");
+        scheduler.wait_for_counter("requests_cancelled", 1);
+        other.send_request(1, &request(IDEMPOTENT_CLASS, &request_id(2), 20_000, b""));
+        connection.serve(&request_id(2), "eA==");
+        other.expect_served(1, b"x");
+        assert_eq!(scheduler.counter("attempts_written"), 1, "closes: {closes}");
+    }
+}
+
 /// A client with an open request sends malformed input, so its connection ends with an error. The open
 /// request gets a response before the error and is cancelled at its worker at once. No response follows the
 /// error.
