Run the policy at its own timer, before later timers that have expired as well

Callers saw: rejections without need. After a burst without worker responses that ended while the process was late, one of two schedulers rejected 7 or 8 more of the next 12 requests (`both_frontends_give_the_same_responses_and_load_orders`).

Cause: the policy ends a request a tick (2 ms) before its deadline and cancels its attempt. `Scheduler::fire_timers` only noted an expired timer of the policy, and fired the timers after it first. When it was called later than the tick, the timers of the attempts came first, and the attempts ended as timeouts. Each raises the saturation over all workers; twelve raise it from 0 to 0.72, and above 0.5 the policy sheds new requests by random draws.

Change: the policy runs when its timer fires, in the order of expiry, so that a late call has the effect of a punctual one.

--- a/src/scheduler/tests/timers.rs
+++ b/src/scheduler/tests/timers.rs
@@ -84,3 +84,40 @@
     let timers = fired(&mut scheduler.timers, DEADLINE + Span::from_millis(60_000));
     assert!(timers.iter().all(|timer| *timer == Timer::Policy), "{timers:?}");
 }
+
+/// Guards against a late timer that turns cancelled attempts into timeouts, which count as overload: the
+/// scheduler then rejected requests without need.
+#[test]
+fn a_late_timer_has_the_same_effect_as_a_punctual_one() {
+    const TICK_MILLIS: u64 = 2;
+    let punctual = counters_after_a_burst(at_millis(3000 - TICK_MILLIS));
+    assert_eq!(punctual.responses_rejected, BURST);
+    assert!(punctual.attempts_cancelled > 0);
+    for late_millis in [0, 3, 19, 400] {
+        let late = counters_after_a_burst(at_millis(3000 + late_millis));
+        assert_eq!(late, punctual, "{late_millis} ms after the deadline");
+    }
+}
+
+/// Number of requests in a burst without worker responses; as timeouts, so many count as overload.
+const BURST: u64 = 24;
+
+/// Submits a burst of requests, fires the timers only at `fired_at`, which is around their deadline, and then
+/// submits as many requests again. Returns the counters.
+fn counters_after_a_burst(fired_at: Time) -> Counters {
+    let mut scheduler = test_scheduler();
+    for stream in 0..BURST {
+        for command in submit(&mut scheduler, stream, IDEMPOTENT_CLASS) {
+            if let Command::Send { attempt, .. } = command {
+                scheduler.attempt_written(at_millis(1), attempt);
+            }
+        }
+    }
+    scheduler.fire_timers(fired_at);
+    for stream in BURST..2 * BURST {
+        let mut request = client_request(stream, IDEMPOTENT_CLASS);
+        request.parameters.deadline = fired_at + Span::from_millis(2000);
+        scheduler.submit(fired_at, request);
+    }
+    scheduler.counters().clone()
+}
--- a/src/scheduler/timers.rs
+++ b/src/scheduler/timers.rs
@@ -27,7 +27,7 @@
         self.timers.next_expiry()
     }
 
-    /// Fires all timers that have expired.
+    /// Fires all timers that have expired, in the order of their expiry.
     pub fn fire_timers(&mut self, now: Time) {
         while let Some(timer) = self.timers.pop_expired(now) {
             self.fire_timer(now, timer);
@@ -38,7 +38,9 @@
     /// Performs the action of an expired timer.
     fn fire_timer(&mut self, now: Time, timer: Timer) {
         match timer {
-            Timer::Policy => self.pending_events.push_back(Event::TimerFired),
+            // The policy acts before the timers that expire after its own, so that a late call has the same
+            // effect as a punctual one.
+            Timer::Policy => self.handle_event(now, Event::TimerFired),
             Timer::Request(id) => self.fail_overdue_request(now, id),
             Timer::Attempt(id) => self.cancel_attempt(now, id, AttemptStatus::Timeout),
             Timer::LoadOrder(id) => self.time_out_load_order(now, id),
