End every request 0.1 s before the process may be killed

Callers saw: no response. After SIGTERM a request kept a deadline that ended with the earliest kill or after it, and a process that ran a few milliseconds late was killed first (`shutdown_with_short_deadlines_ends_before_the_kill`: 1.003 to 1.011 s).

Cause: only requests that came later than 0.7 s after SIGTERM had their deadlines limited. One that came just before kept its whole deadline, and so ended up to 0.7 s after SIGTERM plus the longest deadline, which is when SIGKILL may come. With classes of 4, 6 or 8 s, as the sites have them, the kill comes at 3.7 s all the same, and requests open at SIGTERM passed it by seconds.

Change: `Scheduler::begin_shutdown` limits the deadlines of all requests, open and new, to 0.1 s before the kill (`Shutdown::requests_end`), and moves their timers. The policy learns of it by `Event::DeadlinesLimited`, rejects or fails what is left in time, and waits less for a lease.

--- a/src/model/events.rs
+++ b/src/model/events.rs
@@ -51,6 +51,8 @@
         /// Result of the check.
         status: HealthCheckStatus,
     },
+    /// The process is shutting down: no open request may take longer than this from now.
+    DeadlinesLimited(Span),
     /// The delay of an [`Action::SetTimer`](super::Action::SetTimer) has passed.
     TimerFired,
 }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -156,6 +156,7 @@
             Event::ClientDisconnected(id) => self.client_disconnected(id),
             Event::LoadFinished(load) => self.load_finished(load),
             Event::HealthCheckFinished { worker, status } => self.health_check_finished(worker, status),
+            Event::DeadlinesLimited(remaining) => self.limit_deadlines(remaining),
             Event::TimerFired => self.timers.woken_up(),
         }
     }
--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -4,7 +4,7 @@
 use super::{Policy, Timer};
 use crate::cluster::{Attempt, Request, Worker};
 use crate::model::{
-    Action, AttemptOutcome, AttemptStatus, IncomingRequest, RejectionCause, RequestId, Span, WorkerId,
+    Action, AttemptOutcome, AttemptStatus, IncomingRequest, RejectionCause, RequestId, Span, Time, WorkerId,
 };
 
 /// Time before the end of the deduplication window (page WIRE, rule 2) by which a retry with an idempotency
@@ -24,8 +24,7 @@
         };
         let objective = rules.latency_objective.min(incoming.remaining);
         self.cluster.add_request(&incoming, objective, self.now);
-        let last_tick = self.now + incoming.remaining - self.settings.tick;
-        self.timers.schedule(last_tick, Timer::Deadline(id));
+        self.schedule_deadline(id, self.now + incoming.remaining);
         if self.should_shed(class) {
             self.reject_or_fail(id, RejectionCause::NotServed);
         } else {
@@ -119,6 +118,29 @@
         }
     }
 
+    /// Limits the deadlines of all requests to `remaining` from now, because the process is shutting down.
+    pub(super) fn limit_deadlines(&mut self, remaining: Span) {
+        let limit = self.now + remaining;
+        let mut limited = Vec::new();
+        for (id, request) in &mut self.cluster.requests {
+            if request.deadline > limit {
+                request.deadline = limit;
+                limited.push(*id);
+            }
+        }
+        for id in limited {
+            self.schedule_deadline(id, limit);
+        }
+        // Less time is left to wait for the renewal of a lease.
+        self.release_held_requests(self.now);
+    }
+
+    /// Schedules the end of a request for the last tick before its deadline.
+    fn schedule_deadline(&mut self, id: RequestId, deadline: Time) {
+        let last_tick = deadline - self.settings.tick;
+        self.timers.schedule(last_tick, Timer::Deadline(id));
+    }
+
     /// Ends a request unserved: rejects it if a retry by the client is harmless, and fails it otherwise.
     pub(super) fn reject_or_fail(&mut self, id: RequestId, cause: RejectionCause) {
         let request = self.cluster.requests.remove(&id);
--- a/src/scheduler/intake.rs
+++ b/src/scheduler/intake.rs
@@ -37,9 +37,21 @@
         self.handle_event(now, Event::ClientDisconnected(id));
     }
 
-    /// Sets the time by which all requests must end. The deadlines of requests submitted from now on are
-    /// limited to `ends_at`, and requests submitted from `ends_at` on are rejected.
-    pub fn set_shutdown_deadline(&mut self, ends_at: Time) {
+    /// Limits the deadlines of all requests to `ends_at`, those that are open and those that are submitted
+    /// later, because the process exits then.
+    pub fn begin_shutdown(&mut self, now: Time, ends_at: Time) {
+        self.limit_new_requests(ends_at);
+        for limited in self.requests.limit_deadlines(ends_at) {
+            let timer = Timer::Request(limited.id);
+            self.timers
+                .reschedule(timer, Some(limited.former_overdue_at), Some(limited.overdue_at));
+        }
+        self.handle_event(now, Event::DeadlinesLimited(ends_at - now));
+    }
+
+    /// Limits the deadlines of requests submitted from now on to `ends_at`. Requests submitted from `ends_at`
+    /// on are rejected.
+    pub fn limit_new_requests(&mut self, ends_at: Time) {
         self.shutdown_deadline = Some(ends_at);
     }
 
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -132,7 +132,7 @@
 pub struct Scheduler {
     site: Site,
     policy: Policy,
-    /// Time by which all requests must have ended; `None` until shutdown begins.
+    /// Time by which requests that are submitted from now on must end; `None` until shutdown begins.
     shutdown_deadline: Option<Time>,
     requests: RequestTable,
     attempts: AttemptTable,
--- a/src/scheduler/request_table.rs
+++ b/src/scheduler/request_table.rs
@@ -77,6 +77,16 @@
     }
 }
 
+/// A request whose deadline has been limited, and when the scheduler fails it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct LimitedRequest {
+    pub(super) id: RequestId,
+    /// The former time of [`OpenRequest::overdue_at`].
+    pub(super) former_overdue_at: Time,
+    /// The time of [`OpenRequest::overdue_at`] now.
+    pub(super) overdue_at: Time,
+}
+
 /// The open requests by id and by origin, with the correlation ids and the memory that they occupy.
 #[derive(Debug)]
 pub(super) struct RequestTable {
@@ -141,6 +151,24 @@
         self.requests.get_mut(&id)
     }
 
+    /// Limits the deadlines of all requests to `deadline`. Returns the requests whose deadlines have changed.
+    pub(super) fn limit_deadlines(&mut self, deadline: Time) -> Vec<LimitedRequest> {
+        let later = self
+            .requests
+            .iter_mut()
+            .filter(|(_, request)| request.deadline > deadline);
+        let limit = |(id, request): (&RequestId, &mut OpenRequest)| {
+            let former_overdue_at = request.overdue_at();
+            request.deadline = deadline;
+            LimitedRequest {
+                id: *id,
+                former_overdue_at,
+                overdue_at: request.overdue_at(),
+            }
+        };
+        later.map(limit).collect()
+    }
+
     /// Adds a request and returns its new id.
     pub(super) fn insert(&mut self, request: OpenRequest) -> RequestId {
         let id = self.next_id;
--- a/src/scheduler/tests/final_response.rs
+++ b/src/scheduler/tests/final_response.rs
@@ -61,3 +61,48 @@
     assert_eq!(scheduler.open_requests(), 0);
     assert_eq!(scheduler.counters().requests_cancelled, 1);
 }
+
+/// The process may be killed before the deadline of a request.
+#[test]
+fn each_request_has_its_final_response_by_the_shutdown_deadline() {
+    let mut scheduler = test_scheduler();
+    let classes = [IDEMPOTENT_CLASS, KEYED_CLASS, NON_IDEMPOTENT_CLASS];
+    for (stream, class) in (1..).zip(classes) {
+        let sent = sent_attempt(&submit(&mut scheduler, stream, class));
+        scheduler.attempt_written(at_millis(1), sent.id);
+    }
+    scheduler.begin_shutdown(at_millis(500), at_millis(1000));
+    scheduler.fire_timers(at_millis(990));
+    assert_eq!(responses(drain_commands(&mut scheduler)), []);
+    scheduler.fire_timers(at_millis(1000));
+    let responses = responses(drain_commands(&mut scheduler));
+    let outcomes: Vec<&str> = responses.iter().map(|response| response.outcome.name()).collect();
+    assert_eq!(outcomes, ["rejected", "rejected", "failed"]);
+    assert_eq!(scheduler.counters().requests_overdue, 0);
+    assert_eq!(scheduler.attempts_in_flight(), 0);
+}
+
+/// A fault in the policy must not leave a request without a final response when the process exits.
+#[test]
+fn a_request_that_the_policy_never_ends_fails_after_the_shutdown_deadline() {
+    let mut scheduler = test_scheduler();
+    submit(&mut scheduler, 1, IDEMPOTENT_CLASS);
+    scheduler.policy = Policy::new(scheduler.site.settings.clone(), 1);
+    scheduler.begin_shutdown(at_millis(500), at_millis(1000));
+    scheduler.fire_timers(at_millis(1019));
+    assert_eq!(scheduler.open_requests(), 1);
+    scheduler.fire_timers(at_millis(1021));
+    assert_eq!(responses(drain_commands(&mut scheduler)).len(), 1);
+    assert_eq!(scheduler.counters().requests_overdue, 1);
+}
+
+#[test]
+fn requests_after_the_shutdown_deadline_are_rejected() {
+    let mut scheduler = test_scheduler();
+    scheduler.begin_shutdown(at_millis(500), at_millis(1000));
+    scheduler.limit_new_requests(at_millis(800));
+    scheduler.submit(at_millis(800), client_request(1, IDEMPOTENT_CLASS));
+    let responses = responses(drain_commands(&mut scheduler));
+    let is_rejection = |response: &Response| matches!(response.outcome, Outcome::Rejected { .. });
+    assert!(matches!(&responses[..], [response] if is_rejection(response)));
+}
--- a/src/server/shutdown.rs
+++ b/src/server/shutdown.rs
@@ -20,7 +20,13 @@
             open_requests = self.reactor.shared.scheduler.open_requests(),
             "ending"
         );
-        self.shutdown = Some(Shutdown::new(self.reactor.now(), self.longest_deadline()));
+        let now = self.reactor.now();
+        let shutdown = Shutdown::new(now, self.longest_deadline());
+        self.reactor
+            .shared
+            .scheduler
+            .begin_shutdown(now, shutdown.requests_end());
+        self.shutdown = Some(shutdown);
         self.reactor.shared.ready = false;
         self.update_leader(Event::Shutdown);
         frontend::notify_draining(&mut self.reactor);
@@ -54,12 +60,12 @@
         false
     }
 
-    /// Limits the deadline of requests that arrive from now on to a time before the process may be killed,
-    /// so that a client that keeps sending cannot delay the shutdown.
+    /// Limits the deadline of requests that arrive from now on, so that a client that keeps sending cannot
+    /// delay the shutdown.
     fn limit_late_requests(&mut self) {
         if let Some(shutdown) = &self.shutdown {
             let ends_at = shutdown.late_requests_end();
-            self.reactor.shared.scheduler.set_shutdown_deadline(ends_at);
+            self.reactor.shared.scheduler.limit_new_requests(ends_at);
         }
     }
 
--- a/src/server/shutdown_phases.rs
+++ b/src/server/shutdown_phases.rs
@@ -19,7 +19,8 @@
 const MAX_LONGEST_DEADLINE: Span = Span::from_millis(3_000);
 /// Time before the kill by which late requests have ended, so that their responses can still be written.
 const LATE_REQUESTS_MARGIN: Span = Span::from_millis(300);
-/// Time before the kill at which the process exits if no request is open.
+/// Time before the kill by which all requests have ended, and at which the process exits. A request that
+/// comes within 0.6 s of SIGTERM, as the page PROTOCOL says, keeps its whole deadline.
 const EXIT_MARGIN: Span = Span::from_millis(100);
 /// Maximum time for writing the remaining responses once no request is open.
 const FLUSH_TIMEOUT: Span = Span::from_millis(500);
@@ -124,6 +125,12 @@
         }
     }
 
+    /// Returns the time by which all requests must end, whenever they arrive, so that each gets its response
+    /// before the process may be killed.
+    pub(super) fn requests_end(&self) -> Time {
+        self.last_exit_at()
+    }
+
     /// Returns the time by which requests that arrive after the second notice must end.
     pub(super) fn late_requests_end(&self) -> Time {
         self.earliest_kill_at - LATE_REQUESTS_MARGIN
--- a/src/server/tests/shutdown.rs
+++ b/src/server/tests/shutdown.rs
@@ -182,3 +182,19 @@
     ];
     assert_eq!(advance(&mut shutdown, 700, IDLE), phases);
 }
+
+/// According to the page PROTOCOL, requests come for up to 0.6 s after SIGTERM. The margin before the kill
+/// must not shorten their deadlines, however short these are.
+#[test]
+fn requests_end_before_the_kill_and_early_ones_keep_their_deadline() {
+    for longest_deadline in [50, 100, 300, 1_500, 3_000] {
+        let shutdown = Shutdown::new(BEGAN_AT, Span::from_millis(longest_deadline));
+        let ends_at = shutdown.requests_end();
+        assert!(ends_at >= after(600 + longest_deadline), "{longest_deadline}");
+        assert!(ends_at < after(700 + longest_deadline), "{longest_deadline}");
+    }
+    for longest_deadline in [4_000, 6_000, 8_000, 60_000] {
+        let shutdown = Shutdown::new(BEGAN_AT, Span::from_millis(longest_deadline));
+        assert!(shutdown.requests_end() < after(3_700), "{longest_deadline}");
+    }
+}
--- a/tests/server/shutdown.rs
+++ b/tests/server/shutdown.rs
@@ -296,3 +296,10 @@
 fn shutdown_with_short_deadlines_ends_before_the_kill() {
     assert_shutdown_before_kill(300);
 }
+
+/// Guards against requests that keep a deadline which is longer than the time until the kill, and then get no
+/// response.
+#[test]
+fn shutdown_with_long_deadlines_ends_before_the_kill() {
+    assert_shutdown_before_kill(8_000);
+}
