Tests: end the connection of a dropped stand-in at once

`request_is_not_retried_if_its_client_cancels_or_disconnects_in_the_same_turn` failed at times beside load, only in the case in which the client closes: the scheduler sent its request again.

Cause: a fault of the tests' own rig. A child process that a test in another thread starts holds a copy of each socket of the process until it executes its own program. While it waits for a processor, dropping the client does not close its connection, and the scheduler is right to retry for a client that is still there.

Change: `ClosingStream` shuts the output down when it is dropped, which ends the connection for all holders. The stand-in clients, workers' raw connections and watch connections use it. The test itself is unchanged.

--- a/tests/support/discovery.rs
+++ b/tests/support/discovery.rs
@@ -1,7 +1,8 @@
 //! A stand-in discovery service whose watch connections the test controls.
 
+use super::closing_stream::ClosingStream;
 use std::io::{Read, Write};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 
 /// The state of a worker, with its code on the wire.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -50,7 +51,7 @@
         let mut offset = [0; 8];
         stream.read_exact(&mut offset).unwrap();
         let mut watch = WatchConnection {
-            stream,
+            stream: ClosingStream::new(stream),
             offset: u64::from_be_bytes(offset),
         };
         watch.try_send(&heartbeat_frame(watch.offset));
@@ -60,7 +61,7 @@
 
 /// The discovery service's end of a watch connection.
 pub(crate) struct WatchConnection {
-    stream: TcpStream,
+    stream: ClosingStream,
     /// The offset of the last event that the scheduler has received.
     pub(crate) offset: u64,
 }
--- a/tests/support/frame_client.rs
+++ b/tests/support/frame_client.rs
@@ -4,6 +4,7 @@
 //! decoded here, with the types and codes that the page PROTOCOL defines, so that the tests detect a fault in
 //! the crate's codec.
 
+use super::closing_stream::ClosingStream;
 use super::scheduler_process::SchedulerProcess;
 use super::worker::StandInWorker;
 use super::worker_command::ReceivedCommand;
@@ -154,7 +155,7 @@
 
 /// A client of the frame protocol.
 pub(crate) struct FrameClient {
-    pub(crate) stream: TcpStream,
+    pub(crate) stream: ClosingStream,
 }
 
 /// Returns whether a scheduler at this address responds to a readiness request, whether it is ready or not.
@@ -175,7 +176,9 @@
     pub(crate) fn connect(scheduler: &SchedulerProcess) -> FrameClient {
         let stream = TcpStream::connect(scheduler.address).unwrap();
         stream.set_read_timeout(Some(WAIT_LIMIT)).unwrap();
-        FrameClient { stream }
+        FrameClient {
+            stream: ClosingStream::new(stream),
+        }
     }
 
     /// Sends bytes, which need not form a complete frame.
@@ -214,7 +217,7 @@
 
     /// Waits for the next frame; returns `None` once the connection has ended.
     pub(crate) fn next_frame(&mut self) -> Option<ReceivedFrame> {
-        read_frame(&mut self.stream)
+        read_frame(&mut *self.stream)
     }
 
     /// Waits for the next response and skips frames of other types.
--- a/tests/support/jsonrpc_client.rs
+++ b/tests/support/jsonrpc_client.rs
@@ -135,3 +135,10 @@
         self.reader.get_ref().try_clone().unwrap()
     }
 }
+
+impl Drop for JsonRpcClient {
+    /// Ends the connection at once; see [`ClosingStream`](super::closing_stream::ClosingStream).
+    fn drop(&mut self) {
+        let _ = self.reader.get_ref().shutdown(Shutdown::Write);
+    }
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -2,6 +2,7 @@
 //! stand-ins for its peers (clients, workers, the discovery service), and a harness that drives the policy
 //! without a scheduler.
 
+pub(crate) mod closing_stream;
 pub(crate) mod configuration;
 pub(crate) mod deployment;
 pub(crate) mod discovery;
--- a/tests/support/raw_worker.rs
+++ b/tests/support/raw_worker.rs
@@ -2,6 +2,7 @@
 //! read.
 
 use super::WAIT_LIMIT;
+use super::closing_stream::ClosingStream;
 use serde_json::{Value, json};
 use socket2::{Domain, Socket, Type};
 use std::io::{Read, Write};
@@ -75,14 +76,16 @@
 
 /// The worker's end of a connection.
 pub(crate) struct RawConnection {
-    stream: TcpStream,
+    stream: ClosingStream,
 }
 
 impl RawConnection {
     fn accept_from(listener: &TcpListener) -> RawConnection {
         let (stream, _) = listener.accept().unwrap();
         stream.set_read_timeout(Some(WAIT_LIMIT)).unwrap();
-        RawConnection { stream }
+        RawConnection {
+            stream: ClosingStream::new(stream),
+        }
     }
 
     /// Reads the next line and no byte beyond it.
@@ -131,7 +134,8 @@
 
     /// Waits for the scheduler to close the connection.
     pub(crate) fn wait_for_close(&mut self) {
-        assert_eq!(self.stream.read(&mut [0]).expect("the connection is closed"), 0);
+        let end = self.stream.read(&mut [0]);
+        assert_eq!(end.expect("the connection is closed"), 0);
     }
 
     /// Asserts that the connection has no input and has not been closed.
