Tests: repeat a read that a signal interrupted

`reload_applies_the_new_idle_time_to_open_connections` failed once with EINTR. Cause: a read with a timeout is interrupted when the test's process is stopped and continued, and single reads of the stand-ins did not repeat it; a watch connection took it for a close. Change: `ClosingStream::read_uninterrupted`.

--- a/tests/support/closing_stream.rs
+++ b/tests/support/closing_stream.rs
@@ -1,5 +1,6 @@
 //! A TCP stream of a stand-in peer whose drop ends the connection at once.
 
+use std::io::{self, ErrorKind, Read};
 use std::net::{Shutdown, TcpStream};
 use std::ops::{Deref, DerefMut};
 
@@ -13,6 +14,18 @@
     pub(crate) fn new(stream: TcpStream) -> ClosingStream {
         ClosingStream(stream)
     }
+
+    /// Reads once, and again whenever a signal interrupts the read before it has a result.
+    ///
+    /// A read with a timeout is interrupted if the test's process is stopped and continued meanwhile.
+    pub(crate) fn read_uninterrupted(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
+        loop {
+            match self.0.read(buffer) {
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                result => return result,
+            }
+        }
+    }
 }
 
 impl Drop for ClosingStream {
--- a/tests/support/discovery.rs
+++ b/tests/support/discovery.rs
@@ -80,7 +80,7 @@
     /// Waits for the scheduler to close or reset the connection.
     pub(crate) fn wait_for_close(&mut self) {
         assert_eq!(
-            self.stream.read(&mut [0; 64]).unwrap_or(0),
+            self.stream.read_uninterrupted(&mut [0; 64]).unwrap_or(0),
             0,
             "the scheduler sent data instead of closing the watch connection"
         );
--- a/tests/support/raw_worker.rs
+++ b/tests/support/raw_worker.rs
@@ -115,7 +115,7 @@
         self.stream.set_read_timeout(Some(IDLE_TIMEOUT)).unwrap();
         let mut input = vec![];
         let mut chunk = [0; 1 << 16];
-        while let Ok(count @ 1..) = self.stream.read(&mut chunk) {
+        while let Ok(count @ 1..) = self.stream.read_uninterrupted(&mut chunk) {
             input.extend_from_slice(&chunk[..count]);
         }
         let lines = input.split_inclusive(|byte| *byte == b'\n');
@@ -134,7 +134,7 @@
 
     /// Waits for the scheduler to close the connection.
     pub(crate) fn wait_for_close(&mut self) {
-        let end = self.stream.read(&mut [0]);
+        let end = self.stream.read_uninterrupted(&mut [0]);
         assert_eq!(end.expect("the connection is closed"), 0);
     }
 
@@ -142,7 +142,7 @@
     pub(crate) fn assert_nothing_received(&mut self) {
         self.stream.set_nonblocking(true).unwrap();
         assert!(
-            self.stream.read(&mut [0]).is_err(),
+            self.stream.read_uninterrupted(&mut [0]).is_err(),
             "the connection has input or has been closed"
         );
     }
