Tests: keep a second dispatcher registered while the log is captured

Three tests of `scheduler::tests::log_lines` could miss a line. Cause: while one capture is the only subscriber of the process, `tracing` caches a log call as disabled if a thread without a subscriber reaches it first. Change: a dispatcher that stays registered, so that the call asks both. The program has one global subscriber and is not affected.

--- a/src/logging/tests/capture.rs
+++ b/src/logging/tests/capture.rs
@@ -2,7 +2,8 @@
 
 use crate::logging::line_format::LineFormat;
 use std::io;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, LazyLock, Mutex};
+use tracing::Dispatch;
 use tracing_subscriber::filter::LevelFilter;
 use tracing_subscriber::fmt;
 use tracing_subscriber::util::SubscriberInitExt;
@@ -21,8 +22,22 @@
     }
 }
 
+/// A dispatcher that stays registered.
+///
+/// `tracing` caches for the whole process whether a log call is enabled. While the subscriber of a single
+/// capture is the only one, it asks only the thread that reaches the call first, which may have none; with two
+/// it asks both.
+static REGISTERED_DISPATCHER: LazyLock<Dispatch> = LazyLock::new(|| {
+    let subscriber = fmt()
+        .with_max_level(LevelFilter::DEBUG)
+        .with_writer(io::sink)
+        .finish();
+    Dispatch::new(subscriber)
+});
+
 /// Returns the text that this thread logs while the action runs, at level `debug` and above.
 pub(crate) fn captured_log(action: impl FnOnce()) -> String {
+    LazyLock::force(&REGISTERED_DISPATCHER);
     let log = MemoryLog::default();
     let writer = log.clone();
     let subscriber = fmt()
