fault-soak: replace the configuration file by renaming

A soak failed once with `ProcessExit`, because a scheduler that was just starting read its configuration while it was empty. Cause: `fault-soak` wrote the file in place, which no operator does. Change: it writes beside the file and renames. The fault that truncates the file stays, and shows the truncated text as a whole. Evidence: by reading alone; the failure was not reproduced.

--- a/crates/fault-soak/src/environment/scheduler/mod.rs
+++ b/crates/fault-soak/src/environment/scheduler/mod.rs
@@ -25,6 +25,8 @@
 
 // Names of the files in a scheduler's folder.
 const CONFIG_FILE: &str = "config.json";
+/// The file that becomes the configuration file once it is written.
+const NEW_CONFIG_FILE: &str = "config.json.new";
 const CONTROL_FILE: &str = "control";
 
 /// Options for starting schedulers.
@@ -102,9 +104,12 @@
         Ok(self.control_file.write_all_at(&bytes, slot.byte_offset())?)
     }
 
-    /// Writes the configuration file.
+    /// Replaces the configuration file at once, so that a process that is starting reads the former or the new
+    /// text as a whole.
     pub(super) fn write_config(&self, text: &str) -> Result<()> {
-        Ok(std::fs::write(self.config_path(), text)?)
+        let new_path = self.folder.path().join(NEW_CONFIG_FILE);
+        std::fs::write(&new_path, text)?;
+        Ok(std::fs::rename(new_path, self.config_path())?)
     }
 
     fn config_path(&self) -> PathBuf {
