JSON-RPC: a line that is skipped in parts has one deadline

Callers saw: a client could hold its connection, one of `max_clients`, for good by sending a line that never ends.

Cause: `LineReader` took each part of an overlong line that it skipped for the start of another message, because the input was shorter after it, and the deadline of 2 s began anew. Change: it tells by whether a line was completed. The unit tests lose the argument that is no longer needed. Evidence: a client that sends 2,000 bytes each 0.3 s without a line feed was still connected after 8 s on, and is closed after 2.18 s now.

--- a/src/frontend/jsonrpc_connection.rs
+++ b/src/frontend/jsonrpc_connection.rs
@@ -250,11 +250,10 @@
         context: &mut Context,
     ) -> Result<ConnectionFlow, RequestError> {
         session.timers.record_activity(context.now);
-        let buffered_before = socket.input.len();
         self.handle_lines(session, socket, context);
         if !socket.input_ended {
             // A complete line that waits for the client to read its responses does not count as incomplete.
-            let partial_line = self.lines.partial_line(&socket.input, buffered_before);
+            let partial_line = self.lines.partial_line(&socket.input);
             session.timers.track_message(partial_line, context.now);
             return Ok(ConnectionFlow::Continue);
         }
--- a/src/frontend/jsonrpc_connection/line_reader.rs
+++ b/src/frontend/jsonrpc_connection/line_reader.rs
@@ -11,6 +11,10 @@
     limit: usize,
     /// Whether the input continues an overlong line, which is skipped up to its line feed.
     is_skipping_line: bool,
+    /// Whether a line has been completed since the last call of [`LineReader::partial_line`].
+    has_completed_line: bool,
+    /// Whether the input ended within a line at that call.
+    had_partial_line: bool,
 }
 
 impl LineReader {
@@ -19,6 +23,8 @@
         LineReader {
             limit,
             is_skipping_line: false,
+            has_completed_line: false,
+            had_partial_line: false,
         }
     }
 
@@ -31,6 +37,7 @@
         loop {
             let end = input.iter().position(|byte| *byte == LINE_FEED)?;
             let mut line: Vec<u8> = input.drain(..=end).collect();
+            self.has_completed_line = true;
             if std::mem::take(&mut self.is_skipping_line) {
                 continue;
             }
@@ -58,11 +65,11 @@
         Err(RequestError::LineTooLong)
     }
 
-    /// Returns the state of the incomplete line, if any, after a read.
-    ///
-    /// `buffered_before` is the length of the input before its lines were handled.
-    pub(super) fn partial_line(&self, input: &[u8], buffered_before: usize) -> PartialMessage {
+    /// Returns the state of the incomplete line, if any, after a read whose complete lines have been taken.
+    pub(super) fn partial_line(&mut self, input: &[u8]) -> PartialMessage {
         let is_incomplete = self.is_skipping_line || !input.is_empty() && !input.contains(&LINE_FEED);
-        PartialMessage::after_read(is_incomplete, input.len() < buffered_before)
+        let has_begun = std::mem::take(&mut self.has_completed_line) || !self.had_partial_line;
+        self.had_partial_line = is_incomplete;
+        PartialMessage::after_read(is_incomplete, has_begun)
     }
 }
--- a/src/frontend/jsonrpc_connection/tests.rs
+++ b/src/frontend/jsonrpc_connection/tests.rs
@@ -14,9 +14,9 @@
     assert_eq!(reader.next_line(&mut input), Some(Err(RequestError::LineTooLong)));
     assert_eq!(reader.next_line(&mut input), None);
     assert_eq!(input, b"cd");
-    assert_eq!(reader.partial_line(&input, 12), PartialMessage::Begun);
-    assert_eq!(reader.partial_line(&input, 2), PartialMessage::Continued);
-    assert_eq!(reader.partial_line(b"", 2), PartialMessage::None);
+    assert_eq!(reader.partial_line(&input), PartialMessage::Begun);
+    assert_eq!(reader.partial_line(&input), PartialMessage::Continued);
+    assert_eq!(reader.partial_line(b""), PartialMessage::None);
 }
 
 #[test]
@@ -28,13 +28,35 @@
         Err(RequestError::LineTooLong)
     );
     assert!(input.is_empty());
-    assert_eq!(reader.partial_line(&input, 6), PartialMessage::Begun);
+    assert_eq!(reader.partial_line(&input), PartialMessage::Begun);
     input.extend_from_slice(b"still more");
     assert_eq!(reader.discard_overlong_line(&mut input), Ok(()));
     input.extend_from_slice(b"end\nab\n");
     assert_eq!(reader.next_line(&mut input), Some(Ok(b"ab".to_vec())));
 }
 
+/// Guards against a client that holds its connection by sending a line that never ends: each skipped part began
+/// the deadline of the line anew.
+#[test]
+fn a_line_that_is_skipped_in_parts_has_one_deadline() {
+    let mut reader = LineReader::new(4);
+    let mut input = b"lon".to_vec();
+    assert_eq!(reader.partial_line(&input), PartialMessage::Begun);
+    for part in [b"ger line", b"and more", b"and more"] {
+        input.extend_from_slice(part);
+        let _ = reader.discard_overlong_line(&mut input);
+        assert_eq!(reader.partial_line(&input), PartialMessage::Continued);
+    }
+    input.extend_from_slice(b"end\nnext line");
+    assert_eq!(reader.next_line(&mut input), None);
+    let _ = reader.discard_overlong_line(&mut input);
+    assert_eq!(
+        reader.partial_line(&input),
+        PartialMessage::Begun,
+        "the next line"
+    );
+}
+
 #[test]
 fn a_batch_is_answered_once_its_last_response_has_come() {
     let mut batches = Batches::default();
