Write no attempt or order to the former address of a worker

Callers saw: an attempt could go to whatever process listens at the former address of its worker, or wait there for the connection.

Cause: the pool forgot the connections of a worker whose address or start changed, but the commands queued on them were still written once a connection came up. Change: a connection watches the pool's entry for its process; once that is replaced or removed, queued attempts and load orders end as not sent, and unloads are dropped. The policy places the attempts again, at the new address.

--- a/src/backend/connection.rs
+++ b/src/backend/connection.rs
@@ -16,7 +16,7 @@
 use health_check::HealthCheckState;
 use phase::Phase;
 use std::cell::Cell;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 
 /// Maximum length of a line from a worker, in bytes: a body of 16 KiB in base64, plus the other fields.
 const MAX_LINE_BYTES: usize = 64 << 10;
@@ -26,10 +26,15 @@
 const MAX_COMMANDS: usize = 4096;
 const LINE_FEED: u8 = b'\n';
 
+/// A worker process that the endpoint list names. It is dropped once the list no longer does.
+#[derive(Debug)]
+pub(super) struct ListedProcess;
+
 /// A connection to a worker.
 pub(super) struct WorkerConnection {
     codec: Rc<dyn Codec>,
     limits: Rc<Cell<Limits>>,
+    process: Weak<ListedProcess>,
     write_queue: WriteQueue,
     correlations: CorrelationTable,
     phase: Phase,
@@ -48,11 +53,13 @@
     pub(super) fn new(
         codec: Rc<dyn Codec>,
         limits: Rc<Cell<Limits>>,
+        process: Weak<ListedProcess>,
         connect_deadline: Time,
     ) -> WorkerConnection {
         WorkerConnection {
             codec,
             limits,
+            process,
             write_queue: WriteQueue::default(),
             correlations: CorrelationTable::default(),
             phase: Phase::Connecting {
@@ -72,6 +79,11 @@
             && commands < MAX_COMMANDS
     }
 
+    /// Returns whether the endpoint list still names the process at the other end.
+    fn is_listed(&self) -> bool {
+        self.process.strong_count() > 0
+    }
+
     /// Returns the number of open attempts on this connection.
     pub(super) fn attempts_in_flight(&self) -> usize {
         self.correlations.open_attempt_count()
--- a/src/backend/connection/commands.rs
+++ b/src/backend/connection/commands.rs
@@ -117,7 +117,9 @@
                 self.codec
                     .encode_health_check(&health_check_correlation_id(check)),
             ),
-            WorkerCommand::Unload { function } => Some(self.codec.encode_unload(function)),
+            WorkerCommand::Unload { function } => {
+                self.is_listed().then(|| self.codec.encode_unload(function))
+            }
         }
     }
 
@@ -128,7 +130,7 @@
         deadline: Time,
         context: &mut Context,
     ) -> Option<Vec<u8>> {
-        if !context.shared.scheduler.admits_write(context.now, attempt) {
+        if !self.is_listed() || !context.shared.scheduler.admits_write(context.now, attempt) {
             self.correlations.close_unsent_attempt(attempt);
             context.shared.scheduler.attempt_not_sent(context.now, attempt);
             return None;
@@ -145,7 +147,7 @@
         context: &mut Context,
     ) -> Option<Vec<u8>> {
         let correlation_id = load_order_correlation_id(order);
-        if !context.shared.scheduler.admits_load_order(context.now, order) {
+        if !self.is_listed() || !context.shared.scheduler.admits_load_order(context.now, order) {
             self.correlations.close(&correlation_id);
             context.shared.scheduler.load_order_not_sent(context.now, order);
             return None;
--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -2,7 +2,7 @@
 
 use super::address::WorkerAddress;
 use super::codec::Codec;
-use super::connection::WorkerConnection;
+use super::connection::{ListedProcess, WorkerConnection};
 use super::jsonrpc_codec::JsonRpcCodec;
 use super::limits::Limits;
 use super::node_agent_codec::NodeAgentCodec;
@@ -34,6 +34,8 @@
     address: WorkerAddress,
     started_at: Option<Time>,
     connections: Vec<ConnectionId>,
+    /// Lives as long as this entry. The connections watch it to learn that their process has been replaced.
+    process: Rc<ListedProcess>,
 }
 
 /// A connection that can accept a command.
@@ -76,8 +78,8 @@
     }
 
     /// Sets the address of a worker. If the address or the start time has changed, nothing more is sent on
-    /// the connections to the previous process, except for cancellations; open exchanges on them run to their
-    /// end.
+    /// the connections to the previous process, except for cancellations and health checks: what is queued
+    /// there ends as not sent. Open exchanges on them run to their end.
     pub fn set_address(&mut self, worker: WorkerId, address: WorkerAddress, started_at: Option<Time>) {
         let known = self.workers.get(&worker);
         if known.is_some_and(|entry| entry.address == address && entry.started_at == started_at) {
@@ -87,6 +89,7 @@
             address,
             started_at,
             connections: Vec::new(),
+            process: Rc::new(ListedProcess),
         };
         self.workers.insert(worker, entry);
     }
@@ -203,7 +206,12 @@
             WorkerAddress::JsonRpc(path) => (reactor.connect_unix(path), &self.jsonrpc_codec),
         };
         let connect_deadline = reactor.now() + self.limits.get().connect_timeout;
-        let connection = WorkerConnection::new(Rc::clone(codec), Rc::clone(&self.limits), connect_deadline);
+        let connection = WorkerConnection::new(
+            Rc::clone(codec),
+            Rc::clone(&self.limits),
+            Rc::downgrade(&entry.process),
+            connect_deadline,
+        );
         let connection = reactor.add_connecting(
             stream.ok()?,
             Box::new(connection),
--- a/tests/server/discovery_watch.rs
+++ b/tests/server/discovery_watch.rs
@@ -193,3 +193,27 @@
     client.expect_served(1, b"x");
     assert_eq!(scheduler.counter("endpoint_updates"), 2);
 }
+
+/// Guards against an attempt that waits for a connection and is then written to whatever process listens at
+/// the former address of its worker.
+#[test]
+fn attempt_that_waits_for_a_connection_goes_to_the_new_address_of_its_worker() {
+    let former = FullBacklogWorker::new();
+    let worker = StandInWorker::node_agent();
+    let discovery = StandInDiscovery::new();
+    let scheduler = Configuration::new(&[former.address()])
+        .settings(slow_connect_settings())
+        .discovery(discovery.address())
+        .start();
+    let mut watch = discovery.accept_from(1);
+    let mut client = FrameClient::connect(&scheduler);
+    client.send_idempotent(1, 20_000, b"");
+    client.assert_ready();
+    watch.send(&delta_event(2, 1, worker.address(), WorkerState::Ready));
+    scheduler.wait_for_counter("endpoint_updates", 2);
+    let mut connection = former.accept_pending();
+    let mut command = worker.next_request();
+    command.succeed("eA==");
+    client.expect_served(1, b"x");
+    connection.assert_nothing_received();
+}
