Poll again before timers fire if the last poll is no longer recent

Callers saw: a request rejected at its deadline although its client had cancelled it or its worker had answered while the process was stopped (`cancel_in_the_same_turn_as_the_deadline_gets_no_response`, beside load only).

Cause: a thread that is starved or stopped between the system's look at the sockets and its own return from the wait acts on the result long afterwards. A poll that returned late without events let the timers fire, although input had come meanwhile; the same holds after a batch of events that took long to handle.

Change: if the last complete poll is over 20 ms old once its events are handled, the reactor polls once more before any timer fires. After a late return a poll counts as of the time when the wait began, for that and for the age of input.

Shown by a unit test: `input_that_arrives_while_events_are_handled_for_long_is_handled_before_the_poll_returns` fails without the second poll.

--- a/src/net/reactor/due_writes.rs
+++ b/src/net/reactor/due_writes.rs
@@ -5,13 +5,9 @@
 //! read again if the poll is no longer recent.
 
 use super::Reactor;
-use crate::model::{ConnectionId, Span};
+use crate::model::ConnectionId;
 use crate::net::SharedState;
 
-/// Age of the last poll above which a connection is read again before a write that depends on it. An attempt
-/// must not begin more than 0.1 s after its client has left (operators' terms of 2026-12-02).
-const MAX_INPUT_AGE: Span = Span::from_millis(20);
-
 impl<S: SharedState + 'static> Reactor<S> {
     /// Returns whether any connection has a write due.
     pub fn has_due_writes(&self) -> bool {
@@ -30,7 +26,7 @@
 
     /// Reads the connection on which the next write depends, unless the last poll is recent.
     fn recheck_dependency_of(&mut self, id: ConnectionId) {
-        if self.clock.now() - self.complete_poll_at <= MAX_INPUT_AGE {
+        if !self.is_input_outdated() {
             return;
         }
         let Some(managed) = self.connections.get(&id) else {
--- a/src/net/reactor/mod.rs
+++ b/src/net/reactor/mod.rs
@@ -70,11 +70,12 @@
     /// Connections for which [`Connection::is_write_due`](super::Connection::is_write_due) holds.
     due_writes: BTreeSet<ConnectionId>,
     last_poll_was_empty: bool,
-    /// Time at which the last poll returned. All input that arrived before has been reported.
+    /// Time of the last poll. All input that arrived before has been reported, unless the list of events was
+    /// full.
     polled_at: Time,
     /// Earliest time at which input reported by the last poll may have arrived.
     earliest_input_at: Time,
-    /// Time at which the last poll returned that reported everything that had happened until then.
+    /// Time of the last poll that reported everything that had happened until then.
     complete_poll_at: Time,
     /// Number of unsent output bytes on all connections together.
     unsent_bytes: usize,
--- a/src/net/reactor/polling.rs
+++ b/src/net/reactor/polling.rs
@@ -16,6 +16,10 @@
 /// Delay between a poll's timeout and its return above which the process is assumed to have been stopped, so
 /// that input may have arrived at any time since the poll began.
 const LATE_WAKEUP_THRESHOLD: Span = Span::from_millis(10);
+/// Age of the last poll above which the sockets are polled again before a timer fires, and a connection is read
+/// again before a write that depends on it. An attempt must not begin more than 0.1 s after its client has left
+/// (operators' terms of 2026-12-02).
+const MAX_INPUT_AGE: Span = Span::from_millis(20);
 /// Time added to the wait for a timer, so that the system's rounding does not repeatedly end the wait
 /// slightly too early.
 const TIMER_ROUNDING: Span = Span(50_000);
@@ -40,31 +44,51 @@
     ///
     /// Returns the system error if waiting for events fails.
     pub fn poll(&mut self, until: Option<Time>) -> io::Result<Vec<ReactorEvent>> {
-        self.last_poll_was_empty = false;
-        let was_polled = self.wait(until)?;
-        let ready = self.ready_sources();
-        self.last_poll_was_empty = was_polled && ready.is_empty();
-        let events = ready
-            .into_iter()
-            .filter_map(|ready| self.dispatch(ready))
-            .collect();
+        let timeout = self.timeout_until(until);
+        let mut events = self.poll_once(timeout)?;
+        // The process was stopped or starved, or had many events to handle. A timer must not end what a peer
+        // has answered, cancelled or closed meanwhile.
+        if self.is_input_outdated() {
+            let first_was_empty = self.last_poll_was_empty;
+            events.extend(self.poll_once(Some(Duration::ZERO))?);
+            self.last_poll_was_empty &= first_was_empty;
+        }
         self.fire_timers();
         self.run_due_writes();
         Ok(events)
     }
 
-    /// Waits for events, the first timer or `until`. Returns false if the wait was interrupted repeatedly,
-    /// so that the state of the sockets is unknown.
-    fn wait(&mut self, until: Option<Time>) -> io::Result<bool> {
+    /// Returns whether the last complete poll is too long ago to rely on what it told.
+    pub(super) fn is_input_outdated(&self) -> bool {
+        self.clock.now() - self.complete_poll_at > MAX_INPUT_AGE
+    }
+
+    /// Returns the time to wait for the first timer or `until`, or `None` if there is neither.
+    fn timeout_until(&self, until: Option<Time>) -> Option<Duration> {
         let wake_up = self.timers.next_expiry().into_iter().chain(until).min();
-        let mut timeout = wake_up.map(|time| {
+        wake_up.map(|time| {
             let remaining = time - self.clock.now();
             Duration::from_nanos(remaining.0 + TIMER_ROUNDING.0)
-        });
+        })
+    }
+
+    /// Waits for events for at most `timeout`, calls connections back, and returns the other events.
+    fn poll_once(&mut self, timeout: Option<Duration>) -> io::Result<Vec<ReactorEvent>> {
+        self.last_poll_was_empty = false;
+        let was_polled = self.wait(timeout)?;
+        let ready = self.ready_sources();
+        self.last_poll_was_empty = was_polled && ready.is_empty();
+        let events = ready.into_iter().filter_map(|ready| self.dispatch(ready));
+        Ok(events.collect())
+    }
+
+    /// Waits for events. Returns false if the wait was interrupted repeatedly, so that the state of the
+    /// sockets is unknown.
+    fn wait(&mut self, requested_timeout: Option<Duration>) -> io::Result<bool> {
         // A signal interrupts the wait and hides the events of the sockets. The sockets are therefore polled
         // again, because their events take precedence over timers and the signal itself.
         let entered_at = self.clock.now();
-        let requested_timeout = timeout;
+        let mut timeout = requested_timeout;
         for _ in 0..MAX_INTERRUPTIONS {
             match self.poll.poll(&mut self.events, timeout) {
                 Ok(()) => {
@@ -92,10 +116,11 @@
         } else {
             returned_at
         };
-        self.polled_at = returned_at;
+        // A late return may be long after the system looked at the sockets.
+        self.polled_at = if woke_late { entered_at } else { returned_at };
         // A full list of events may have left some unreported.
         if self.events.iter().count() < EVENT_CAPACITY {
-            self.complete_poll_at = returned_at;
+            self.complete_poll_at = self.polled_at;
         }
     }
 
--- a/src/net/reactor/tests.rs
+++ b/src/net/reactor/tests.rs
@@ -5,6 +5,13 @@
 use crate::model::Span;
 use crate::net::{BufferLimits, BufferedStream, CloseCause, Connection, ConnectionFlow, Context};
 use std::io::{Read, Write};
+use std::time::Duration;
+
+/// Limits of buffers that hold a few bytes.
+const LIMITS: BufferLimits = BufferLimits {
+    input: 100,
+    output: 100,
+};
 
 /// Shared state that counts the reactor's reports.
 #[derive(Default)]
@@ -101,6 +108,35 @@
     }
 }
 
+/// A connection that handles its input for longer than a poll counts as recent, while a peer sends.
+struct SlowConnection {
+    peer: UnixStream,
+}
+
+impl Connection<ReportCounts> for SlowConnection {
+    fn opened(
+        &mut self,
+        _socket: &mut BufferedStream,
+        _context: &mut Context<ReportCounts>,
+    ) -> ConnectionFlow {
+        ConnectionFlow::Continue
+    }
+
+    fn received(
+        &mut self,
+        socket: &mut BufferedStream,
+        _context: &mut Context<ReportCounts>,
+    ) -> ConnectionFlow {
+        socket.input.clear();
+        self.peer.write_all(b"x").unwrap();
+        std::thread::sleep(Duration::from_millis(50));
+        ConnectionFlow::Continue
+    }
+
+    fn closed(&mut self, _socket: &BufferedStream, _cause: CloseCause, _context: &mut Context<ReportCounts>) {
+    }
+}
+
 /// A client's connection that panics on any input and then has output for its client.
 struct PanickingClient;
 
@@ -164,16 +200,12 @@
 #[test]
 fn a_connection_on_which_input_waits_is_not_closed_as_idle() {
     let mut reactor = reactor();
-    let limits = BufferLimits {
-        input: 100,
-        output: 100,
-    };
     let closes_at = Some(reactor.now());
-    let (_, mut timed) = add(ClosingEcho { closes_at }, &mut reactor, limits);
+    let (_, mut timed) = add(ClosingEcho { closes_at }, &mut reactor, LIMITS);
     timed.write_all(b"x").unwrap();
     reactor.fire_timers();
     assert_eq!(reactor.connection_count(), 1, "its timer closed it");
-    let (_, mut idle) = add(ClosingEcho { closes_at }, &mut reactor, limits);
+    let (_, mut idle) = add(ClosingEcho { closes_at }, &mut reactor, LIMITS);
     idle.write_all(b"y").unwrap();
     assert!(!reactor.close_longest_idle(), "closed to free its descriptor");
     for (mut far, expected) in [(timed, b'x'), (idle, b'y')] {
@@ -183,6 +215,20 @@
     }
 }
 
+/// Guards against timers that act on outdated knowledge: what comes while the process is busy for long is
+/// handled before `poll` returns, and so before the caller's timers.
+#[test]
+fn input_that_arrives_while_events_are_handled_for_long_is_handled_before_the_poll_returns() {
+    let mut reactor = reactor();
+    let (_, peer) = add_echo(&mut reactor, LIMITS);
+    let mut responses = peer.try_clone().unwrap();
+    let (_, mut slow) = add(SlowConnection { peer }, &mut reactor, LIMITS);
+    slow.write_all(b"y").unwrap();
+    reactor.poll(None).unwrap();
+    responses.set_nonblocking(true).unwrap();
+    assert_eq!(responses.read(&mut [0]).expect("the echo has been written"), 1);
+}
+
 /// A peer that does not read its input must not use unbounded memory.
 #[test]
 fn output_beyond_the_limit_closes_the_connection_that_adds_to_it() {
@@ -207,12 +253,8 @@
 #[test]
 fn a_panic_closes_its_connection_and_no_other() {
     let mut reactor = reactor();
-    let limits = BufferLimits {
-        input: 100,
-        output: 100,
-    };
-    let (_, mut first) = add_echo(&mut reactor, limits);
-    let (_, mut second) = add_echo(&mut reactor, limits);
+    let (_, mut first) = add_echo(&mut reactor, LIMITS);
+    let (_, mut second) = add_echo(&mut reactor, LIMITS);
     first.write_all(b"!").unwrap();
     second.write_all(b"x").unwrap();
     while reactor.shared.panics == 0 || reactor.connection_count() > 1 {
@@ -231,11 +273,7 @@
 #[test]
 fn open_requests_are_failed_before_a_panic_closes_their_connection() {
     let mut reactor = reactor();
-    let limits = BufferLimits {
-        input: 100,
-        output: 100,
-    };
-    let (_, mut far) = add(PanickingClient, &mut reactor, limits);
+    let (_, mut far) = add(PanickingClient, &mut reactor, LIMITS);
     far.write_all(b"x").unwrap();
     reactor.poll(None).unwrap();
     let mut response = Vec::new();
