Test: wait until the scheduler has connected before its worker moves

Cause: `attempt_that_waits_for_a_connection_goes_to_the_new_address_of_its_worker` waited for ever in 1 of 48 suites beside load, because the worker could move before the scheduler connected to the former address. Change: a second readiness request, whose response comes a turn later.

--- a/tests/server/discovery_watch.rs
+++ b/tests/server/discovery_watch.rs
@@ -208,6 +208,8 @@
     let mut watch = discovery.accept_from(1);
     let mut client = FrameClient::connect(&scheduler);
     client.send_idempotent(1, 20_000, b"");
+    // The second response comes after the turn in which the scheduler connects to the former address.
+    client.assert_ready();
     client.assert_ready();
     watch.send(&delta_event(2, 1, worker.address(), WorkerState::Ready));
     scheduler.wait_for_counter("endpoint_updates", 2);
