--- a/review/rig/client.rs
+++ b/review/rig/client.rs
@@ -11,6 +11,11 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+/// How long a usual client waits for the whole answer, in milliseconds.
+const ALLOW_MS: u64 = 3_000;
+/// After this time, in seconds, an answer counts as none: the time allowed, half a second, and 50 ms of slack.
+const LIMIT: f64 = 3.55;
+
 /// How a request ended, as its client saw it.
 #[derive(Clone, Debug, PartialEq)]
 pub enum End {
@@ -199,7 +204,7 @@
                     return;
                 };
                 while started.elapsed() < Duration::from_secs(seconds) && !scheduler.has_ended() {
-                    let call = client.call("match", &function(), 3000, b"a body");
+                    let call = client.call("match", &function(), ALLOW_MS, b"a body");
                     done.lock().unwrap().push(call);
                     thread::sleep(Duration::from_millis(60));
                 }
@@ -214,10 +219,8 @@
 
 /// Writes how the requests of the usual clients ended; returns how many were lost.
 pub fn count_lost(record: &Record, done: &[Done]) -> usize {
-    let lost = done
-        .iter()
-        .filter(|done| !matches!(done.end, End::Answer(..)))
-        .count();
+    let is_lost = |done: &&Done| !matches!(done.end, End::Answer(..)) || done.ended_at - done.sent_at > LIMIT;
+    let lost = done.iter().filter(is_lost).count();
     let served = done
         .iter()
         .filter(|done| matches!(done.end, End::Answer(wire::SERVED, _)))
--- a/review/rig/crowd.rs
+++ b/review/rig/crowd.rs
@@ -18,6 +18,8 @@
 /// The limit on descriptors. Clients hold at most a third of it.
 const SOCKETS: u64 = 1024;
 const BAD_CONNECTIONS: usize = 150;
+/// The threads that serve the bad connections, so that the scheduler has a core of its own.
+const BAD_THREADS: usize = 3;
 /// The number of fields in a frame is one byte.
 const FIELDS: u32 = 255;
 const SECONDS: u64 = 18;
@@ -57,8 +59,9 @@
         thread::spawn(move || {
             thread::sleep(Duration::from_secs(3));
             trouble_record.line("bad clients: begin");
-            for _ in 0..BAD_CONNECTIONS {
-                bad_client(address, &trouble_stop, &trouble_sent);
+            for _ in 0..BAD_THREADS {
+                let (stop, sent) = (Arc::clone(&trouble_stop), Arc::clone(&trouble_sent));
+                thread::spawn(move || send_at_full_speed(address, &stop, &sent));
             }
         });
     }
@@ -93,32 +96,70 @@
     format!("7f3a9c21{:08x}", wire::random() % 20)
 }
 
-/// Opens a connection on which each request has no id, and as many fields as a frame can have.
-fn bad_client(address: SocketAddr, stop: &Arc<AtomicBool>, sent: &Arc<AtomicU64>) {
-    let (stop, sent) = (Arc::clone(stop), Arc::clone(sent));
-    let Ok(mut output) = TcpStream::connect(address) else {
-        return;
-    };
-    let Ok(mut input) = output.try_clone() else { return };
-    thread::spawn(move || {
-        let mut buffer = [0; 65536];
-        while input.read(&mut buffer).is_ok_and(|count| count > 0) {}
-    });
-    thread::spawn(move || {
+/// Opens a share of the bad connections, and keeps each of them full until `stop`.
+fn send_at_full_speed(address: SocketAddr, stop: &AtomicBool, sent: &AtomicU64) {
+    let connections = (0..BAD_CONNECTIONS / BAD_THREADS).filter_map(|_| BadConnection::open(address));
+    let mut connections: Vec<BadConnection> = connections.collect();
+    let mut buffer = vec![0; 1 << 16];
+    while !stop.load(Ordering::Relaxed) {
+        let mut is_idle = true;
+        for connection in &mut connections {
+            is_idle &= !connection.exchange(&mut buffer, sent);
+        }
+        if is_idle {
+            thread::sleep(Duration::from_millis(1));
+        }
+    }
+}
+
+/// Requests that are sent in one go; their streams are new each time.
+const REQUESTS: u32 = 50;
+
+/// A connection on which each request has no id, and as many fields as a frame can have.
+struct BadConnection {
+    socket: TcpStream,
+    requests: Vec<u8>,
+    frame_bytes: usize,
+    written: usize,
+    last_stream: u32,
+}
+
+impl BadConnection {
+    fn open(address: SocketAddr) -> Option<BadConnection> {
+        let socket = TcpStream::connect(address).ok()?;
+        socket.set_nonblocking(true).ok()?;
         let names: Vec<String> = (0..FIELDS).map(|number| format!("{number:02x}")).collect();
         let pairs: Vec<(&str, &str)> = names.iter().map(|name| (name.as_str(), "")).collect();
-        let payload = wire::fields(&pairs);
-        let mut stream = 0;
-        while !stop.load(Ordering::Relaxed) {
-            let mut bytes = Vec::new();
-            for _ in 0..50 {
-                stream += 1;
-                bytes.extend(wire::frame(wire::REQUEST, stream, &payload));
-            }
-            if output.write_all(&bytes).is_err() {
-                return;
-            }
-            sent.fetch_add(50, Ordering::Relaxed);
+        let frame = wire::frame(wire::REQUEST, 0, &wire::fields(&pairs));
+        let mut connection = BadConnection {
+            socket,
+            requests: frame.repeat(REQUESTS as usize),
+            frame_bytes: frame.len(),
+            written: 0,
+            last_stream: 0,
+        };
+        connection.number_requests();
+        Some(connection)
+    }
+
+    /// Gives each request the next stream.
+    fn number_requests(&mut self) {
+        for frame in self.requests.chunks_mut(self.frame_bytes) {
+            self.last_stream += 1;
+            frame[5..9].copy_from_slice(&self.last_stream.to_be_bytes());
         }
-    });
+        self.written = 0;
+    }
+
+    /// Reads and writes what the socket allows; returns whether that was anything.
+    fn exchange(&mut self, buffer: &mut [u8], sent: &AtomicU64) -> bool {
+        let has_read = self.socket.read(buffer).is_ok_and(|count| count > 0);
+        let written = self.socket.write(&self.requests[self.written..]).unwrap_or(0);
+        self.written += written;
+        if self.written == self.requests.len() {
+            sent.fetch_add(u64::from(REQUESTS), Ordering::Relaxed);
+            self.number_requests();
+        }
+        has_read || written > 0
+    }
 }
