--- a/review/rig/ids.rs
+++ b/review/rig/ids.rs
@@ -1,7 +1,7 @@
 //! Case: calls over JSON-RPC without an id of their own, before and after the scheduler is killed.
 
 use crate::agent::{Agent, Answer};
-use crate::bus::{Bus, Listed, SERVING};
+use crate::bus::Bus;
 use crate::json::{self, Json};
 use crate::platform::{Configuration, Scheduler, free_address};
 use crate::record::Record;
@@ -25,18 +25,9 @@
 type Runs = Arc<Mutex<HashMap<String, (Instant, Vec<u8>)>>>;
 
 pub fn run(record: &Record, folder: &Path, trouble: bool) -> Verdict {
-    let bus = Bus::start(record);
     let runs = Runs::default();
     let agents: Vec<Agent> = (1..=3).map(|id| start_agent(record, id, &runs)).collect();
-    let listed: Vec<Listed> = agents
-        .iter()
-        .map(|agent| Listed {
-            id: agent.id,
-            address: agent.address,
-            state: SERVING,
-        })
-        .collect();
-    bus.publish(true, &listed);
+    let bus = Bus::start(record, &agents);
     let socket = folder.join("calls.sock");
     let configuration = Configuration {
         bus: bus.address,
@@ -100,7 +91,7 @@
             after: Duration::from_millis(20),
         }
     });
-    Agent::start(record, id, true, run)
+    Agent::start(record, id, true, |_| true, run)
 }
 
 fn expected_answer(body: &[u8]) -> Vec<u8> {
