--- a/review/rig/flood.rs
+++ b/review/rig/flood.rs
@@ -16,7 +16,7 @@
 /// The limit on memory, and the limit on descriptors.
 const MEMORY_MB: u64 = 32;
 const SOCKETS: u64 = 256;
-const NODE_AGENTS: u32 = 60;
+const NODE_AGENTS: u32 = 100;
 /// Connections of the bad client, and its open requests on each: some hundreds at once.
 const BAD_CONNECTIONS: usize = 16;
 const OPEN_REQUESTS: usize = 32;
