Measure each turn of the event loop and its parts; log turns over 100 ms

Change: histograms of whole turns and seven parts (crate hdrhistogram), logged with the counters on SIGUSR1 and at the end, and a limited warning for each turn over 100 ms.

--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -1,6 +1,6 @@
 //! The interface between the reactor and its connections.
 
-use super::BufferedStream;
+use super::{BufferedStream, LongTurn};
 use crate::model::{ConnectionId, Time};
 use std::any::Any;
 use std::io;
@@ -72,6 +72,9 @@
 
     /// Called when a connection was read again because another is about to write what depends on it.
     fn connection_rechecked(&mut self);
+
+    /// Called when a turn of the event loop was long enough for clients to notice.
+    fn long_turn_ended(&mut self, now: Time, turn: &LongTurn);
 }
 
 /// The state and times that a callback may use.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -14,6 +14,7 @@
 mod message_deadline;
 mod reactor;
 mod stream;
+mod turn_times;
 
 pub use buffered_stream::{BufferLimits, BufferedStream};
 pub use clock::SystemClock;
@@ -21,3 +22,4 @@
 pub use message_deadline::{MessageDeadline, PartialMessage};
 pub use reactor::{ListenerId, PipeId, Reactor, ReactorEvent, UdpSocketId};
 pub use stream::Stream;
+pub use turn_times::{LongTurn, TimeSummary, TurnPart, TurnTimes};
--- a/src/net/reactor/due_writes.rs
+++ b/src/net/reactor/due_writes.rs
@@ -6,7 +6,7 @@
 
 use super::Reactor;
 use crate::model::ConnectionId;
-use crate::net::SharedState;
+use crate::net::{SharedState, TurnPart};
 
 impl<S: SharedState + 'static> Reactor<S> {
     /// Returns whether any connection has a write due.
@@ -16,12 +16,14 @@
 
     /// Lets connections write until none has a write due.
     pub fn run_due_writes(&mut self) {
+        let began_at = self.now();
         while let Some(id) = self.due_writes.pop_first() {
             self.recheck_dependency_of(id);
             self.run_callback(id, |managed, context| {
                 managed.connection.write_next(&mut managed.stream, context)
             });
         }
+        self.record_part(TurnPart::DueWrites, began_at);
     }
 
     /// Reads the connection on which the next write depends, unless the last poll is recent.
--- a/src/net/reactor/mod.rs
+++ b/src/net/reactor/mod.rs
@@ -21,7 +21,7 @@
 pub use pipes::PipeId;
 pub use udp_sockets::UdpSocketId;
 
-use super::{SharedState, Stream, SystemClock};
+use super::{SharedState, Stream, SystemClock, TurnPart, TurnTimes};
 use crate::collections::TimerQueue;
 use crate::model::{ConnectionId, Time};
 use listeners::Listeners;
@@ -77,6 +77,7 @@
     earliest_input_at: Time,
     /// Time of the last poll that reported everything that had happened until then.
     complete_poll_at: Time,
+    turn_times: TurnTimes,
     /// Number of unsent output bytes on all connections together.
     unsent_bytes: usize,
     /// Limit on the unsent output of all connections together, in bytes. While it is exceeded, a connection
@@ -108,6 +109,7 @@
             polled_at: clock.now(),
             earliest_input_at: clock.now(),
             complete_poll_at: clock.now(),
+            turn_times: TurnTimes::default(),
             unsent_bytes: 0,
             max_unsent_bytes: usize::MAX,
         })
@@ -118,6 +120,18 @@
         self.clock.now()
     }
 
+    /// Returns how long the turns of the event loop take.
+    pub fn turn_times(&self) -> &TurnTimes {
+        &self.turn_times
+    }
+
+    /// Adds the time since `began_at` to a part of the current turn. Returns the current time.
+    pub fn record_part(&mut self, part: TurnPart, began_at: Time) -> Time {
+        let now = self.now();
+        self.turn_times.record_part(part, now - began_at);
+        now
+    }
+
     /// Listens on a TCP address. Returns the bound address, with the port that the system chose if the given
     /// one is 0.
     ///
--- a/src/net/reactor/polling.rs
+++ b/src/net/reactor/polling.rs
@@ -4,7 +4,7 @@
 use super::token::EventSource;
 use super::{EVENT_CAPACITY, Reactor, ReactorEvent};
 use crate::model::{Span, Time};
-use crate::net::SharedState;
+use crate::net::{SharedState, TurnPart};
 use std::io;
 use std::time::Duration;
 
@@ -45,6 +45,7 @@
     /// Returns the system error if waiting for events fails.
     pub fn poll(&mut self, until: Option<Time>) -> io::Result<Vec<ReactorEvent>> {
         let timeout = self.timeout_until(until);
+        self.end_turn();
         let mut events = self.poll_once(timeout)?;
         // The process was stopped or starved, or had many events to handle. A timer must not end what a peer
         // has answered, cancelled or closed meanwhile.
@@ -58,6 +59,14 @@
         Ok(events)
     }
 
+    /// Ends the current turn before the next wait.
+    fn end_turn(&mut self) {
+        let now = self.clock.now();
+        if let Some(long_turn) = self.turn_times.end_turn(now) {
+            self.shared.long_turn_ended(now, &long_turn);
+        }
+    }
+
     /// Returns whether the last complete poll is too long ago to rely on what it told.
     pub(super) fn is_input_outdated(&self) -> bool {
         self.clock.now() - self.complete_poll_at > MAX_INPUT_AGE
@@ -76,10 +85,14 @@
     fn poll_once(&mut self, timeout: Option<Duration>) -> io::Result<Vec<ReactorEvent>> {
         self.last_poll_was_empty = false;
         let was_polled = self.wait(timeout)?;
+        let began_at = self.clock.now();
+        self.turn_times.begin_turn_unless_begun(began_at);
         let ready = self.ready_sources();
         self.last_poll_was_empty = was_polled && ready.is_empty();
         let events = ready.into_iter().filter_map(|ready| self.dispatch(ready));
-        Ok(events.collect())
+        let events = events.collect();
+        self.record_part(TurnPart::Input, began_at);
+        Ok(events)
     }
 
     /// Waits for events. Returns false if the wait was interrupted repeatedly, so that the state of the
@@ -160,5 +173,6 @@
             }
             self.run_callback(id, ManagedConnection::handle_timer);
         }
+        self.record_part(TurnPart::ConnectionTimers, now);
     }
 }
--- a/src/net/reactor/tests.rs
+++ b/src/net/reactor/tests.rs
@@ -3,7 +3,7 @@
 use super::token::EventSource;
 use super::*;
 use crate::model::Span;
-use crate::net::{BufferLimits, BufferedStream, CloseCause, Connection, ConnectionFlow, Context};
+use crate::net::{BufferLimits, BufferedStream, CloseCause, Connection, ConnectionFlow, Context, LongTurn};
 use std::io::{Read, Write};
 use std::time::Duration;
 
@@ -30,6 +30,8 @@
     }
 
     fn connection_rechecked(&mut self) {}
+
+    fn long_turn_ended(&mut self, _now: Time, _turn: &LongTurn) {}
 }
 
 /// A connection that echoes its input, and panics if the input contains `!`.
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -1,9 +1,11 @@
 //! The reactor and the state that all its connections share, on which the callbacks of frontends, backend
 //! and discovery work.
 
-use crate::net::{self, SharedState, SystemClock};
+use crate::model::Time;
+use crate::net::{self, LongTurn, SharedState, SystemClock};
 use crate::scheduler::Scheduler;
 use std::io;
+use tracing::warn;
 
 /// The reactor of the scheduler's connections.
 pub type Reactor = net::Reactor<RuntimeState>;
@@ -44,6 +46,18 @@
     fn connection_rechecked(&mut self) {
         self.scheduler.counters().clients_rechecked += 1;
     }
+
+    fn long_turn_ended(&mut self, now: Time, turn: &LongTurn) {
+        if self.scheduler.admits_log_line(now) {
+            let (part, part_duration) = turn.longest_part;
+            warn!(
+                turn_ms = turn.duration.as_millis_rounded_up(),
+                part = part.name(),
+                part_ms = part_duration.as_millis_rounded_up(),
+                "long turn of the event loop"
+            );
+        }
+    }
 }
 
 /// Creates a reactor without connections that owns this scheduler.
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -31,7 +31,7 @@
 use crate::frontend;
 use crate::logging;
 use crate::model::Time;
-use crate::net::{PipeId, ReactorEvent, UdpSocketId};
+use crate::net::{PipeId, ReactorEvent, TimeSummary, TurnPart, UdpSocketId};
 use crate::runtime::Reactor;
 use crate::scheduler::Command;
 use crate::vrrp::Event;
@@ -102,11 +102,12 @@
     fn run_iteration(&mut self) -> Result<bool, ServerError> {
         let deadline = self.next_timer();
         let events = self.reactor.poll(deadline).map_err(ServerError::Poll)?;
+        let now = self.reactor.now();
         for event in events {
             self.catch_panic("event", |server| server.handle_event(event));
         }
-        let now = self.reactor.now();
         self.acceptor.retry(now, &mut self.reactor);
+        let now = self.reactor.record_part(TurnPart::Accept, now);
         self.retry_reload(now);
         self.update_leader(Event::TimerExpired);
         self.run_due_work();
@@ -153,6 +154,16 @@
             log_lines_failed = logging::log_lines_failed(),
             "{counters}"
         );
+        self.print_turn_times();
+    }
+
+    /// Logs how long the turns of the event loop have taken, and their parts.
+    fn print_turn_times(&self) {
+        let times = self.reactor.turn_times();
+        print_time_summary("turn", times.turns());
+        for part in TurnPart::ALL {
+            print_time_summary(part.name(), times.part(part));
+        }
     }
 
     fn receive_advertisements(&mut self, socket: UdpSocketId) {
@@ -172,10 +183,12 @@
     fn run_due_work(&mut self) {
         let now = self.reactor.now();
         self.catch_panic("discovery", |server| server.poll_discovery(now));
+        let now = self.reactor.record_part(TurnPart::Discovery, now);
         let scheduler_timer = self.reactor.shared.scheduler.next_timer();
         if scheduler_timer.is_some_and(|at| at <= now) {
             self.catch_panic("timer", |server| server.reactor.shared.scheduler.fire_timers(now));
         }
+        self.reactor.record_part(TurnPart::SchedulerTimers, now);
         self.execute_commands();
         while self.reactor.has_due_writes() {
             self.catch_panic("write", |server| server.reactor.run_due_writes());
@@ -185,9 +198,11 @@
     }
 
     fn execute_commands(&mut self) {
+        let began_at = self.reactor.now();
         while let Some(command) = self.reactor.shared.scheduler.next_command() {
             self.catch_panic("command", |server| server.execute(command));
         }
+        self.reactor.record_part(TurnPart::Commands, began_at);
     }
 
     /// Runs one part of the work and catches its panic. No connection can be closed for such a panic;
@@ -206,3 +221,15 @@
         }
     }
 }
+
+/// Logs the distribution of the time of a turn or of one of its parts.
+fn print_time_summary(part: &str, summary: TimeSummary) {
+    info!(
+        part,
+        turns = summary.count,
+        p50_us = summary.p50_micros,
+        p99_us = summary.p99_micros,
+        max_us = summary.max_micros,
+        "time in the event loop"
+    );
+}
