Bound every part of a turn of the event loop; handle input by deficit round robin

Cause: a turn handled all that had come before it went on: up to 256 KB of each connection, twice, and again before timers; accepts, timers, commands and writes until nothing was left. Evidence: the one turn that ended beside the bad clients took 6,074 ms, 4,008 of them input. Change: connections handle input in turn for a quantum of time (deficit round robin; those with new input first, workers and discovery before clients); every other part of a turn has a bound in time or number. Input that waits is unknown input, for each connection: deadlines count from when it may have come, timers wait for it, and an attempt is not written while its client has unhandled input over 20 ms old. Names of a frame are sorted, not compared with each other. Tests: a_turn_ends_although_clients_have_sent_much_more and a_client_with_expensive_messages_is_passed_over_until_its_debt_is_paid fail on the commit before (2,000 messages in one turn); the others guard the new order. input_left_in_the_socket_is_reported_again asked that the system report such input again by a renewed registration. The reactor now remembers it itself, so the test became input_left_in_the_socket_is_readable_again_once_reading_continues: it asks that the same byte is read after the flush without any event.

--- a/src/backend/connection.rs
+++ b/src/backend/connection.rs
@@ -133,9 +133,10 @@
 
     fn received(&mut self, socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow {
         let mut consumed = 0;
-        while let Some(length) = socket.input[consumed..]
-            .iter()
-            .position(|byte| *byte == LINE_FEED)
+        while context.messages.take()
+            && let Some(length) = socket.input[consumed..]
+                .iter()
+                .position(|byte| *byte == LINE_FEED)
         {
             let end = consumed + length;
             if self.handle_line(&socket.input[consumed..end], context) == ConnectionFlow::Close {
@@ -144,6 +145,9 @@
             consumed = end + 1;
         }
         socket.consume(consumed);
+        if context.messages.is_exhausted() {
+            return ConnectionFlow::Continue;
+        }
         if socket.input.len() > MAX_LINE_BYTES || socket.input_ended {
             return ConnectionFlow::Close;
         }
@@ -176,6 +180,14 @@
         Some(origin.connection)
     }
 
+    fn pending_write_count(&self) -> usize {
+        self.write_queue.len()
+    }
+
+    fn postpone_next_write(&mut self) {
+        self.write_queue.postpone_front();
+    }
+
     fn write_next(&mut self, socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow {
         self.write_next_command(socket, context)
     }
--- a/src/backend/tests/due_writes.rs
+++ b/src/backend/tests/due_writes.rs
@@ -21,6 +21,8 @@
   "familyInfo": {"keepNs": 9000000000, "notLoaded": "load", "loadSpanNs": 0}}"#;
 const WORKER: WorkerId = WorkerId(1);
 const MAX_CONNECTIONS: usize = 64;
+/// Number of readiness requests that a client sends at once, more than it has credit for in a turn.
+const READINESS_REQUESTS: usize = 10_000;
 /// Longer than the age of a poll at which clients are checked again.
 const SUSPENSION: Duration = Duration::from_millis(60);
 const POLL_TIME: Span = Span::from_millis(50);
@@ -167,3 +169,36 @@
     assert_eq!(deployment.attempts_written(), 2);
     deployment.read_request(2);
 }
+
+/// Guards against an attempt for a client that has left, if the cancellation waits unread behind much other input
+/// of that client; and against a delay of the attempts of other clients behind it.
+#[test]
+fn an_attempt_waits_while_its_client_has_old_input_that_is_not_handled() {
+    let mut deployment = Deployment::new();
+    deployment.send_request(2);
+    let readiness_request = encode_frame(FrameType::ReadinessRequest, 1, &[&[0]]);
+    deployment
+        .client
+        .write_all(&readiness_request.repeat(READINESS_REQUESTS))
+        .unwrap();
+    let cancel = encode_frame(FrameType::Cancel, 2, &[]);
+    deployment.client.write_all(&cancel).unwrap();
+    deployment.run_until_submitted(2);
+    let mut other_client = connect_client(&mut deployment.reactor);
+    std::mem::swap(&mut deployment.client, &mut other_client);
+    deployment.send_request(3);
+    deployment.run_until_submitted(3);
+    thread::sleep(SUSPENSION);
+    deployment.execute_commands();
+    assert_eq!(
+        deployment.attempts_written(),
+        2,
+        "the first and that of the other client"
+    );
+    deployment.read_request(3);
+    while deployment.reactor.shared.scheduler.counters().requests_cancelled == 0 {
+        deployment.poll();
+    }
+    deployment.execute_commands();
+    assert_eq!(deployment.attempts_written(), 2);
+}
--- a/src/backend/write_queue.rs
+++ b/src/backend/write_queue.rs
@@ -32,6 +32,13 @@
         self.waiting.front()
     }
 
+    /// Moves the next command to the end of the queue.
+    pub(super) fn postpone_front(&mut self) {
+        if let Some(command) = self.waiting.pop_front() {
+            self.waiting.push_back(command);
+        }
+    }
+
     /// Removes and returns the next command. It may be written only after the previous one has been written
     /// completely.
     pub(super) fn pop(&mut self) -> Option<WorkerCommand> {
--- a/src/discovery/mod.rs
+++ b/src/discovery/mod.rs
@@ -99,6 +99,11 @@
         Some(self.endpoints.apply_watch_event(event))
     }
 
+    /// Returns whether [`Discovery::next_change`] has a change to return.
+    pub(crate) fn has_changes(&self) -> bool {
+        !self.queue.borrow().events.is_empty()
+    }
+
     /// Returns the next status change of the watch, to be reported after [`Discovery::next_change`] has
     /// returned all changes.
     pub(crate) fn next_status_change(&mut self) -> Option<StatusChange> {
--- a/src/discovery/watch_connection.rs
+++ b/src/discovery/watch_connection.rs
@@ -14,6 +14,9 @@
 /// every second.
 pub(super) const WATCH_SILENCE_TIMEOUT: Span = Span::from_millis(2_500);
 
+/// Number of events in the queue from which no more are read from the connection.
+const MAX_QUEUED_EVENTS: usize = 16;
+
 /// A status change of the watch and its time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct StatusChange {
@@ -135,7 +138,10 @@
 
     fn received(&mut self, socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow {
         let mut consumed = 0;
-        loop {
+        if self.queue.borrow().events.len() >= MAX_QUEUED_EVENTS {
+            context.messages.exhaust();
+        }
+        while context.messages.take() {
             match decode_frame(&socket.input[consumed..]) {
                 Ok(None) => break,
                 Ok(Some(decoded)) => {
@@ -146,7 +152,7 @@
             }
         }
         socket.consume(consumed);
-        if socket.input_ended {
+        if socket.input_ended && !context.messages.is_exhausted() {
             ConnectionFlow::Close
         } else {
             ConnectionFlow::Continue
--- a/src/frontend/frame_codec/fields.rs
+++ b/src/frontend/frame_codec/fields.rs
@@ -27,11 +27,12 @@
         parse_hex_id(self.require(name)?).ok_or(InvalidRequest::InvalidId(name))
     }
 
+    /// Returns whether a name occurs more than once. A frame may hold hundreds of names, so they are sorted rather
+    /// than compared with each other.
     pub(super) fn has_duplicate_names(&self) -> bool {
-        let names = || self.pairs.iter().map(|(name, _)| *name);
-        names()
-            .enumerate()
-            .any(|(index, name)| names().take(index).any(|earlier| earlier == name))
+        let mut names: Vec<&str> = self.pairs.iter().map(|(name, _)| *name).collect();
+        names.sort_unstable();
+        names.windows(2).any(|pair| pair[0] == pair[1])
     }
 }
 
--- a/src/frontend/frame_connection.rs
+++ b/src/frontend/frame_connection.rs
@@ -95,7 +95,9 @@
         socket: &mut BufferedStream,
         context: &mut Context,
     ) -> Result<(), ProtocolError> {
-        while let Some(frame) = reader.next_frame()? {
+        while context.messages.take()
+            && let Some(frame) = reader.next_frame()?
+        {
             match frame {
                 InputFrame::Complete(frame) => {
                     self.admission.record_frame();
@@ -230,7 +232,13 @@
         socket.input = input;
         socket.consume(progress.consumed);
         self.bytes_to_skip = progress.bytes_to_skip;
-        self.track_partial_frame(progress.partial_frame, session, context.now);
+        let partial_frame = if context.messages.is_exhausted() {
+            // The next frame may be complete: it is looked at when the connection's turn comes.
+            PartialMessage::None
+        } else {
+            progress.partial_frame
+        };
+        self.track_partial_frame(partial_frame, session, context.now);
         result?;
         // A client that has closed its side no longer waits for responses.
         if socket.input_ended {
--- a/src/frontend/jsonrpc_connection.rs
+++ b/src/frontend/jsonrpc_connection.rs
@@ -73,7 +73,7 @@
     ///
     /// The remaining lines are handled when the output has been written; see [`Protocol::flushed`].
     fn handle_lines(&mut self, session: &mut Session, socket: &mut BufferedStream, context: &mut Context) {
-        while socket.unsent_bytes() <= MAX_UNSENT_BYTES {
+        while socket.unsent_bytes() <= MAX_UNSENT_BYTES && context.messages.take() {
             match self.lines.next_line(&mut socket.input) {
                 Some(Ok(line)) => self.handle_line(&line, session, socket, context),
                 Some(Err(error)) => reject_line(error, socket, context),
@@ -251,7 +251,7 @@
     ) -> Result<ConnectionFlow, RequestError> {
         session.timers.record_activity(context.now);
         self.handle_lines(session, socket, context);
-        if !socket.input_ended {
+        if !socket.input_ended || context.messages.is_exhausted() {
             // A complete line that waits for the client to read its responses does not count as incomplete.
             let partial_line = self.lines.partial_line(&socket.input);
             session.timers.track_message(partial_line, context.now);
--- a/src/model/time.rs
+++ b/src/model/time.rs
@@ -2,6 +2,8 @@
 
 use std::ops::{Add, Sub};
 
+/// Number of nanoseconds in a microsecond.
+const NANOSECONDS_PER_MICROSECOND: u64 = 1_000;
 const NANOSECONDS_PER_MILLISECOND: u64 = 1_000_000;
 const NANOSECONDS_PER_SECOND: f64 = 1e9;
 
@@ -50,6 +52,11 @@
 }
 
 impl Span {
+    /// Creates a duration of this many microseconds, or the longest one if that cannot be represented.
+    pub const fn from_micros(microseconds: u64) -> Span {
+        Span(microseconds.saturating_mul(NANOSECONDS_PER_MICROSECOND))
+    }
+
     /// Creates a duration of this many milliseconds, or the longest one if that cannot be represented.
     pub const fn from_millis(milliseconds: u64) -> Span {
         Span(milliseconds.saturating_mul(NANOSECONDS_PER_MILLISECOND))
--- a/src/net/buffered_stream.rs
+++ b/src/net/buffered_stream.rs
@@ -10,6 +10,8 @@
 
 /// Number of bytes read from a socket at a time; also the unused capacity that a buffer may keep.
 const READ_CHUNK_BYTES: usize = 16 << 10;
+/// Number of bytes after which reading stops, so that other connections get their turn.
+const MAX_FILL_BYTES: usize = 64 << 10;
 /// Capacity in bytes that an empty output buffer keeps.
 const RETAINED_OUTPUT_BYTES: usize = 4096;
 
@@ -34,8 +36,8 @@
     pub input: Vec<u8>,
     /// Whether the input has ended: the peer has closed its sending half, or a reset followed the last input.
     pub input_ended: bool,
-    /// Whether reading stopped before the socket was empty, so that the registration must be renewed.
-    input_left_in_socket: bool,
+    /// Whether the socket may hold input that has not been read.
+    may_have_input: bool,
     output: Vec<u8>,
     /// Number of bytes at the start of `output` that have been written.
     written: usize,
@@ -51,7 +53,7 @@
             interest: None,
             input: Vec::new(),
             input_ended: false,
-            input_left_in_socket: false,
+            may_have_input: false,
             output: Vec::new(),
             written: 0,
             limits,
@@ -133,22 +135,39 @@
         self.stream.shutdown_write();
     }
 
-    /// Leaves the remaining input in the socket. The next [`BufferedStream::register`] requests a new event
-    /// for it.
-    pub(super) fn leave_input_in_socket(&mut self) {
-        self.input_left_in_socket = true;
+    /// Records that the socket may hold input, as an event has reported.
+    pub(super) fn mark_readable(&mut self) {
+        self.may_have_input = true;
     }
 
-    /// Reads until the socket is empty or a buffer exceeds its limit. Returns true if the socket is empty.
+    /// Returns whether the socket may hold input that has not been read.
+    pub(super) fn may_have_input(&self) -> bool {
+        self.may_have_input
+    }
+
+    /// Returns whether input may be read from the socket now.
+    pub(super) fn is_readable(&self) -> bool {
+        self.connected && self.may_have_input && !self.reading_paused()
+    }
+
+    /// Reads until the socket is empty, a buffer exceeds its limit, or [`MAX_FILL_BYTES`] have been read.
+    /// Returns true if the socket is empty.
+    ///
+    /// Events are edge-triggered: the system does not report again what is left in the socket.
     pub(super) fn fill(&mut self) -> io::Result<bool> {
+        let is_empty = self.read_chunks()?;
+        self.may_have_input = !is_empty;
+        Ok(is_empty)
+    }
+
+    fn read_chunks(&mut self) -> io::Result<bool> {
         let mut chunk = [0u8; READ_CHUNK_BYTES];
         let buffered_before = self.input.len();
         loop {
             if self.input_ended {
                 return Ok(true);
             }
-            if self.reading_paused() {
-                self.leave_input_in_socket();
+            if self.reading_paused() || self.input.len() - buffered_before >= MAX_FILL_BYTES {
                 return Ok(false);
             }
             match self.stream.read(&mut chunk) {
@@ -165,16 +184,12 @@
 
     /// Registers the stream for the events that it needs now.
     ///
-    /// Events are edge-triggered: input that was left in the socket is reported again only if the
-    /// registration is renewed.
-    ///
     /// # Errors
     ///
     /// Returns the system error. The registration is unchanged then, and must be retried.
     pub(super) fn register(&mut self, registry: &Registry) -> io::Result<()> {
         let required = self.required_interest();
-        let renew = self.input_left_in_socket && !self.reading_paused();
-        if self.interest == Some(required) && !renew {
+        if self.interest == Some(required) {
             return Ok(());
         }
         match self.interest {
@@ -182,9 +197,6 @@
             Some(_) => registry.reregister(self.stream.source(), self.token, required)?,
         }
         self.interest = Some(required);
-        if renew {
-            self.input_left_in_socket = false;
-        }
         Ok(())
     }
 
--- a/src/net/buffered_stream/tests.rs
+++ b/src/net/buffered_stream/tests.rs
@@ -1,33 +1,47 @@
 use super::*;
 use mio::net::UnixStream;
-use mio::{Events, Poll};
 use std::io::Write;
-use std::time::Duration;
 
-/// Epoll reports input once. Input that stays in the socket because unsent output pauses reading must be
-/// reported again after the output is written.
+/// Epoll reports input once. Input that stays in the socket because unsent output pauses reading must not be
+/// forgotten: it is readable again as soon as the output is written.
 #[test]
-fn input_left_in_the_socket_is_reported_again() {
+fn input_left_in_the_socket_is_readable_again_once_reading_continues() {
     let (near, mut far) = UnixStream::pair().unwrap();
-    let mut poll = Poll::new().unwrap();
-    let mut events = Events::with_capacity(4);
     let limits = BufferLimits {
         input: 100,
         output: 0,
     };
     let mut stream = BufferedStream::new(Stream::Unix(near), Token(1), true, limits);
-    stream.register(poll.registry()).unwrap();
     far.write_all(b"x").unwrap();
-    poll.poll(&mut events, Some(Duration::from_secs(10))).unwrap();
+    stream.mark_readable();
     stream.enqueue(b"y");
     assert!(
         !stream.fill().unwrap() && stream.input.is_empty(),
         "reading is paused"
     );
+    assert!(stream.may_have_input() && !stream.is_readable());
     assert!(stream.flush().unwrap());
-    stream.register(poll.registry()).unwrap();
-    poll.poll(&mut events, Some(Duration::from_secs(10))).unwrap();
-    assert!(events.iter().any(|event| event.is_readable()));
+    assert!(stream.is_readable());
     assert!(stream.fill().unwrap());
     assert_eq!(stream.input, b"x");
+    assert!(!stream.may_have_input());
+}
+
+/// Guards against a peer that sends at full speed and keeps a turn of the event loop in one read.
+#[test]
+fn a_read_ends_although_more_input_is_waiting() {
+    let (near, mut far) = UnixStream::pair().unwrap();
+    let limits = BufferLimits {
+        input: usize::MAX,
+        output: 0,
+    };
+    let mut stream = BufferedStream::new(Stream::Unix(near), Token(1), true, limits);
+    let mut sent = 0;
+    while let Ok(count) = far.write(&[0; READ_CHUNK_BYTES]) {
+        sent += count;
+    }
+    assert!(sent > MAX_FILL_BYTES + READ_CHUNK_BYTES, "{sent}");
+    assert!(!stream.fill().unwrap());
+    assert!(stream.input.len() < MAX_FILL_BYTES + READ_CHUNK_BYTES);
+    assert!(stream.is_readable());
 }
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -1,6 +1,6 @@
 //! The interface between the reactor and its connections.
 
-use super::{BufferedStream, LongTurn};
+use super::{BufferedStream, LongTurn, MessageQuantum};
 use crate::model::{ConnectionId, Time};
 use std::any::Any;
 use std::io;
@@ -87,6 +87,8 @@
     /// request counts from it. It is before `now` if the process was busy or stopped, or if the client had to
     /// wait to be accepted.
     pub earliest_input_at: Time,
+    /// The messages that the connection may handle in this callback.
+    pub messages: MessageQuantum,
 }
 
 /// A connection, which the reactor calls back when something happens to its stream.
@@ -122,6 +124,14 @@
         None
     }
 
+    /// Returns the number of writes that [`Connection::write_next`] has yet to make.
+    fn pending_write_count(&self) -> usize {
+        0
+    }
+
+    /// Moves the next write behind the others, because the input on which it depends is not known yet.
+    fn postpone_next_write(&mut self) {}
+
     /// Called when all events of a poll have been handled, as long as [`Connection::is_write_due`] holds.
     ///
     /// A callback for an event may not write what depends on another connection, because the next event of
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -12,14 +12,18 @@
 mod clock;
 mod connection;
 mod message_deadline;
+mod message_quantum;
 mod reactor;
 mod stream;
+mod time_budget;
 mod turn_times;
 
 pub use buffered_stream::{BufferLimits, BufferedStream};
 pub use clock::SystemClock;
 pub use connection::{CloseCause, Connection, ConnectionFlow, Context, SharedState};
 pub use message_deadline::{MessageDeadline, PartialMessage};
+pub use message_quantum::MessageQuantum;
 pub use reactor::{ListenerId, PipeId, Reactor, ReactorEvent, UdpSocketId};
 pub use stream::Stream;
+pub use time_budget::TimeBudget;
 pub use turn_times::{LongTurn, TimeSummary, TurnPart, TurnTimes};
--- a/src/net/reactor/connections.rs
+++ b/src/net/reactor/connections.rs
@@ -5,7 +5,8 @@
 use super::token::EventSource;
 use crate::model::{ConnectionId, Time};
 use crate::net::{
-    BufferLimits, BufferedStream, CloseCause, Connection, ConnectionFlow, Context, SharedState, Stream,
+    BufferLimits, BufferedStream, CloseCause, Connection, ConnectionFlow, Context, MessageQuantum,
+    SharedState, Stream,
 };
 use std::any::Any;
 use tracing::debug;
@@ -62,20 +63,18 @@
 
     /// Reads the available input of a connection, which may have been waiting since the given time.
     pub fn read_pending_input(&mut self, id: ConnectionId, since: Time) {
-        self.set_earliest_input_at(id, Some(since));
+        if let Some(managed) = self.connections.get_mut(&id) {
+            managed.mark_readable(since);
+        }
         self.read_unreported_input(id);
-        self.set_earliest_input_at(id, None);
     }
 
-    /// Reads the available input of a connection without waiting for a poll to report it.
+    /// Lets a connection handle the input that is available without waiting for a poll to report it.
     pub(super) fn read_unreported_input(&mut self, id: ConnectionId) {
-        self.run_callback(id, |managed, context| managed.handle_event(true, context));
-    }
-
-    fn set_earliest_input_at(&mut self, id: ConnectionId, since: Option<Time>) {
-        if let Some(managed) = self.connections.get_mut(&id) {
-            managed.earliest_input_at = since;
-        }
+        self.run_callback(id, |managed, context| {
+            let flow = managed.handle_event(context);
+            flow.and(managed.handle_input(context))
+        });
     }
 
     /// Returns the number of connections that are open or being opened.
@@ -174,6 +173,7 @@
             shared: &mut self.shared,
             now: self.clock.now(),
             earliest_input_at: self.earliest_input_at,
+            messages: MessageQuantum::new(),
         }
     }
 
@@ -188,12 +188,13 @@
             shared: &mut self.shared,
             now: self.clock.now(),
             earliest_input_at: self.earliest_input_at,
+            messages: MessageQuantum::new(),
         };
         let Some(managed) = self.connections.get_mut(&id) else {
             return;
         };
-        if let Some(since) = managed.earliest_input_at {
-            context.earliest_input_at = context.earliest_input_at.min(since);
+        if managed.has_unseen_input() {
+            context.earliest_input_at = managed.unhandled_since();
         }
         let unsent_before = managed.stream.unsent_bytes();
         let mut flow = managed.run_callback(&mut context, callback);
@@ -217,5 +218,6 @@
             self.timers.reschedule(id, managed.timer, deadline);
             managed.timer = deadline;
         }
+        self.queue_input(id);
     }
 }
--- a/src/net/reactor/idle_connections.rs
+++ b/src/net/reactor/idle_connections.rs
@@ -36,7 +36,8 @@
     /// Returns whether the connection is closed.
     pub fn close_if_idle(&mut self, id: ConnectionId) -> bool {
         self.read_unreported_input(id);
-        let is_busy = |managed: &ManagedConnection<S>| managed.idle_since().is_none();
+        let is_busy =
+            |managed: &ManagedConnection<S>| managed.idle_since().is_none() || managed.would_lose_input();
         if self.connections.get(&id).is_some_and(is_busy) {
             return false;
         }
--- a/src/net/reactor/managed_connection.rs
+++ b/src/net/reactor/managed_connection.rs
@@ -1,5 +1,6 @@
 //! A connection as managed by the reactor: its stream, its callbacks and the state of its closing.
 
+use super::input_credit::InputCredit;
 use crate::model::{Span, Time};
 use crate::net::{BufferedStream, CloseCause, Connection, ConnectionFlow, Context, SharedState};
 use mio::Registry;
@@ -7,12 +8,11 @@
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use tracing::{debug, error};
 
-/// Number of bytes read from a connection after which reading pauses until its next event, so that a peer
-/// that sends at full speed does not block the other connections.
-const MAX_READ_BYTES_PER_EVENT: usize = 256 << 10;
 /// Maximum number of bytes that are read and discarded from a closing connection. A peer that sends more is
 /// disconnected, so that it does not keep the processor busy.
 const MAX_DISCARDED_INPUT_BYTES: usize = 1 << 20;
+/// Delay after which a timer is tried again if its connection has input that could not be handled before.
+const TIMER_RETRY_DELAY: Span = Span::from_millis(10);
 /// Delay before a failed registration for a connection's events is retried.
 const REGISTRATION_RETRY_DELAY: Span = Span::from_millis(20);
 
@@ -20,9 +20,19 @@
 pub(super) struct ManagedConnection<S> {
     pub(super) stream: BufferedStream,
     pub(super) connection: Box<dyn Connection<S>>,
-    /// Earliest time at which the input that is being read may have arrived, if that is before the reactor's
-    /// estimate.
-    pub(super) earliest_input_at: Option<Time>,
+    /// Earliest time at which input that has not been handled may have arrived. Meaningful only while there is
+    /// such input.
+    unhandled_since: Time,
+    /// Time at which the socket was last seen empty.
+    socket_empty_at: Time,
+    /// Whether the buffer may hold messages that the last quantum did not cover.
+    has_buffered_messages: bool,
+    /// Whether the connection is in a queue of connections with input.
+    pub(super) is_queued: bool,
+    /// Processing time that the connection may use for its input.
+    pub(super) input_credit: InputCredit,
+    /// Time until which the connection's timer waits because input could not be handled before.
+    timer_retry_at: Time,
     /// Whether the peer is a client.
     pub(super) is_client: bool,
     /// Time to which the connection's timer is set.
@@ -43,7 +53,12 @@
 impl<S: SharedState + 'static> ManagedConnection<S> {
     pub(super) fn new(stream: BufferedStream, connection: Box<dyn Connection<S>>) -> ManagedConnection<S> {
         ManagedConnection {
-            earliest_input_at: None,
+            unhandled_since: Time(0),
+            socket_empty_at: Time(0),
+            has_buffered_messages: false,
+            is_queued: false,
+            input_credit: InputCredit::default(),
+            timer_retry_at: Time(0),
             is_client: connection.is_client(),
             stream,
             connection,
@@ -58,11 +73,49 @@
 
     /// Returns the time at which the reactor must call the connection if no event occurs.
     pub(super) fn deadline(&self) -> Option<Time> {
-        self.connection
-            .deadline()
-            .into_iter()
-            .chain(self.registration_retry_at)
-            .min()
+        let mut deadline = self.connection.deadline();
+        if self.defers_timers() {
+            deadline = deadline.map(|time| time.max(self.timer_retry_at));
+        }
+        deadline.into_iter().chain(self.registration_retry_at).min()
+    }
+
+    /// Returns whether the connection has input that it can handle now.
+    pub(super) fn has_unhandled_input(&self) -> bool {
+        self.has_buffered_messages || self.stream.is_readable()
+    }
+
+    /// Returns whether the peer may have sent anything that has not been handled, even if it cannot be read now.
+    pub(super) fn has_unseen_input(&self) -> bool {
+        self.has_buffered_messages || self.stream.may_have_input()
+    }
+
+    /// Returns the earliest time at which input that has not been handled may have arrived. Meaningful only
+    /// while there is such input.
+    pub(super) fn unhandled_since(&self) -> Time {
+        if self.has_buffered_messages {
+            self.unhandled_since
+        } else {
+            self.unhandled_since.max(self.socket_empty_at)
+        }
+    }
+
+    /// Returns whether closing the connection would lose input. A finishing connection ignores its input.
+    pub(super) fn would_lose_input(&self) -> bool {
+        self.has_unseen_input() && !self.finishing
+    }
+
+    /// Returns whether timers wait until the input has been handled. A finishing connection ignores its input.
+    fn defers_timers(&self) -> bool {
+        self.has_unhandled_input() && !self.finishing
+    }
+
+    /// Records that the socket may hold input that arrived at `since` at the earliest.
+    pub(super) fn mark_readable(&mut self, since: Time) {
+        if !self.has_unseen_input() {
+            self.unhandled_since = since;
+        }
+        self.stream.mark_readable();
     }
 
     /// Returns the time since which closing the connection would lose no work.
@@ -99,6 +152,7 @@
             let flow = callback(self, context);
             self.flush_output(flow, context)
         }));
+        self.has_buffered_messages |= context.messages.is_exhausted();
         flow.unwrap_or_else(|_| {
             context.shared.panic_caught();
             error!(connection = self.stream.id().0, "connection closed after a panic");
@@ -134,12 +188,19 @@
         flow
     }
 
-    /// Handles an event that the system reported for the stream.
-    pub(super) fn handle_event(&mut self, readable: bool, context: &mut Context<S>) -> ConnectionFlow {
-        self.try_handle_event(readable, context).unwrap_or_else(|error| {
-            self.set_close_cause(CloseCause::Failed(error.kind()));
-            ConnectionFlow::Close
-        })
+    /// Handles an event that the system reported for the stream, except for its input.
+    pub(super) fn handle_event(&mut self, context: &mut Context<S>) -> ConnectionFlow {
+        self.try_handle_event(context)
+            .unwrap_or_else(|error| self.fail(&error))
+    }
+
+    /// Handles one quantum of the connection's input.
+    pub(super) fn handle_input(&mut self, context: &mut Context<S>) -> ConnectionFlow {
+        if !self.stream.is_connected() {
+            return ConnectionFlow::Continue;
+        }
+        self.try_handle_input(context)
+            .unwrap_or_else(|error| self.fail(&error))
     }
 
     /// Handles an expired timer, after any input that the last poll may have missed.
@@ -147,14 +208,23 @@
     /// A connection that is closed by a timer must not lose a request, a response or a completed connect
     /// that is already waiting on its socket.
     pub(super) fn handle_timer(&mut self, context: &mut Context<S>) -> ConnectionFlow {
-        let flow = self.handle_event(true, context);
+        let flow = self.handle_event(context).and(self.handle_input(context));
         if flow != ConnectionFlow::Continue {
             return flow;
         }
+        if context.messages.is_exhausted() || self.defers_timers() {
+            self.timer_retry_at = context.now + TIMER_RETRY_DELAY;
+            return ConnectionFlow::Continue;
+        }
         self.connection.timer_expired(&mut self.stream, context)
     }
 
-    fn try_handle_event(&mut self, readable: bool, context: &mut Context<S>) -> io::Result<ConnectionFlow> {
+    fn fail(&mut self, error: &io::Error) -> ConnectionFlow {
+        self.set_close_cause(CloseCause::Failed(error.kind()));
+        ConnectionFlow::Close
+    }
+
+    fn try_handle_event(&mut self, context: &mut Context<S>) -> io::Result<ConnectionFlow> {
         if !self.stream.is_connected() {
             if !self.stream.check_connected()? {
                 return Ok(ConnectionFlow::Continue);
@@ -164,51 +234,44 @@
                 return Ok(flow);
             }
         }
-        let mut flow = ConnectionFlow::Continue;
-        if self.stream.unsent_bytes() > 0 {
-            if !self.connection.may_write_remaining(context) {
-                self.set_close_cause(CloseCause::OutputExpired);
-                return Ok(ConnectionFlow::Close);
-            }
-            if self.stream.flush()? {
-                flow = self.connection.flushed(&mut self.stream, context);
-            }
+        if self.stream.unsent_bytes() == 0 {
+            return Ok(ConnectionFlow::Continue);
+        }
+        if !self.connection.may_write_remaining(context) {
+            self.set_close_cause(CloseCause::OutputExpired);
+            return Ok(ConnectionFlow::Close);
         }
-        if !readable {
-            return Ok(flow);
+        if self.stream.flush()? {
+            return Ok(self.connection.flushed(&mut self.stream, context));
         }
-        self.read_input(flow, context)
+        Ok(ConnectionFlow::Continue)
     }
 
-    /// Reads until the socket is empty, as edge-triggered events require, alternating with the connection's
-    /// own processing and yielding to other connections.
-    fn read_input(
-        &mut self,
-        mut flow: ConnectionFlow,
-        context: &mut Context<S>,
-    ) -> io::Result<ConnectionFlow> {
-        let mut read_bytes = 0;
-        loop {
-            let buffered = self.stream.input.len();
-            let socket_is_empty = self.stream.fill()?;
-            let added = self.stream.input.len() - buffered;
-            read_bytes += added;
-            if self.finishing {
-                self.discard_input();
-                if self.discarded > MAX_DISCARDED_INPUT_BYTES {
-                    return Ok(ConnectionFlow::Close);
-                }
-            } else if added > 0 || self.stream.input_ended {
-                flow = flow.and(self.connection.received(&mut self.stream, context));
-            }
-            if socket_is_empty || flow != ConnectionFlow::Continue || self.stream.reading_paused() {
-                return Ok(flow);
-            }
-            if read_bytes > MAX_READ_BYTES_PER_EVENT {
-                self.stream.leave_input_in_socket();
-                return Ok(flow);
-            }
+    /// Reads from the socket, unless messages are left in the buffer, and lets the connection handle what its
+    /// quantum allows.
+    fn try_handle_input(&mut self, context: &mut Context<S>) -> io::Result<ConnectionFlow> {
+        if !self.has_buffered_messages && !self.read_socket(context.now)? {
+            return Ok(ConnectionFlow::Continue);
+        }
+        self.has_buffered_messages = false;
+        if !self.finishing {
+            return Ok(self.connection.received(&mut self.stream, context));
+        }
+        self.discard_input();
+        if self.discarded > MAX_DISCARDED_INPUT_BYTES {
+            return Ok(ConnectionFlow::Close);
+        }
+        Ok(ConnectionFlow::Continue)
+    }
+
+    /// Reads from the socket at `now`. Returns whether there is new input or its end.
+    fn read_socket(&mut self, now: Time) -> io::Result<bool> {
+        self.unhandled_since = self.unhandled_since();
+        let buffered = self.stream.input.len();
+        if self.stream.fill()? {
+            self.socket_empty_at = now;
         }
+        Ok(self.stream.input.len() > buffered || self.stream.input_ended)
     }
 
     fn discard_input(&mut self) {
--- a/src/net/reactor/mod.rs
+++ b/src/net/reactor/mod.rs
@@ -1,13 +1,15 @@
 //! The reactor: waits for the events of all sockets and timers, and calls connections back.
 //!
 //! This module holds the reactor's state and its other sockets. `polling` waits for events, `connections`
-//! adds, calls back and closes connections, `due_writes` lets them write after the events of a poll,
-//! `idle_connections` closes idle connections, and
-//! `managed_connection` holds the state of one connection.
+//! adds, calls back and closes connections, `input_scheduling` decides which connection handles its input next,
+//! with the `input_credit` of each, `due_writes` lets connections write after the events of a poll,
+//! `idle_connections` closes idle connections, and `managed_connection` holds the state of one connection.
 
 mod connections;
 mod due_writes;
 mod idle_connections;
+mod input_credit;
+mod input_scheduling;
 mod listeners;
 mod managed_connection;
 mod pipes;
@@ -21,9 +23,10 @@
 pub use pipes::PipeId;
 pub use udp_sockets::UdpSocketId;
 
-use super::{SharedState, Stream, SystemClock, TurnPart, TurnTimes};
+use super::{SharedState, Stream, SystemClock, TimeBudget, TurnPart, TurnTimes};
 use crate::collections::TimerQueue;
-use crate::model::{ConnectionId, Time};
+use crate::model::{ConnectionId, Span, Time};
+use input_scheduling::InputQueues;
 use listeners::Listeners;
 use managed_connection::ManagedConnection;
 use mio::{Events, Poll};
@@ -69,6 +72,15 @@
     timers: TimerQueue<ConnectionId>,
     /// Connections for which [`Connection::is_write_due`](super::Connection::is_write_due) holds.
     due_writes: BTreeSet<ConnectionId>,
+    /// The connection that wrote last. The next one is the next in the order of ids, so that each gets its turn.
+    last_writer: ConnectionId,
+    /// Connections whose writes all depend on input that is not known yet. They are tried again after the next
+    /// poll.
+    postponed_writes: BTreeSet<ConnectionId>,
+    /// Whether the input of clients waits, because earlier work is left.
+    pub clients_paused: bool,
+    /// Connections whose input waits to be handled.
+    input_queues: InputQueues,
     last_poll_was_empty: bool,
     /// Time of the last poll. All input that arrived before has been reported, unless the list of events was
     /// full.
@@ -105,6 +117,10 @@
             next_connection: token::FIRST_CONNECTION,
             timers: TimerQueue::default(),
             due_writes: BTreeSet::new(),
+            last_writer: token::FIRST_CONNECTION,
+            postponed_writes: BTreeSet::new(),
+            clients_paused: false,
+            input_queues: InputQueues::default(),
             last_poll_was_empty: false,
             polled_at: clock.now(),
             earliest_input_at: clock.now(),
@@ -120,6 +136,11 @@
         self.clock.now()
     }
 
+    /// Returns a budget of time that begins now.
+    pub fn time_budget(&self, length: Span) -> TimeBudget {
+        TimeBudget::new(self.clock, length)
+    }
+
     /// Returns how long the turns of the event loop take.
     pub fn turn_times(&self) -> &TurnTimes {
         &self.turn_times
--- a/src/net/reactor/polling.rs
+++ b/src/net/reactor/polling.rs
@@ -3,7 +3,7 @@
 use super::managed_connection::ManagedConnection;
 use super::token::EventSource;
 use super::{EVENT_CAPACITY, Reactor, ReactorEvent};
-use crate::model::{Span, Time};
+use crate::model::{ConnectionId, Span, Time};
 use crate::net::{SharedState, TurnPart};
 use std::io;
 use std::time::Duration;
@@ -16,10 +16,12 @@
 /// Delay between a poll's timeout and its return above which the process is assumed to have been stopped, so
 /// that input may have arrived at any time since the poll began.
 const LATE_WAKEUP_THRESHOLD: Span = Span::from_millis(10);
-/// Age of the last poll above which the sockets are polled again before a timer fires, and a connection is read
-/// again before a write that depends on it. An attempt must not begin more than 0.1 s after its client has left
-/// (operators' terms of 2026-12-02).
-const MAX_INPUT_AGE: Span = Span::from_millis(20);
+/// Time in a turn for the timers of connections.
+const TIMER_BUDGET: Span = Span::from_millis(3);
+/// Age of the last poll above which the sockets are polled again before a timer fires, and age of input above
+/// which it is handled before a write that depends on it. An attempt must not begin more than 0.1 s after its
+/// client has left (operators' terms of 2026-12-02).
+pub(super) const MAX_INPUT_AGE: Span = Span::from_millis(20);
 /// Time added to the wait for a timer, so that the system's rounding does not repeatedly end the wait
 /// slightly too early.
 const TIMER_ROUNDING: Span = Span(50_000);
@@ -32,7 +34,8 @@
 }
 
 impl<S: SharedState + 'static> Reactor<S> {
-    /// Returns whether the last [`Reactor::poll`] found no event, so that no socket had unread input.
+    /// Returns whether the last [`Reactor::poll`] found no event and no connection had input left, so that no
+    /// socket had unread input.
     pub fn last_poll_was_empty(&self) -> bool {
         self.last_poll_was_empty
     }
@@ -46,6 +49,7 @@
     pub fn poll(&mut self, until: Option<Time>) -> io::Result<Vec<ReactorEvent>> {
         let timeout = self.timeout_until(until);
         self.end_turn();
+        self.due_writes.append(&mut self.postponed_writes);
         let mut events = self.poll_once(timeout)?;
         // The process was stopped or starved, or had many events to handle. A timer must not end what a peer
         // has answered, cancelled or closed meanwhile.
@@ -72,8 +76,12 @@
         self.clock.now() - self.complete_poll_at > MAX_INPUT_AGE
     }
 
-    /// Returns the time to wait for the first timer or `until`, or `None` if there is neither.
+    /// Returns the time to wait for the first timer or `until`, or `None` if there is neither. There is no wait
+    /// while input is waiting to be handled.
     fn timeout_until(&self, until: Option<Time>) -> Option<Duration> {
+        if !self.input_queues.is_empty() {
+            return Some(Duration::ZERO);
+        }
         let wake_up = self.timers.next_expiry().into_iter().chain(until).min();
         wake_up.map(|time| {
             let remaining = time - self.clock.now();
@@ -88,9 +96,10 @@
         let began_at = self.clock.now();
         self.turn_times.begin_turn_unless_begun(began_at);
         let ready = self.ready_sources();
-        self.last_poll_was_empty = was_polled && ready.is_empty();
+        self.last_poll_was_empty = was_polled && ready.is_empty() && self.input_queues.is_empty();
         let events = ready.into_iter().filter_map(|ready| self.dispatch(ready));
         let events = events.collect();
+        self.handle_waiting_input();
         self.record_part(TurnPart::Input, began_at);
         Ok(events)
     }
@@ -156,22 +165,35 @@
                 Some(ReactorEvent::PipeReadable(pipe))
             }
             EventSource::Connection(id) => {
-                self.run_callback(id, |connection, context| {
-                    connection.handle_event(ready.readable, context)
-                });
+                self.handle_connection_event(id, ready.readable);
                 None
             }
         }
     }
 
-    /// Calls the connections whose timers have expired.
+    /// Handles an event of a connection, except for its input, which the connection handles when its turn comes.
+    fn handle_connection_event(&mut self, id: ConnectionId, readable: bool) {
+        let earliest_input_at = self.earliest_input_at;
+        self.run_callback(id, |managed, context| {
+            if readable {
+                managed.mark_readable(earliest_input_at);
+            }
+            managed.handle_event(context)
+        });
+    }
+
+    /// Calls the connections whose timers have expired, as long as the turn has time for it.
     pub(super) fn fire_timers(&mut self) {
         let now = self.clock.now();
+        let budget = self.time_budget(TIMER_BUDGET);
         while let Some(id) = self.timers.pop_expired(now) {
             if let Some(managed) = self.connections.get_mut(&id) {
                 managed.timer = None;
             }
             self.run_callback(id, ManagedConnection::handle_timer);
+            if budget.is_spent() {
+                break;
+            }
         }
         self.record_part(TurnPart::ConnectionTimers, now);
     }
--- a/src/net/reactor/tests.rs
+++ b/src/net/reactor/tests/mod.rs
@@ -1,5 +1,7 @@
 //! Tests of the reactor with connections that echo their input, close or panic.
 
+mod input_scheduling;
+
 use super::token::EventSource;
 use super::*;
 use crate::model::Span;
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -178,6 +178,11 @@
         &mut self.counters
     }
 
+    /// Returns whether a command waits to be executed.
+    pub fn has_commands(&self) -> bool {
+        !self.commands.is_empty()
+    }
+
     /// Removes and returns the next command to execute.
     pub fn next_command(&mut self) -> Option<Command> {
         self.commands.pop_front()
--- a/src/scheduler/timers.rs
+++ b/src/scheduler/timers.rs
@@ -29,8 +29,17 @@
 
     /// Fires all timers that have expired, in the order of their expiry.
     pub fn fire_timers(&mut self, now: Time) {
+        self.fire_timers_until(now, || false);
+    }
+
+    /// Fires the timers that have expired, in the order of their expiry, at least one of them and until
+    /// `should_stop` returns true. The others fire in the next call.
+    pub fn fire_timers_until(&mut self, now: Time, should_stop: impl Fn() -> bool) {
         while let Some(timer) = self.timers.pop_expired(now) {
             self.fire_timer(now, timer);
+            if should_stop() {
+                break;
+            }
         }
         self.run_policy(now);
     }
--- a/src/server/accept.rs
+++ b/src/server/accept.rs
@@ -16,6 +16,9 @@
 /// Number of consecutive failures after which accepting is suspended for [`RETRY_DELAY`].
 const MAX_CONSECUTIVE_FAILURES: u32 = 8;
 
+/// Maximum number of clients accepted from a listener in one turn of the event loop.
+const MAX_ACCEPTED_PER_TURN: u32 = 32;
+
 /// Accepts clients from all listeners.
 #[derive(Debug)]
 pub(super) struct Acceptor {
@@ -81,14 +84,16 @@
         }
     }
 
-    /// Accepts all clients that are waiting at a listener.
+    /// Accepts the clients that are waiting at a listener, up to [`MAX_ACCEPTED_PER_TURN`]. More are accepted in
+    /// the next turn.
     ///
     /// An accepted client may already have sent a request, so it must not be dropped for lack of
     /// descriptors: it is accepted only while a descriptor is free for its connection, even if only to
     /// reject its requests.
     pub(super) fn accept(&mut self, listener: ListenerId, reactor: &mut Reactor) {
         let mut failures = 0;
-        loop {
+        let mut accepted = 0;
+        while accepted < MAX_ACCEPTED_PER_TURN {
             if !self.may_accept(reactor) {
                 return self.schedule_retry("no descriptors left", reactor);
             }
@@ -99,6 +104,7 @@
                 }
                 Ok(Some(stream)) => {
                     failures = 0;
+                    accepted += 1;
                     self.add_client(listener, stream, reactor);
                 }
                 // A failure that is sporadic or concerns a single client must not delay the other waiting
@@ -109,6 +115,7 @@
                 }
             }
         }
+        self.retry_at = Some(reactor.now());
     }
 
     /// Returns whether one more client can be accepted, even if only to reject its requests. Closes an idle
--- a/src/server/endpoints.rs
+++ b/src/server/endpoints.rs
@@ -1,6 +1,6 @@
 //! Applies endpoint updates: addresses go to the connection pool, endpoints to the scheduler.
 
-use super::Server;
+use super::{DISCOVERY_BUDGET, Server};
 use crate::backend::{Pool, WorkerAddress};
 use crate::config::{JsonRpcWorkerEndpoint, OperatorConfig};
 use crate::discovery::{AddressChange, EndpointChange, WatchEvent};
@@ -8,13 +8,20 @@
 use tracing::debug;
 
 impl Server {
-    /// Applies the updates that discovery has received, and lets discovery reconnect its watch when that is
-    /// due.
+    /// Applies the updates that discovery has received, as long as the turn has time for it, and lets discovery
+    /// reconnect its watch when that is due.
     pub(super) fn poll_discovery(&mut self, now: Time) {
+        let budget = self.reactor.time_budget(DISCOVERY_BUDGET);
         while let Some(change) = self.discovery.next_change() {
             self.apply_endpoint_change(now, change);
+            if budget.is_spent() {
+                break;
+            }
         }
         self.discovery.poll_watch(now, &mut self.reactor);
+        if self.discovery.has_changes() {
+            return;
+        }
         while let Some(change) = self.discovery.next_status_change() {
             let scheduler = &mut self.reactor.shared.scheduler;
             scheduler.watch_changed(now, change.at, change.status);
--- a/src/server/leader.rs
+++ b/src/server/leader.rs
@@ -14,6 +14,9 @@
 use thiserror::Error;
 use tracing::{info, warn};
 
+/// Maximum number of datagrams that are read in one turn of the event loop.
+const MAX_DATAGRAMS_PER_TURN: u32 = 64;
+
 /// The reason for dropping a datagram.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 enum DatagramError {
@@ -30,6 +33,8 @@
     state_machine: StateMachine,
     config: VrrpConfig,
     socket: UdpSocketId,
+    /// Whether the socket may hold datagrams that were left for the next turn.
+    has_datagrams_left: bool,
 }
 
 impl LeaderElection {
@@ -50,6 +55,7 @@
             state_machine,
             config: config.clone(),
             socket,
+            has_datagrams_left: false,
         })
     }
 
@@ -58,11 +64,22 @@
         &self.config
     }
 
-    /// Returns the time at which [`Event::TimerExpired`] is due.
+    /// Returns the time at which [`LeaderElection::fire_timer`] is due.
     pub(super) fn next_timer(&self) -> Option<Time> {
+        if self.has_datagrams_left {
+            return Some(Time(0));
+        }
         self.state_machine.next_timer()
     }
 
+    /// Reads the datagrams that were left, and then lets the state machine's timer expire if it is due.
+    pub(super) fn fire_timer(&mut self, reactor: &mut Reactor) {
+        if self.has_datagrams_left {
+            self.receive(self.socket, reactor);
+        }
+        self.handle(Event::TimerExpired, reactor);
+    }
+
     /// Passes an event to the state machine, sends the advertisement that it returns, and updates whether
     /// this server is the active one.
     pub(super) fn handle(&mut self, event: Event, reactor: &mut Reactor) {
@@ -78,12 +95,17 @@
         }
     }
 
-    /// Reads all datagrams that have arrived. Datagrams that are not advertisements of this virtual router
-    /// are dropped and counted.
+    /// Reads the datagrams that have arrived, up to [`MAX_DATAGRAMS_PER_TURN`]. Datagrams that are not
+    /// advertisements of this virtual router are dropped and counted.
     pub(super) fn receive(&mut self, socket: UdpSocketId, reactor: &mut Reactor) {
         // One byte more than the longest message, so that a longer datagram is recognized as too long.
         let mut buffer = [0; MAX_MESSAGE_LENGTH + 1];
-        while let Some((length, sender)) = reactor.receive_datagram(socket, &mut buffer) {
+        self.has_datagrams_left = true;
+        for _ in 0..MAX_DATAGRAMS_PER_TURN {
+            let Some((length, sender)) = reactor.receive_datagram(socket, &mut buffer) else {
+                self.has_datagrams_left = false;
+                return;
+            };
             match self.decode(&buffer[..length], sender) {
                 Ok(message) if message.virtual_router_id == self.config.virtual_router_id => {
                     let event = Event::AdvertisementReceived {
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -30,8 +30,8 @@
 use crate::discovery::Discovery;
 use crate::frontend;
 use crate::logging;
-use crate::model::Time;
-use crate::net::{PipeId, ReactorEvent, TimeSummary, TurnPart, UdpSocketId};
+use crate::model::{Span, Time};
+use crate::net::{PipeId, ReactorEvent, TimeBudget, TimeSummary, TurnPart, UdpSocketId};
 use crate::runtime::Reactor;
 use crate::scheduler::Command;
 use crate::vrrp::Event;
@@ -43,6 +43,13 @@
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use tracing::{error, info};
 
+/// Time in a turn of the event loop for updates of the endpoint list.
+const DISCOVERY_BUDGET: Span = Span::from_millis(3);
+/// Time in a turn of the event loop for the scheduler's timers.
+const TIMER_BUDGET: Span = Span::from_millis(3);
+/// Time in a turn of the event loop for the scheduler's commands and the writes that they cause.
+const COMMAND_BUDGET: Span = Span::from_millis(4);
+
 /// Reads the configuration and serves until a signal stops the server.
 ///
 /// # Errors
@@ -109,13 +116,17 @@
         self.acceptor.retry(now, &mut self.reactor);
         let now = self.reactor.record_part(TurnPart::Accept, now);
         self.retry_reload(now);
-        self.update_leader(Event::TimerExpired);
+        self.fire_leader_timer();
         self.run_due_work();
         Ok(self.advance_shutdown())
     }
 
-    /// Returns the time until which the loop may wait if no socket and no signal wakes it.
+    /// Returns the time until which the loop may wait if no socket and no signal wakes it. Work that a turn had
+    /// no time for is due at once.
     fn next_timer(&self) -> Option<Time> {
+        if self.has_work_left() {
+            return Some(self.reactor.now());
+        }
         let election_timer = self.leader_election.as_ref().and_then(LeaderElection::next_timer);
         let timers = [
             self.reactor.shared.scheduler.next_timer(),
@@ -128,6 +139,13 @@
         timers.into_iter().flatten().min()
     }
 
+    /// Returns whether the last turn has left work for lack of time.
+    fn has_work_left(&self) -> bool {
+        self.reactor.has_due_writes()
+            || self.reactor.shared.scheduler.has_commands()
+            || self.discovery.has_changes()
+    }
+
     fn handle_event(&mut self, event: ReactorEvent) {
         match event {
             ReactorEvent::ClientWaiting(listener) => {
@@ -172,35 +190,60 @@
         }
     }
 
+    fn fire_leader_timer(&mut self) {
+        if let Some(election) = &mut self.leader_election {
+            election.fire_timer(&mut self.reactor);
+        }
+    }
+
     fn update_leader(&mut self, event: Event) {
         if let Some(election) = &mut self.leader_election {
             election.handle(event, &mut self.reactor);
         }
     }
 
-    /// Applies endpoint updates, fires the scheduler's timers and executes all its commands. A panic in one
-    /// of these steps does not prevent the others.
+    /// Applies endpoint updates, fires the scheduler's timers and executes its commands, each for a limited time.
+    /// A panic in one of these steps does not prevent the others.
     fn run_due_work(&mut self) {
         let now = self.reactor.now();
         self.catch_panic("discovery", |server| server.poll_discovery(now));
         let now = self.reactor.record_part(TurnPart::Discovery, now);
-        let scheduler_timer = self.reactor.shared.scheduler.next_timer();
-        if scheduler_timer.is_some_and(|at| at <= now) {
-            self.catch_panic("timer", |server| server.reactor.shared.scheduler.fire_timers(now));
-        }
+        self.catch_panic("timer", |server| server.fire_scheduler_timers(now));
         self.reactor.record_part(TurnPart::SchedulerTimers, now);
         self.execute_commands();
-        while self.reactor.has_due_writes() {
-            self.catch_panic("write", |server| server.reactor.run_due_writes());
-            self.execute_commands();
+        let has_commands = self.reactor.shared.scheduler.has_commands();
+        if !has_commands {
+            self.pool.remove_ended_attempts(&self.reactor.shared.scheduler);
         }
-        self.pool.remove_ended_attempts(&self.reactor.shared.scheduler);
+        // What has been accepted goes on before new requests are read.
+        self.reactor.clients_paused = has_commands;
     }
 
+    fn fire_scheduler_timers(&mut self, now: Time) {
+        let budget = self.reactor.time_budget(TIMER_BUDGET);
+        let scheduler = &mut self.reactor.shared.scheduler;
+        if scheduler.next_timer().is_some_and(|at| at <= now) {
+            scheduler.fire_timers_until(now, || budget.is_spent());
+        }
+    }
+
+    /// Executes the scheduler's commands and makes the writes that they cause, which may cause further commands.
     fn execute_commands(&mut self) {
+        let budget = self.reactor.time_budget(COMMAND_BUDGET);
+        self.execute_commands_within(&budget);
+        while self.reactor.has_due_writes() && !budget.is_spent() {
+            self.catch_panic("write", |server| server.reactor.run_due_writes());
+            self.execute_commands_within(&budget);
+        }
+    }
+
+    fn execute_commands_within(&mut self, budget: &TimeBudget) {
         let began_at = self.reactor.now();
         while let Some(command) = self.reactor.shared.scheduler.next_command() {
             self.catch_panic("command", |server| server.execute(command));
+            if budget.is_spent() {
+                break;
+            }
         }
         self.reactor.record_part(TurnPart::Commands, began_at);
     }
