Make generated ids random, so that they do not repeat after a restart

Cause: their id was the number of the connection and of the call, which begin anew with each process; a worker that discards repeats knows a request by its id alone. Change: scheduler::id_generator makes them from random numbers seeded by the operating system. Related: load orders and health checks were numbered from 0 in each process, and start at random now; the embedded client's ids rested on its seed and process id.

--- a/src/client.rs
+++ b/src/client.rs
@@ -93,8 +93,6 @@
     reactor: Reactor,
     pool: Pool,
     last_request: u64,
-    /// Distinguishes correlation ids from those of other clients of the same workers.
-    correlation_prefix: u32,
     completed: Vec<CompletedRequest>,
 }
 
@@ -110,7 +108,6 @@
             pool: Pool::new(Limits::for_site(&site, MAX_CONNECTIONS)),
             reactor: runtime::reactor(Scheduler::new(site, seed))?,
             last_request: 0,
-            correlation_prefix: correlation_prefix(seed),
             completed: Vec::new(),
         })
     }
@@ -138,7 +135,7 @@
         let id = SubmittedRequestId(self.last_request);
         let request = ClientRequest {
             origin: origin(id),
-            correlation_id: self.correlation_id(id),
+            correlation_id: self.reactor.shared.scheduler.new_correlation_id(),
             parameters,
         };
         let now = self.reactor.now();
@@ -215,11 +212,6 @@
             }
         }
     }
-
-    /// Returns the correlation id of a request, which consists of 16 hexadecimal digits.
-    fn correlation_id(&self, request: SubmittedRequestId) -> String {
-        format!("{:08x}{:08x}", self.correlation_prefix, request.0 as u32)
-    }
 }
 
 /// Returns the origin that identifies a request in the scheduler's response.
@@ -229,9 +221,3 @@
         stream: StreamId(request.0),
     }
 }
-
-/// Returns a prefix that differs by the seed between clients of one program, and by the process id between
-/// programs.
-fn correlation_prefix(seed: u64) -> u32 {
-    (seed ^ seed >> 32) as u32 ^ std::process::id()
-}
--- a/src/frontend/jsonrpc_connection.rs
+++ b/src/frontend/jsonrpc_connection.rs
@@ -18,7 +18,7 @@
 use crate::model::{Span, StreamId, Time};
 use crate::net::{BufferLimits, BufferedStream, ConnectionFlow};
 use crate::runtime::Context;
-use crate::scheduler::{ClientRequest, Outcome, RequestOrigin, Response};
+use crate::scheduler::{ClientRequest, Outcome, Response};
 use batches::{BatchId, Batches};
 use line_reader::{LINE_FEED, LineReader};
 use serde_json::Value;
@@ -180,7 +180,7 @@
         let correlation_id = params.correlation_id.clone();
         let request = ClientRequest {
             origin,
-            correlation_id: correlation_id.unwrap_or_else(|| generated_correlation_id(origin)),
+            correlation_id: correlation_id.unwrap_or_else(|| context.shared.scheduler.new_correlation_id()),
             parameters: params.into_request_parameters(context.earliest_input_at),
         };
         session.submit(request, call, context);
@@ -221,11 +221,6 @@
     session.find(|call| call.id == *id)
 }
 
-/// Returns a correlation id for a request whose client has not set one.
-fn generated_correlation_id(origin: RequestOrigin) -> String {
-    format!("{:08x}{:08x}", origin.connection.0 as u32, origin.stream.0 as u32)
-}
-
 /// Reports to the client that a line is invalid.
 fn reject_line(error: RequestError, socket: &mut BufferedStream, context: &mut Context) {
     context.shared.scheduler.counters().client_connections_malformed += 1;
--- a/src/scheduler/health_checks.rs
+++ b/src/scheduler/health_checks.rs
@@ -18,7 +18,7 @@
 
     /// Starts a health check of a worker.
     pub(super) fn start_health_check(&mut self, now: Time, worker: WorkerId) {
-        let id = HealthCheckId(self.allocate_exchange_number());
+        let id = HealthCheckId(self.id_generator.exchange_number());
         let check = HealthCheck::new(worker, now);
         let deadline = check.deadline;
         self.health_checks.insert(id, check);
--- a/src/scheduler/load_orders.rs
+++ b/src/scheduler/load_orders.rs
@@ -38,7 +38,7 @@
         function: FunctionId,
         instances: u8,
     ) {
-        let id = LoadOrderId(self.allocate_exchange_number());
+        let id = LoadOrderId(self.id_generator.exchange_number());
         let deadline = now + self.site.load_timeout;
         let order = LoadOrder {
             worker,
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -38,7 +38,7 @@
 //!
 //! The other modules hold state or types without a `Scheduler`: the tables (`request_table`,
 //! `attempt_table`, `load_order_table`, `health_check_table`), the checks and limits (`request_admission`,
-//! `load_rate_limiter`, `recent_functions`), the counters, and the types that callers exchange with the
+//! `load_rate_limiter`, `recent_functions`), the counters, `id_generator`, and the types that callers exchange with the
 //! scheduler (`command`, `errors`, `ids`, `messages`).
 
 mod attempt_table;
@@ -50,6 +50,7 @@
 mod final_response;
 mod health_check_table;
 mod health_checks;
+mod id_generator;
 mod ids;
 mod intake;
 mod invariants;
@@ -84,6 +85,7 @@
 use attempt_table::AttemptTable;
 use endpoint_updates::LeaseMonitor;
 use health_check_table::HealthCheckTable;
+use id_generator::IdGenerator;
 use load_order_table::LoadOrderTable;
 use load_rate_limiter::LoadRateLimiter;
 use log_limiter::LogLimiter;
@@ -138,9 +140,7 @@
     attempts: AttemptTable,
     load_orders: LoadOrderTable,
     health_checks: HealthCheckTable,
-    /// Next number for a load order or health check. They share one sequence because the backend derives
-    /// correlation ids on the same connections from both.
-    next_exchange_number: u64,
+    id_generator: IdGenerator,
     lease_monitor: LeaseMonitor,
     load_rate_limiter: LoadRateLimiter,
     log_limiter: LogLimiter,
@@ -162,7 +162,7 @@
             attempts: AttemptTable::default(),
             load_orders: LoadOrderTable::default(),
             health_checks: HealthCheckTable::default(),
-            next_exchange_number: 0,
+            id_generator: IdGenerator::new(seed),
             lease_monitor: LeaseMonitor::default(),
             load_rate_limiter: LoadRateLimiter::default(),
             log_limiter: LogLimiter::default(),
@@ -173,6 +173,12 @@
         }
     }
 
+    /// Returns a new correlation id for a request whose client has set none. No other scheduler and no other
+    /// process uses it.
+    pub fn new_correlation_id(&mut self) -> String {
+        self.id_generator.correlation_id()
+    }
+
     /// Returns the counters, for reading or updating.
     pub fn counters(&mut self) -> &mut Counters {
         &mut self.counters
@@ -243,11 +249,4 @@
             Action::Subscribe => {}
         }
     }
-
-    /// Allocates the number of a new load order or health check.
-    fn allocate_exchange_number(&mut self) -> u64 {
-        let number = self.next_exchange_number;
-        self.next_exchange_number += 1;
-        number
-    }
 }
--- a/src/scheduler/tests/mod.rs
+++ b/src/scheduler/tests/mod.rs
@@ -4,6 +4,7 @@
 mod counters;
 mod endpoint_updates;
 mod final_response;
+mod id_generator;
 mod invariants;
 mod load_rate_limiter;
 mod log_limiter;
--- a/tests/server/main.rs
+++ b/tests/server/main.rs
@@ -8,6 +8,7 @@
 mod discovery_watch;
 mod frame_frontend;
 mod frontend_equivalence;
+mod generated_ids;
 mod jsonrpc_frontend;
 mod jsonrpc_workers;
 mod log;
