Give each client connection a share of the open requests

Callers saw: beside 150 connections that ask for functions that no worker knows, 5 of 55 usual requests were served. Cause: 4,800 open requests of bad clients, each retried up to five times, compete with four of usual clients for the workers' capacity, which goes to whoever asks first. Evidence: counters beside them: 297,257 requests, 6,228 of 6,366 attempts end in errors. Change: a connection may have an eighth of the open requests that are free (1,024, or what memory affords), and always one. Connections with 8 errors of workers in a row and none served in between share 16 open requests. Beyond it a request is rejected at once. Decisions of the policy are not touched. Tests: open_request_share; ShareExceeded in each_failed_check_has_its_denial_reason.

--- a/src/frontend/client_connection.rs
+++ b/src/frontend/client_connection.rs
@@ -139,6 +139,7 @@
 
     fn closed(&mut self, socket: &BufferedStream, cause: CloseCause, context: &mut Context) {
         self.session.close(cause, socket, context);
+        context.shared.scheduler.client_closed(socket.id());
     }
 
     fn idle_since(&self) -> Option<Time> {
--- a/src/scheduler/attempts.rs
+++ b/src/scheduler/attempts.rs
@@ -64,6 +64,9 @@
             Ok(response) => response.attempt_status(),
             Err(error) => error.progress.attempt_status(),
         };
+        if status == AttemptStatus::Error {
+            self.requests.record_error(id.request);
+        }
         if status.never_ran()
             && let Some(request) = self.requests.get_mut(id.request)
         {
--- a/src/scheduler/final_response.rs
+++ b/src/scheduler/final_response.rs
@@ -26,6 +26,7 @@
             return;
         };
         self.check_response_time(now, id, request.deadline);
+        self.requests.record_served(request.origin.connection);
         let response = Response {
             outcome: Outcome::Served(body),
             expired: false,
--- a/src/scheduler/intake.rs
+++ b/src/scheduler/intake.rs
@@ -4,7 +4,7 @@
 use super::request_table::OpenRequest;
 use super::timers::Timer;
 use super::{ClientRequest, RequestOrigin, RequestParameters, RequestPayload, Scheduler};
-use crate::model::{ClassId, Event, IncomingRequest, RequestId, TenantId, Time};
+use crate::model::{ClassId, ConnectionId, Event, IncomingRequest, RequestId, TenantId, Time};
 use tracing::debug;
 
 impl Scheduler {
@@ -37,6 +37,11 @@
         self.handle_event(now, Event::ClientDisconnected(id));
     }
 
+    /// Forgets a client connection that has closed, after its requests have ended.
+    pub fn client_closed(&mut self, connection: ConnectionId) {
+        self.requests.forget_connection(connection);
+    }
+
     /// Limits the deadlines of all requests to `ends_at`, those that are open and those that are submitted
     /// later, because the process exits then.
     pub fn begin_shutdown(&mut self, now: Time, ends_at: Time) {
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -38,7 +38,7 @@
 //!
 //! The other modules hold state or types without a `Scheduler`: the tables (`request_table`,
 //! `attempt_table`, `load_order_table`, `health_check_table`), the checks and limits (`request_admission`,
-//! `load_rate_limiter`, `recent_functions`), the counters, `id_generator`, and the types that callers exchange with the
+//! `open_request_share`, `load_rate_limiter`, `recent_functions`), the counters, `id_generator`, and the types that callers exchange with the
 //! scheduler (`command`, `errors`, `ids`, `messages`).
 
 mod attempt_table;
@@ -59,6 +59,7 @@
 mod load_rate_limiter;
 mod log_limiter;
 mod messages;
+mod open_request_share;
 mod recent_functions;
 mod request_admission;
 mod request_table;
--- a/src/scheduler/request_admission.rs
+++ b/src/scheduler/request_admission.rs
@@ -23,6 +23,9 @@
     /// Too many requests are open, or the request bodies would take too much memory.
     #[error("too many open requests")]
     TooManyOpen,
+    /// The client's connection has more requests open than its share of what is free.
+    #[error("too many open requests of the connection")]
+    ShareExceeded,
     /// The stream already has an open request.
     #[error("stream in use")]
     OriginInUse,
@@ -36,6 +39,7 @@
             RequestDenied::ShuttingDown
             | RequestDenied::DeadlinePassed
             | RequestDenied::TooManyOpen
+            | RequestDenied::ShareExceeded
             | RequestDenied::OriginInUse => Outcome::Rejected { retry_after },
         };
         Response {
@@ -69,6 +73,9 @@
     if !requests.has_capacity(parameters.body.len(), site.max_open_requests) {
         return Err(RequestDenied::TooManyOpen);
     }
+    if !requests.share_allows(request.origin.connection) {
+        return Err(RequestDenied::ShareExceeded);
+    }
     if requests.id_at(request.origin).is_some() {
         return Err(RequestDenied::OriginInUse);
     }
--- a/src/scheduler/request_table.rs
+++ b/src/scheduler/request_table.rs
@@ -1,7 +1,8 @@
 //! The table of open requests, which still await their final response.
 
+use super::open_request_share::OpenRequestShare;
 use super::{RequestOrigin, RequestPayload};
-use crate::model::{Idempotency, RequestId, Span, Time};
+use crate::model::{ConnectionId, Idempotency, RequestId, Span, Time};
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::rc::Rc;
 
@@ -94,6 +95,7 @@
     requests: BTreeMap<RequestId, OpenRequest>,
     ids_by_origin: HashMap<RequestOrigin, RequestId>,
     correlation_ids: HashSet<String>,
+    share: OpenRequestShare,
     body_bytes: usize,
     max_body_bytes: usize,
 }
@@ -106,6 +108,7 @@
             requests: BTreeMap::new(),
             ids_by_origin: HashMap::new(),
             correlation_ids: HashSet::new(),
+            share: OpenRequestShare::default(),
             body_bytes: 0,
             max_body_bytes: DEFAULT_MEMORY_LIMIT / BODY_MEMORY_DIVISOR,
         }
@@ -116,6 +119,33 @@
         self.max_body_bytes = bytes / BODY_MEMORY_DIVISOR;
     }
 
+    /// Sets the number of open requests that the client connections share.
+    pub(super) fn set_shared_limit(&mut self, limit: usize) {
+        self.share.set_limit(limit);
+    }
+
+    /// Records that a request of a connection was served.
+    pub(super) fn record_served(&mut self, connection: ConnectionId) {
+        self.share.record_served(connection);
+    }
+
+    /// Records that a worker has answered an attempt of a request with an error.
+    pub(super) fn record_error(&mut self, id: RequestId) {
+        if let Some(request) = self.requests.get(&id) {
+            self.share.record_error(request.origin.connection);
+        }
+    }
+
+    /// Forgets a connection that has closed.
+    pub(super) fn forget_connection(&mut self, connection: ConnectionId) {
+        self.share.forget(connection);
+    }
+
+    /// Returns whether the share of this connection allows another open request.
+    pub(super) fn share_allows(&self, connection: ConnectionId) -> bool {
+        self.share.allows(connection)
+    }
+
     /// Returns the number of open requests.
     pub(super) fn len(&self) -> usize {
         self.requests.len()
@@ -177,6 +207,7 @@
         self.correlation_ids
             .insert(request.payload.correlation_id.clone());
         self.ids_by_origin.insert(request.origin, id);
+        self.share.open(request.origin.connection);
         self.requests.insert(id, request);
         id
     }
@@ -187,6 +218,7 @@
         self.body_bytes -= request.payload.body.len();
         self.correlation_ids.remove(&request.payload.correlation_id);
         self.ids_by_origin.remove(&request.origin);
+        self.share.close(request.origin.connection);
         Some(request)
     }
 }
--- a/src/scheduler/settings.rs
+++ b/src/scheduler/settings.rs
@@ -21,6 +21,12 @@
         self.requests.set_memory_limit(bytes);
     }
 
+    /// Sets the number of open requests that all client connections share. A connection beyond its share has its
+    /// new requests rejected. Without a limit, a connection may have any number.
+    pub fn share_open_requests(&mut self, limit: usize) {
+        self.requests.set_shared_limit(limit);
+    }
+
     /// Returns the retry-after for responses that the policy does not decide on; zero gives no advice.
     pub fn default_retry_after(&self) -> Span {
         self.site.settings.permissions.max_retry_after.unwrap_or_default()
--- a/src/scheduler/tests/mod.rs
+++ b/src/scheduler/tests/mod.rs
@@ -9,6 +9,7 @@
 mod load_rate_limiter;
 mod log_limiter;
 mod log_lines;
+mod open_request_share;
 mod recent_functions;
 mod request_admission;
 mod request_table;
--- a/src/scheduler/tests/request_admission.rs
+++ b/src/scheduler/tests/request_admission.rs
@@ -23,6 +23,12 @@
     assert_eq!(too_late, RequestDenied::DeadlinePassed);
     let too_many = denied(|site| site.max_open_requests = 1, |_| {});
     assert_eq!(too_many, RequestDenied::TooManyOpen);
+    let mut scheduler = test_scheduler();
+    scheduler.share_open_requests(1);
+    submit(&mut scheduler, 1, IDEMPOTENT_CLASS);
+    let request = client_request(2, IDEMPOTENT_CLASS);
+    let share = check_request(at_millis(1), &request, &scheduler.site, &scheduler.requests).unwrap_err();
+    assert_eq!(share, RequestDenied::ShareExceeded);
     let same_stream = denied(|_| {}, |request| request.origin = origin(1));
     assert_eq!(same_stream, RequestDenied::OriginInUse);
 }
@@ -36,6 +42,7 @@
         (RequestDenied::DuplicateCorrelationId, Outcome::Failed, false),
         (RequestDenied::DeadlinePassed, rejected.clone(), true),
         (RequestDenied::TooManyOpen, rejected.clone(), false),
+        (RequestDenied::ShareExceeded, rejected.clone(), false),
         (RequestDenied::OriginInUse, rejected, false),
     ];
     for (reason, outcome, expired) in cases {
--- a/src/server/limits.rs
+++ b/src/server/limits.rs
@@ -17,6 +17,13 @@
 const FREE_CONNECTION_DIVISOR: usize = 8;
 /// Divisor of the memory limit that gives the limit on the unsent output of all connections together.
 const UNSENT_OUTPUT_DIVISOR: usize = 6;
+/// Divisor of the memory limit that gives the memory for open requests without their bodies.
+const OPEN_REQUEST_DIVISOR: usize = 16;
+/// Memory of an open request without its body, in all tables, in bytes.
+const OPEN_REQUEST_BYTES: usize = 2 << 10;
+/// Maximum number of open requests that the client connections share, whatever the memory. More would only wait
+/// for each other.
+const MAX_SHARED_OPEN_REQUESTS: usize = 1024;
 const BYTES_PER_MEGABYTE: usize = 1 << 20;
 /// Time added to the configured connect timeout: the platform's tolerance for a connect.
 const CONNECT_TIMEOUT_ALLOWANCE: Span = Span::from_millis(50);
@@ -24,7 +31,10 @@
 /// Sets the limits on the memory for the bodies of open requests and for unsent output.
 pub(super) fn limit_memory(config: &SchedulerConfig, reactor: &mut Reactor) {
     let memory_bytes = config.memory_mb * BYTES_PER_MEGABYTE;
-    reactor.shared.scheduler.set_memory_limit(memory_bytes);
+    let scheduler = &mut reactor.shared.scheduler;
+    scheduler.set_memory_limit(memory_bytes);
+    let affordable = memory_bytes / OPEN_REQUEST_DIVISOR / OPEN_REQUEST_BYTES;
+    scheduler.share_open_requests(affordable.min(MAX_SHARED_OPEN_REQUESTS));
     reactor.max_unsent_bytes = memory_bytes / UNSENT_OUTPUT_DIVISOR;
 }
 
