Divide memory_mb among all tables that clients can fill

Cause: only bodies and unsent output had a part of memory_mb. Popularity, hash orders, instances, retired correlation ids, timers of requests that have ended, open requests besides bodies, times for the limit on load orders and half messages had none. Change: server::memory_budget divides memory_mb, and each table has an owner that bounds it. Functions that were requested least are forgotten, hash orders (now 4 bytes a worker) dropped, old ids and times forgotten, half messages beyond an eighth end their connection.

--- a/src/backend/connection.rs
+++ b/src/backend/connection.rs
@@ -8,6 +8,7 @@
 use super::codec::Codec;
 use super::correlation::{CorrelationTable, Exchange, health_check_correlation_id};
 use super::limits::Limits;
+use super::retired_id_budget::RetiredIdBudget;
 use super::write_queue::WriteQueue;
 use crate::model::{ConnectionId, Time};
 use crate::net::{BufferLimits, BufferedStream, CloseCause, Connection, ConnectionFlow, PartialMessage};
@@ -54,6 +55,7 @@
         codec: Rc<dyn Codec>,
         limits: Rc<Cell<Limits>>,
         process: Weak<ListedProcess>,
+        retired_ids: RetiredIdBudget,
         connect_deadline: Time,
     ) -> WorkerConnection {
         WorkerConnection {
@@ -61,7 +63,7 @@
             limits,
             process,
             write_queue: WriteQueue::default(),
-            correlations: CorrelationTable::default(),
+            correlations: CorrelationTable::new(retired_ids),
             phase: Phase::Connecting {
                 deadline: connect_deadline,
             },
--- a/src/backend/correlation.rs
+++ b/src/backend/correlation.rs
@@ -1,5 +1,6 @@
 //! The correlation ids in use on one connection.
 
+use super::retired_id_budget::{GUARANTEED_PER_CONNECTION, RetiredIdBudget};
 use crate::model::{Span, Time};
 use crate::scheduler::{AttemptId, HealthCheckId, LoadOrderId};
 use std::collections::{HashMap, VecDeque};
@@ -56,9 +57,24 @@
     /// Retired ids in order of retirement. An id whose late response has arrived is free again, but stays
     /// here until it expires.
     retired: VecDeque<RetiredId>,
+    /// The number of retired ids that all connections together may keep.
+    budget: RetiredIdBudget,
+}
+
+impl Drop for CorrelationTable {
+    fn drop(&mut self) {
+        self.budget.remove(self.retired.len());
+    }
 }
 
 impl CorrelationTable {
+    /// Creates an empty table whose retired ids count towards this budget.
+    pub(super) fn new(budget: RetiredIdBudget) -> CorrelationTable {
+        let mut table = CorrelationTable::default();
+        table.budget = budget;
+        table
+    }
+
     /// Opens an attempt with an id that must be unused.
     pub(super) fn open_attempt(&mut self, attempt: AttemptId, correlation_id: &str) {
         self.open_attempts += 1;
@@ -164,14 +180,16 @@
             correlation_id,
             retired_at: now,
         });
+        self.budget.add();
         self.expire_retired(now);
     }
 
-    /// Frees the retired ids that have expired, and the oldest ones beyond [`MAX_RETIRED_IDS`].
+    /// Frees the retired ids that have expired, and the oldest ones beyond [`MAX_RETIRED_IDS`] or the budget of
+    /// all connections.
     pub(super) fn expire_retired(&mut self, now: Time) {
         while let Some(oldest) = self.retired.front() {
             let expired = oldest.retired_at + RETIRED_ID_TTL < now;
-            if !expired && self.retired.len() <= MAX_RETIRED_IDS {
+            if !expired && !self.has_too_many_retired() {
                 return;
             }
             // The id may have been reopened or retired again in the meantime; that use is not affected.
@@ -179,9 +197,15 @@
                 self.entries.remove(&oldest.correlation_id);
             }
             self.retired.pop_front();
+            self.budget.remove(1);
         }
     }
 
+    fn has_too_many_retired(&self) -> bool {
+        let exceeds_budget = self.retired.len() > GUARANTEED_PER_CONNECTION && self.budget.is_exceeded();
+        exceeds_budget || self.retired.len() > MAX_RETIRED_IDS
+    }
+
     /// Returns when [`CorrelationTable::expire_retired`] must next be called.
     pub(super) fn next_expiry(&self) -> Option<Time> {
         let oldest = self.retired.front()?;
--- a/src/backend/limits.rs
+++ b/src/backend/limits.rs
@@ -22,6 +22,8 @@
     pub max_outgoing_connections: usize,
     /// Number of schedulers that connect to the same workers.
     pub schedulers: usize,
+    /// Maximum number of retired correlation ids that all connections together keep, beyond a few for each.
+    pub max_retired_ids: usize,
 }
 
 impl Limits {
@@ -34,6 +36,7 @@
             max_connections,
             max_outgoing_connections: max_connections,
             schedulers: site.settings.scheduler_count as usize,
+            max_retired_ids: usize::MAX,
         }
     }
 }
--- a/src/backend/mod.rs
+++ b/src/backend/mod.rs
@@ -17,6 +17,7 @@
 mod limits;
 mod node_agent_codec;
 mod pool;
+mod retired_id_budget;
 #[cfg(test)]
 mod tests;
 mod worker_command;
--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -6,6 +6,7 @@
 use super::jsonrpc_codec::JsonRpcCodec;
 use super::limits::Limits;
 use super::node_agent_codec::NodeAgentCodec;
+use super::retired_id_budget::RetiredIdBudget;
 use super::worker_command::{AddressedCommand, WorkerCommand};
 use crate::model::{ConnectionId, Time, WorkerId};
 use crate::net::ConnectionFlow;
@@ -53,6 +54,8 @@
     jsonrpc_codec: Rc<dyn Codec>,
     /// The limits, shared with all connections so that new limits also apply to open connections.
     limits: Rc<Cell<Limits>>,
+    /// The number of retired correlation ids of all connections together.
+    retired_ids: RetiredIdBudget,
 }
 
 impl Pool {
@@ -64,12 +67,14 @@
             node_agent_codec: Rc::new(NodeAgentCodec),
             jsonrpc_codec: Rc::new(JsonRpcCodec),
             limits: Rc::new(Cell::new(limits)),
+            retired_ids: RetiredIdBudget::new(limits.max_retired_ids),
         }
     }
 
     /// Sets new limits, which also apply to open connections.
     pub fn configure(&mut self, limits: Limits, reactor: &mut Reactor) {
         self.limits.set(limits);
+        self.retired_ids.set_limit(limits.max_retired_ids);
         // The reactor updates a connection's timer after each callback. A callback that does nothing
         // therefore applies the new timeouts.
         for connection in reactor.connection_ids() {
@@ -210,6 +215,7 @@
             Rc::clone(codec),
             Rc::clone(&self.limits),
             Rc::downgrade(&entry.process),
+            self.retired_ids.clone(),
             connect_deadline,
         );
         let connection = reactor.add_connecting(
--- a/src/backend/tests/correlation.rs
+++ b/src/backend/tests/correlation.rs
@@ -2,6 +2,7 @@
 
 use super::attempt;
 use crate::backend::correlation::{CorrelationTable, Exchange, MAX_RETIRED_IDS, RETIRED_ID_TTL};
+use crate::backend::retired_id_budget::RetiredIdBudget;
 use crate::model::{Span, Time};
 use crate::scheduler::{AttemptId, HealthCheckId, LoadOrderId};
 
@@ -118,3 +119,36 @@
     assert!(table.is_unused("0"));
     assert!(!table.is_unused("1") && !table.is_unused(&MAX_RETIRED_IDS.to_string()));
 }
+
+/// Guards against retired ids on many connections that drive the process over its memory limit (review, case 2).
+#[test]
+fn connections_forget_their_oldest_retired_ids_beyond_the_budget_of_all() {
+    const LIMIT: usize = 100;
+    let budget = RetiredIdBudget::new(LIMIT);
+    let mut tables: Vec<CorrelationTable> = (0..10).map(|_| CorrelationTable::new(budget.clone())).collect();
+    let id = |number: usize| format!("{number:016x}");
+    for number in 0..50 {
+        for table in &mut tables {
+            table.retire(id(number), START);
+        }
+    }
+    let kept = |table: &CorrelationTable| (0..50).filter(|number| !table.is_unused(&id(*number))).count();
+    let counts: Vec<usize> = tables.iter().map(kept).collect();
+    assert!(
+        counts.iter().all(|count| *count >= 10),
+        "each keeps some: {counts:?}"
+    );
+    assert!(counts.iter().sum::<usize>() <= 10 * 16, "{counts:?}");
+    assert!(
+        tables.iter().all(|table| !table.is_unused(&id(49))),
+        "the latest is kept"
+    );
+    tables.truncate(1);
+    for number in 50..100 {
+        tables[0].retire(id(number), START);
+    }
+    assert!(
+        (80..100).all(|number| !tables[0].is_unused(&id(number))),
+        "closed connections free theirs"
+    );
+}
--- a/src/cluster/endpoints.rs
+++ b/src/cluster/endpoints.rs
@@ -45,15 +45,19 @@
     pub(crate) fn hash_order(&mut self, function: FunctionId) -> Vec<WorkerId> {
         let indices = self.hash_order_indices(function);
         let workers: Vec<WorkerId> = self.workers.keys().copied().collect();
-        indices.iter().map(|index| workers[*index]).collect()
+        indices.iter().map(|index| workers[*index as usize]).collect()
     }
 
     /// Returns the hash order of a function as indices into the workers in the order of their ids.
     ///
     /// Every request uses the order of its function, and there may be many workers. The order is therefore
     /// cached and shared, and needs no lookup by id.
-    pub(crate) fn hash_order_indices(&mut self, function: FunctionId) -> Rc<[usize]> {
-        let nodes = self.workers.iter().enumerate().map(|(index, (id, worker))| {
+    pub(crate) fn hash_order_indices(&mut self, function: FunctionId) -> Rc<[u32]> {
+        let limit = self.function_memory.max_hash_orders(self.workers.len());
+        if self.hash_orders.len() >= limit && !self.hash_orders.contains_key(&function) {
+            self.hash_orders.clear();
+        }
+        let nodes = (0..).zip(&self.workers).map(|(index, (id, worker))| {
             let weight = worker.endpoint.weight.clamp(MIN_WEIGHT, MAX_WEIGHT);
             RendezvousNode {
                 node: index,
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -3,13 +3,14 @@
 //!
 //! This module records events and answers queries. It makes no decisions and holds no decision thresholds;
 //! both belong to the policy. The methods of [`Cluster`] for functions and their loads are in this file,
-//! those for workers in `endpoints`, those for requests and attempts in `traffic`, and those for expiry and
+//! those for the limit on their memory in `function_memory`, those for workers in `endpoints`, those for requests and attempts in `traffic`, and those for expiry and
 //! decay in `expiry`.
 
 mod acceptance;
 mod endpoints;
 mod expiry;
 mod function;
+mod function_memory;
 mod instance;
 mod request;
 #[cfg(test)]
@@ -18,6 +19,7 @@
 mod worker;
 
 pub(crate) use function::Function;
+pub(crate) use function_memory::FunctionMemory;
 pub(crate) use instance::Instance;
 pub(crate) use request::{Attempt, AttemptId, Request};
 pub(crate) use worker::Worker;
@@ -39,7 +41,9 @@
     pub(crate) send_history: BTreeMap<WorkerId, EventLog>,
     /// Hash order of each function, cached since the last change of the endpoint list, as indices into the
     /// workers in the order of their ids.
-    hash_orders: BTreeMap<FunctionId, Rc<[usize]>>,
+    hash_orders: BTreeMap<FunctionId, Rc<[u32]>>,
+    /// The limit on the memory for functions and their hash orders.
+    pub(crate) function_memory: FunctionMemory,
     /// Whether the listed weight of a worker affects the hash orders.
     pub(crate) hashes_by_weight: bool,
     pub(crate) functions: BTreeMap<FunctionId, Function>,
--- a/src/cluster/tests/mod.rs
+++ b/src/cluster/tests/mod.rs
@@ -3,6 +3,7 @@
 mod attempts;
 mod endpoints;
 mod expiry;
+mod function_memory;
 mod functions;
 mod instances;
 
--- a/src/collections/timer_queue.rs
+++ b/src/collections/timer_queue.rs
@@ -48,6 +48,16 @@
         }
     }
 
+    /// Returns the number of timers.
+    pub(crate) fn len(&self) -> usize {
+        self.timers.len()
+    }
+
+    /// Removes the timers for which `is_needed` returns false.
+    pub(crate) fn retain(&mut self, is_needed: impl Fn(T) -> bool) {
+        self.timers.retain(|(_, timer)| is_needed(*timer));
+    }
+
     /// Returns when the next timer expires.
     pub(crate) fn next_expiry(&self) -> Option<Time> {
         self.timers.first().map(|(expires_at, _)| *expires_at)
--- a/src/net/reactor/managed_connection.rs
+++ b/src/net/reactor/managed_connection.rs
@@ -156,12 +156,30 @@
         flow.unwrap_or_else(|_| {
             context.shared.panic_caught();
             error!(connection = self.stream.id().0, "connection closed after a panic");
-            self.end_after_panic(context)
+            self.fail_open_requests(context)
         })
     }
 
-    /// Closes the connection after a panic, failing its open requests.
-    fn end_after_panic(&mut self, context: &mut Context<S>) -> ConnectionFlow {
+    /// Returns the number of buffered input bytes if the peer is a client.
+    pub(super) fn buffered_client_bytes(&self) -> usize {
+        if self.is_client {
+            self.stream.input.len()
+        } else {
+            0
+        }
+    }
+
+    /// Returns the number of buffered bytes of a message that is not complete.
+    pub(super) fn incomplete_bytes(&self) -> usize {
+        if self.has_buffered_messages || self.finishing {
+            0
+        } else {
+            self.stream.input.len()
+        }
+    }
+
+    /// Closes the connection, failing its open requests.
+    pub(super) fn fail_open_requests(&mut self, context: &mut Context<S>) -> ConnectionFlow {
         let flow = catch_unwind(AssertUnwindSafe(|| {
             let flow = self.connection.fail_open_requests(&mut self.stream, context);
             self.flush_output(flow, context)
--- a/src/net/reactor/mod.rs
+++ b/src/net/reactor/mod.rs
@@ -90,6 +90,11 @@
     /// Time of the last poll that reported everything that had happened until then.
     complete_poll_at: Time,
     turn_times: TurnTimes,
+    /// Number of buffered input bytes of all clients together.
+    buffered_bytes: usize,
+    /// Limit on the buffered input of all clients together, in bytes. While it is exceeded, a client whose
+    /// incomplete input grows is closed after its open requests were failed, unless that input is small.
+    pub max_buffered_bytes: usize,
     /// Number of unsent output bytes on all connections together.
     unsent_bytes: usize,
     /// Limit on the unsent output of all connections together, in bytes. While it is exceeded, a connection
@@ -126,6 +131,8 @@
             earliest_input_at: clock.now(),
             complete_poll_at: clock.now(),
             turn_times: TurnTimes::default(),
+            buffered_bytes: 0,
+            max_buffered_bytes: usize::MAX,
             unsent_bytes: 0,
             max_unsent_bytes: usize::MAX,
         })
--- a/src/net/reactor/tests/mod.rs
+++ b/src/net/reactor/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of the reactor with connections that echo their input, close or panic.
 
 mod input_scheduling;
+mod memory;
 
 use super::token::EventSource;
 use super::*;
--- a/src/net/turn_times.rs
+++ b/src/net/turn_times.rs
@@ -73,7 +73,7 @@
     pub max_micros: u64,
 }
 
-/// A turn that took longer than [`LONG_TURN`].
+/// A turn that was long enough for clients to notice.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LongTurn {
     /// Duration of the turn.
--- a/src/policy/candidates.rs
+++ b/src/policy/candidates.rs
@@ -60,12 +60,12 @@
 
 impl Policy {
     /// Collects the data for a placement. `order` lists the workers by index, in hash order.
-    pub(super) fn placement(&self, id: RequestId, order: &[usize]) -> Placement {
+    pub(super) fn placement(&self, id: RequestId, order: &[u32]) -> Placement {
         let request = &self.cluster.requests[&id];
         let function = &self.cluster.functions[&request.function];
         let demand = self.demand(function, request.class);
         let by_index: Vec<&Worker> = self.cluster.workers.values().collect();
-        let workers = order.iter().map(|index| by_index[*index]);
+        let workers = order.iter().map(|index| by_index[*index as usize]);
         let needs_lease = self.is_list_stale(self.now);
         let allowed = workers.filter(|worker| {
             worker.endpoint.is_ready()
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -62,6 +62,10 @@
 const MAINTENANCE_INTERVAL: Span = Span::from_millis(200);
 /// Maximum number of timers that run with one event, so that the caller can handle other events in between.
 const MAX_TIMERS_PER_EVENT: usize = 256;
+/// Number of timers of ended requests that are kept until they expire.
+const MAX_UNUSED_TIMERS: usize = 8192;
+/// Number of timers that an open request may have.
+const TIMERS_PER_REQUEST: usize = 2;
 /// Half-life of the load of other schedulers that workers have reported.
 const REPORT_HALF_LIFE: Span = Span::from_millis(4000);
 /// Time constant of the decaying sum of completed work.
@@ -128,6 +132,11 @@
         self.settings = settings;
     }
 
+    /// Limits the memory for what is known of functions, in bytes. Without a limit, only time bounds it.
+    pub fn limit_function_memory(&mut self, bytes: usize) {
+        self.cluster.function_memory.set_limit(bytes);
+    }
+
     /// Handles an event that happened at `now` and appends the resulting actions to `out`.
     pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
         self.now = self.now.max(now);
@@ -163,6 +172,19 @@
         }
     }
 
+    /// Drops the timers of requests that have ended, once they outnumber those of open requests by far. A
+    /// client may set a deadline that is an hour away, and cancel.
+    fn drop_timers_of_ended_requests(&mut self) {
+        let requests = &self.cluster.requests;
+        if self.timers.len() <= MAX_UNUSED_TIMERS + TIMERS_PER_REQUEST * requests.len() {
+            return;
+        }
+        self.timers.retain(|timer| match timer {
+            Timer::Maintenance => true,
+            Timer::Deadline(id) | Timer::Placement(id) => requests.contains_key(&id),
+        });
+    }
+
     /// Runs expired timers, up to [`MAX_TIMERS_PER_EVENT`]. The others follow with the next event, for which
     /// a wake-up is due at once.
     fn run_expired_timers(&mut self) {
--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -24,6 +24,9 @@
         };
         let objective = rules.latency_objective.min(incoming.remaining);
         self.cluster.add_request(&incoming, objective, self.now);
+        self.cluster
+            .limit_functions(self.now, self.settings.loading.keep_alive);
+        self.drop_timers_of_ended_requests();
         self.schedule_deadline(id, self.now + incoming.remaining);
         if self.should_shed(class) {
             self.reject_or_fail(id, RejectionCause::NotServed);
--- a/src/scheduler/load_rate_limiter.rs
+++ b/src/scheduler/load_rate_limiter.rs
@@ -7,6 +7,10 @@
 /// configuration sets one.
 const RETENTION_WITHOUT_LIMIT: Span = Span::from_millis(60_000);
 
+/// Maximum number of requests that are counted in a window. Beyond it the oldest no longer count, which allows fewer
+/// load orders.
+const MAX_COUNTED_REQUESTS: usize = 1 << 16;
+
 /// A sliding-window limiter of load orders, whose limit grows with the requests received in the same window.
 #[derive(Debug, Default)]
 pub(super) struct LoadRateLimiter {
@@ -17,6 +21,9 @@
 impl LoadRateLimiter {
     /// Records that a request has been received, whether it is accepted or not.
     pub(super) fn record_request(&mut self, now: Time) {
+        if self.requests.len() >= MAX_COUNTED_REQUESTS {
+            self.requests.pop_front();
+        }
         self.requests.push_back(now);
     }
 
--- a/src/scheduler/settings.rs
+++ b/src/scheduler/settings.rs
@@ -27,6 +27,11 @@
         self.requests.set_shared_limit(limit);
     }
 
+    /// Limits the memory for what the policy knows of functions, in bytes.
+    pub fn limit_function_memory(&mut self, bytes: usize) {
+        self.policy.limit_function_memory(bytes);
+    }
+
     /// Returns the retry-after for responses that the policy does not decide on; zero gives no advice.
     pub fn default_retry_after(&self) -> Span {
         self.site.settings.permissions.max_retry_after.unwrap_or_default()
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -12,6 +12,7 @@
 mod jsonrpc_listener;
 mod leader;
 mod limits;
+mod memory_budget;
 mod reload;
 mod shutdown;
 mod shutdown_phases;
--- a/src/server/reload.rs
+++ b/src/server/reload.rs
@@ -6,6 +6,7 @@
 
 use super::jsonrpc_listener::JsonRpcUpdate;
 use super::leader::LeaderElection;
+use super::memory_budget::MemoryBudget;
 use super::startup_settings::{StartupSetting, StartupSettings};
 use super::transient::is_transient;
 use super::{Server, limits};
@@ -143,7 +144,7 @@
     fn apply_limits(&mut self) {
         let worker_limits = limits::worker_limits(&self.config);
         self.pool.configure(worker_limits, &mut self.reactor);
-        limits::limit_memory(&self.config, &mut self.reactor);
+        MemoryBudget::new(self.config.memory_mb).apply(&mut self.reactor);
         self.acceptor.set_limits(limits::client_limits(&self.config));
     }
 
--- a/src/server/startup.rs
+++ b/src/server/startup.rs
@@ -5,6 +5,7 @@
 use super::error::ServerError;
 use super::jsonrpc_listener::JsonRpcListener;
 use super::leader::LeaderElection;
+use super::memory_budget::MemoryBudget;
 use super::signals::Signals;
 use super::transient::{START_RETRY_INTERVAL, START_TIMEOUT, is_transient};
 use super::{Server, limits};
@@ -84,7 +85,7 @@
             .map(|config| join_election(config, &mut reactor))
             .transpose()?;
         reactor.shared.active = leader_election.is_none();
-        limits::limit_memory(&config, &mut reactor);
+        MemoryBudget::new(config.memory_mb).apply(&mut reactor);
         let mut pool = Pool::new(limits::worker_limits(&config));
         let configured = assign_jsonrpc_worker_addresses(&operator, &config.site, &mut pool);
         let known_events = std::mem::take(&mut config.known_events);
--- a/tests/scheduler_state.rs
+++ b/tests/scheduler_state.rs
@@ -68,6 +68,7 @@
         max_connections: 200,
         max_outgoing_connections: 200,
         schedulers: 100,
+        max_retired_ids: usize::MAX,
     }
 }
 
