Endpoint list: missed events that arrive one by one do not keep it valid

Callers saw nothing; workers did: after discovery had moved, a draining worker got new requests 2.7 and 3.2 s after its drain counted as notified (review, seen without a case). Cause: each event of a new watch extended the list by a second, but only a heartbeat tells that no missed event follows. Change: after a request the first event is given the time of a heartbeat; others before the first heartbeat extend nothing. Evidence: requested at 0, events at 0.1 and 1.0 s: stale 2.45 s after the request before, 1.55 s now; the added cases of the_list_is_stale_a_usable_grace_period_after_undelivered_changes_count_as_notified fail before. The review's own trial was not run.

--- a/src/policy/endpoint_lease.rs
+++ b/src/policy/endpoint_lease.rs
@@ -62,6 +62,18 @@
     pub rejections: u32,
 }
 
+/// Whether discovery has sent everything that it published before the watch was requested.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum CatchUp {
+    /// It has: a heartbeat has said so.
+    #[default]
+    Complete,
+    /// The watch was requested, and no event has followed yet.
+    Requested,
+    /// Events have followed, and others may.
+    InProgress,
+}
+
 /// The lease on the endpoint list.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct ListLease {
@@ -70,6 +82,7 @@
     notified_from: Option<Time>,
     /// Time at which discovery last confirmed the list.
     confirmed_at: Time,
+    catch_up: CatchUp,
 }
 
 impl ListLease {
@@ -87,10 +100,19 @@
             // A request counts as notification of everything published before it, no matter when its
             // response arrives.
             WatchStatus::Requested => Some(earlier_of_current_and(at)),
+            // Only a heartbeat tells that no event published before the request follows. The first event is
+            // given the time of a heartbeat, but a sequence of events does not extend it.
+            WatchStatus::EventReceived if self.catch_up == CatchUp::InProgress => self.notified_from,
             WatchStatus::EventReceived => Some(later_of_current_and(at + HEARTBEAT_INTERVAL)),
             WatchStatus::Confirmed => Some(at + NOTIFIED_AFTER_SILENCE),
             WatchStatus::Disconnected => Some(earlier_of_current_and(at + NOTIFIED_AFTER_DISCONNECT)),
         };
+        self.catch_up = match (self.catch_up, status) {
+            (_, WatchStatus::Confirmed | WatchStatus::Disabled) => CatchUp::Complete,
+            (_, WatchStatus::Requested) => CatchUp::Requested,
+            (CatchUp::Requested, WatchStatus::EventReceived) => CatchUp::InProgress,
+            (catch_up, WatchStatus::EventReceived | WatchStatus::Disconnected) => catch_up,
+        };
     }
 }
 
--- a/tests/policy/endpoint_lease.rs
+++ b/tests/policy/endpoint_lease.rs
@@ -57,7 +57,7 @@
 fn the_list_is_stale_a_usable_grace_period_after_undelivered_changes_count_as_notified() {
     use WatchStatus::{Confirmed, Disabled, Disconnected, EventReceived, Requested};
     let second = 1_000;
-    let cases: [(Vec<Change>, Option<u64>); 9] = [
+    let cases: [(Vec<Change>, Option<u64>); 11] = [
         (vec![], None),
         (vec![(0, Confirmed)], Some(4 * second)),
         (vec![(0, Confirmed), (1_000, Confirmed)], Some(5 * second)),
@@ -69,6 +69,21 @@
         ),
         (vec![(0, Requested), (100, EventReceived)], Some(1_100)),
         (vec![(0, Confirmed), (100, EventReceived)], Some(4 * second)),
+        // Guards against missed events that arrive one by one after a reconnect and keep the list valid, although
+        // one that has not arrived yet may be a drain (review, drain after discovery has moved).
+        (
+            vec![(0, Requested), (100, EventReceived), (1_000, EventReceived)],
+            Some(1_100),
+        ),
+        (
+            vec![
+                (0, Requested),
+                (100, EventReceived),
+                (900, Confirmed),
+                (4_500, EventReceived),
+            ],
+            Some(5_500),
+        ),
         (vec![(0, Confirmed), (100, Disabled)], None),
     ];
     for (changes, notified_after) in cases {
