Close the exchange of a load order at its deadline

Callers saw: nothing yet; a connection to a machine that vanishes kept its descriptor, so that clients are refused in the end (review, seen without a case). Cause: the scheduler ended a load order at its deadline, but the connection kept the exchange open until a response, so it was never idle. Change: the command carries its deadline, and the connection closes the exchange then. Attempts and health checks already had an end. Evidence: by reading; a_load_order_that_has_timed_out_is_no_open_exchange states it, and cannot run before, where nothing closes one.

--- a/src/backend/connection.rs
+++ b/src/backend/connection.rs
@@ -196,6 +196,7 @@
 
     fn timer_expired(&mut self, _socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow {
         self.correlations.expire_retired(context.now);
+        self.correlations.expire_load_orders(context.now);
         self.expire_health_check(context);
         match self.close_deadline() {
             Some(deadline) if deadline <= context.now => ConnectionFlow::Close,
--- a/src/backend/connection/commands.rs
+++ b/src/backend/connection/commands.rs
@@ -25,7 +25,9 @@
                     return;
                 }
             }
-            WorkerCommand::Load { order, .. } => self.correlations.open_load_order(*order),
+            WorkerCommand::Load { order, deadline, .. } => {
+                self.correlations.open_load_order(*order, *deadline);
+            }
             WorkerCommand::HealthCheck { check, deadline } => {
                 self.correlations.open_health_check(*check);
                 self.health_check = HealthCheckState::Outstanding {
@@ -129,6 +131,7 @@
                 order,
                 function,
                 instances,
+                ..
             } => self.encode_load(order, function, instances, context),
             WorkerCommand::HealthCheck { check, .. } => Some(
                 self.codec
--- a/src/backend/correlation.rs
+++ b/src/backend/correlation.rs
@@ -3,7 +3,7 @@
 use super::retired_id_budget::{GUARANTEED_PER_CONNECTION, RetiredIdBudget};
 use crate::model::{Span, Time};
 use crate::scheduler::{AttemptId, HealthCheckId, LoadOrderId};
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap, VecDeque};
 
 /// Time during which a retired id cannot be used again on its connection.
 pub(super) const RETIRED_ID_TTL: Span = Span::from_millis(10_000);
@@ -57,6 +57,8 @@
     /// Retired ids in order of retirement. An id whose late response has arrived is free again, but stays
     /// here until it expires.
     retired: VecDeque<RetiredId>,
+    /// The deadlines of open load orders, and of some that have ended.
+    load_order_deadlines: BTreeSet<(Time, LoadOrderId)>,
     /// The number of retired ids that all connections together may keep.
     budget: RetiredIdBudget,
 }
@@ -83,8 +85,9 @@
             .insert(attempt, correlation_id.to_owned());
     }
 
-    /// Opens a load order.
-    pub(super) fn open_load_order(&mut self, order: LoadOrderId) {
+    /// Opens a load order, which has timed out at `deadline`.
+    pub(super) fn open_load_order(&mut self, order: LoadOrderId, deadline: Time) {
+        self.load_order_deadlines.insert((deadline, order));
         self.open(load_order_correlation_id(order), Exchange::LoadOrder(order));
     }
 
@@ -139,9 +142,15 @@
         let Entry::Open(exchange) = self.entries.remove(correlation_id)? else {
             return None;
         };
-        if let Exchange::Attempt(attempt) = exchange {
-            self.open_attempts -= 1;
-            self.attempt_correlation_ids.remove(&attempt);
+        match exchange {
+            Exchange::Attempt(attempt) => {
+                self.open_attempts -= 1;
+                self.attempt_correlation_ids.remove(&attempt);
+            }
+            Exchange::LoadOrder(order) => {
+                self.load_order_deadlines.retain(|(_, other)| *other != order);
+            }
+            Exchange::HealthCheck(_) => {}
         }
         Some(exchange)
     }
@@ -206,9 +215,23 @@
         exceeds_budget || self.retired.len() > MAX_RETIRED_IDS
     }
 
-    /// Returns when [`CorrelationTable::expire_retired`] must next be called.
+    /// Closes the load orders that have timed out. Otherwise a connection to a machine that has vanished would have
+    /// an open exchange, and so would never be idle. A late response belongs to no exchange.
+    pub(super) fn expire_load_orders(&mut self, now: Time) {
+        while let Some((deadline, order)) = self.load_order_deadlines.first().copied()
+            && deadline <= now
+        {
+            self.load_order_deadlines.pop_first();
+            self.close(&load_order_correlation_id(order));
+        }
+    }
+
+    /// Returns when [`CorrelationTable::expire_retired`] or [`CorrelationTable::expire_load_orders`] must next be
+    /// called.
     pub(super) fn next_expiry(&self) -> Option<Time> {
-        let oldest = self.retired.front()?;
-        Some(oldest.retired_at + RETIRED_ID_TTL + Span(1))
+        let oldest = self.retired.front();
+        let retired_expiry = oldest.map(|oldest| oldest.retired_at + RETIRED_ID_TTL + Span(1));
+        let load_order_expiry = self.load_order_deadlines.first().map(|(deadline, _)| *deadline);
+        retired_expiry.into_iter().chain(load_order_expiry).min()
     }
 }
--- a/src/backend/tests/correlation.rs
+++ b/src/backend/tests/correlation.rs
@@ -9,6 +9,8 @@
 const ATTEMPT: AttemptId = attempt(1, 0);
 const NEXT_ATTEMPT: AttemptId = attempt(1, 1);
 const START: Time = Time(1_000);
+/// When the load orders time out.
+const DEADLINE: Time = Time(5_000);
 
 /// The earliest time at which an id that was retired at `START` has expired.
 fn after_expiry() -> Time {
@@ -19,7 +21,7 @@
 fn a_response_closes_its_exchange_once() {
     let mut table = CorrelationTable::default();
     table.open_attempt(ATTEMPT, "a");
-    table.open_load_order(LoadOrderId(3));
+    table.open_load_order(LoadOrderId(3), DEADLINE);
     table.open_health_check(HealthCheckId(4));
     assert_eq!((table.open_exchange_count(), table.open_attempt_count()), (3, 1));
     assert_eq!(table.close("a"), Some(Exchange::Attempt(ATTEMPT)));
@@ -152,3 +154,26 @@
         "closed connections free theirs"
     );
 }
+
+/// Guards against a connection to a machine that has vanished, which stays open for a load order that has timed out
+/// and keeps its descriptor (review, load orders to a machine that vanishes).
+#[test]
+fn a_load_order_that_has_timed_out_is_no_open_exchange() {
+    let mut table = CorrelationTable::default();
+    table.open_load_order(LoadOrderId(3), DEADLINE);
+    table.expire_load_orders(DEADLINE - Span(1));
+    assert!(table.has_open_exchanges());
+    assert_eq!(table.next_expiry(), Some(DEADLINE));
+    table.expire_load_orders(DEADLINE);
+    assert!(!table.has_open_exchanges());
+    assert_eq!((table.open_exchange_count(), table.next_expiry()), (0, None));
+    assert_eq!(table.close("load-3"), None, "a late response");
+}
+
+#[test]
+fn a_load_order_that_is_answered_leaves_no_deadline() {
+    let mut table = CorrelationTable::default();
+    table.open_load_order(LoadOrderId(3), DEADLINE);
+    table.close("load-3");
+    assert_eq!(table.next_expiry(), None);
+}
--- a/src/backend/tests/mod.rs
+++ b/src/backend/tests/mod.rs
@@ -101,6 +101,7 @@
         order,
         function: FUNCTION,
         instances: 1,
+        deadline: Time(u64::MAX),
     }
 }
 
--- a/src/backend/worker_command.rs
+++ b/src/backend/worker_command.rs
@@ -35,6 +35,8 @@
         function: FunctionId,
         /// Minimum number of loaded instances that the worker is to have.
         instances: u8,
+        /// Time by which the response is due.
+        deadline: Time,
     },
     /// Check the worker's health.
     HealthCheck {
@@ -80,12 +82,14 @@
                 worker,
                 function,
                 instances,
+                deadline,
             } => (
                 worker,
                 WorkerCommand::Load {
                     order,
                     function,
                     instances,
+                    deadline,
                 },
             ),
             Command::HealthCheck {
--- a/src/scheduler/command.rs
+++ b/src/scheduler/command.rs
@@ -56,6 +56,8 @@
         function: FunctionId,
         /// Minimum number of loaded instances; 0 only queries how many are loaded.
         instances: u8,
+        /// When the command times out.
+        deadline: Time,
     },
     /// Checks whether a worker is alive.
     HealthCheck {
--- a/src/scheduler/load_orders.rs
+++ b/src/scheduler/load_orders.rs
@@ -54,6 +54,7 @@
             worker,
             function,
             instances,
+            deadline,
         });
     }
 
