Fire the scheduler's timers as of the last poll if the process was stopped since

Change: the scheduler's timers expire as of now, but at most 20 ms after the last complete poll; what expires later waits for the next poll, which follows at once.

--- a/src/net/reactor/polling.rs
+++ b/src/net/reactor/polling.rs
@@ -71,6 +71,12 @@
         }
     }
 
+    /// Returns the time as of which timers may expire that end what a peer may have answered or cancelled: now, but
+    /// at most [`MAX_INPUT_AGE`] after the last complete poll. The process may have been stopped since then.
+    pub fn timers_expire_at(&self) -> Time {
+        self.clock.now().min(self.complete_poll_at + MAX_INPUT_AGE)
+    }
+
     /// Returns whether the last complete poll is too long ago to rely on what it told.
     pub(super) fn is_input_outdated(&self) -> bool {
         self.clock.now() - self.complete_poll_at > MAX_INPUT_AGE
--- a/src/net/reactor/tests/mod.rs
+++ b/src/net/reactor/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod input_scheduling;
 mod memory;
+mod polling;
 
 use super::token::EventSource;
 use super::*;
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -209,7 +209,7 @@
         let now = self.reactor.now();
         self.catch_panic("discovery", |server| server.poll_discovery(now));
         let now = self.reactor.record_part(TurnPart::Discovery, now);
-        self.catch_panic("timer", |server| server.fire_scheduler_timers(now));
+        self.catch_panic("timer", Server::fire_scheduler_timers);
         self.reactor.record_part(TurnPart::SchedulerTimers, now);
         self.execute_commands();
         let has_commands = self.reactor.shared.scheduler.has_commands();
@@ -220,7 +220,10 @@
         self.reactor.clients_paused = has_commands;
     }
 
-    fn fire_scheduler_timers(&mut self, now: Time) {
+    /// Fires the scheduler's timers as of the last poll, if the process was stopped since then: the next poll may
+    /// tell of a response or a cancellation.
+    fn fire_scheduler_timers(&mut self) {
+        let now = self.reactor.timers_expire_at();
         let budget = self.reactor.time_budget(TIMER_BUDGET);
         let scheduler = &mut self.reactor.shared.scheduler;
         if scheduler.next_timer().is_some_and(|at| at <= now) {
