isolation-bench: shut down beside the bad peer; four errors make a connection failing

Cause: nothing showed whether a shutdown beside bad clients ends before the kill; a burst of bad requests still took places for a second. Change: three columns for the shutdown (usual requests, lost, time to the exit); FAILING_STREAK 4 in place of 8.

--- a/crates/isolation-bench/src/deployment.rs
+++ b/crates/isolation-bench/src/deployment.rs
@@ -20,6 +20,8 @@
 const START_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time that is waited for the lines that SIGUSR1 causes. A turn of the event loop may take long.
 const LOG_TIMEOUT: Duration = Duration::from_secs(20);
+/// Time between two looks at whether the process has exited.
+const EXIT_POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// Beginning of the fields of the line that tells how long whole turns have taken.
 const TURN_FIELDS: &str = "part=\"turn\"";
 
@@ -48,14 +50,17 @@
     /// The address on which it receives VRRP advertisements.
     pub(crate) vrrp_address: SocketAddr,
     folder: TempDir,
-    process: Child,
+    process: Mutex<Child>,
+    process_id: u32,
     log: Mutex<Receiver<String>>,
 }
 
 impl Drop for Scheduler {
     fn drop(&mut self) {
-        let _ = self.process.kill();
-        let _ = self.process.wait();
+        if let Ok(process) = self.process.get_mut() {
+            let _ = process.kill();
+            let _ = process.wait();
+        }
     }
 }
 
@@ -92,7 +97,8 @@
             address,
             vrrp_address,
             folder,
-            process,
+            process_id: process.id(),
+            process: Mutex::new(process),
             log: Mutex::new(log),
         };
         scheduler.wait_until_ready()?;
@@ -106,14 +112,14 @@
 
     /// Returns the private memory of the process, in KiB.
     pub(crate) fn memory_kib(&self) -> Option<u64> {
-        let status = fs::read_to_string(format!("/proc/{}/status", self.process.id())).ok()?;
+        let status = fs::read_to_string(format!("/proc/{}/status", self.process_id)).ok()?;
         let line = status.lines().find(|line| line.starts_with("RssAnon:"))?;
         line.split_whitespace().nth(1)?.parse().ok()
     }
 
     /// Returns how long the turns of the event loop have taken, or `None` if the program does not tell.
     pub(crate) fn turn_times(&self) -> Option<TurnTimes> {
-        kill(Pid::from_raw(self.process.id() as i32), Signal::SIGUSR1).ok()?;
+        self.signal(Signal::SIGUSR1)?;
         let log = self.log.lock().ok()?;
         let ends_at = Instant::now() + LOG_TIMEOUT;
         loop {
@@ -128,6 +134,33 @@
         }
     }
 
+    /// Sends SIGTERM.
+    pub(crate) fn terminate(&self) {
+        // The process may have been killed for its memory.
+        let _ = self.signal(Signal::SIGTERM);
+    }
+
+    /// Waits until the process has exited. Returns whether it has within `timeout`.
+    pub(crate) fn wait_for_exit(&self, timeout: Duration) -> bool {
+        let started_at = Instant::now();
+        while started_at.elapsed() < timeout {
+            let has_exited = |process: &mut Child| matches!(process.try_wait(), Ok(Some(_)));
+            if self
+                .process
+                .lock()
+                .is_ok_and(|mut process| has_exited(&mut process))
+            {
+                return true;
+            }
+            thread::sleep(EXIT_POLL_INTERVAL);
+        }
+        false
+    }
+
+    fn signal(&self, signal: Signal) -> Option<()> {
+        kill(Pid::from_raw(self.process_id as i32), signal).ok()
+    }
+
     fn wait_until_ready(&self) -> Result<()> {
         let started_at = Instant::now();
         while !is_ready(self.address).unwrap_or(false) {
--- a/crates/isolation-bench/src/main.rs
+++ b/crates/isolation-bench/src/main.rs
@@ -2,8 +2,8 @@
 //!
 //! For each kind of bad peer, the program starts a scheduler with stand-ins for its workers, its discovery service
 //! and four usual clients, lets the bad peer send for some seconds, and prints one row of a table: what the usual
-//! clients got, how long the turns of the scheduler's event loop took, and its peak memory. Compare the rows with
-//! that of `none`. Everything runs on loopback.
+//! clients got, how long the turns of the scheduler's event loop took, its peak memory, and how it shuts down while the
+//! bad peer still sends. Compare the rows with that of `none`. Everything runs on loopback.
 //!
 //! - [`deployment`] starts and watches the scheduler's process.
 //! - [`worker`] and [`discovery`] are the stand-ins that the scheduler connects to.
@@ -92,7 +92,7 @@
     for peer in peers {
         let measurement = scenario::run(*peer, &options)?;
         println!("{measurement}");
-        lost += measurement.responses.lost();
+        lost += measurement.lost();
     }
     Ok(lost)
 }
--- a/crates/isolation-bench/src/scenario.rs
+++ b/crates/isolation-bench/src/scenario.rs
@@ -3,7 +3,7 @@
 use crate::bad_client::{self, Frontend};
 use crate::bad_peer::BadPeer;
 use crate::deployment::{Configuration, Scheduler, TurnTimes};
-use crate::usual_client::{self, Responses};
+use crate::usual_client::{self, CurrentStage, Stage, UsualResponses};
 use crate::{advertiser, connector, discovery, worker};
 use anyhow::Result;
 use std::fmt;
@@ -12,7 +12,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Number of stand-in workers.
 const WORKERS: usize = 10;
@@ -20,6 +20,10 @@
 const BAD_WORKERS: usize = 2;
 /// Time before the bad peer begins, in which connections are opened and functions loaded.
 const WARM_UP: Duration = Duration::from_secs(2);
+/// Time after SIGTERM in which usual clients still send (page PROTOCOL).
+const LATE_REQUEST_TIME: Duration = Duration::from_millis(600);
+/// Time that is waited for the exit. The process may be killed 3.7 s after SIGTERM (page PROTOCOL).
+const EXIT_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time between two looks at the memory.
 const MEMORY_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -37,15 +41,22 @@
 #[derive(Debug)]
 pub(crate) struct Measurement {
     kind: BadPeer,
-    pub(crate) responses: Responses,
+    responses: UsualResponses,
     turn_times: Option<TurnTimes>,
     peak_memory_kib: u64,
+    /// Time from SIGTERM to the exit; `None` if the process has not exited.
+    shutdown_time: Option<Duration>,
 }
 
 impl Measurement {
+    /// Returns the number of usual requests that were lost, in all.
+    pub(crate) fn lost(&self) -> usize {
+        self.responses.beside_bad_peer.lost() + self.responses.in_shutdown.lost()
+    }
+
     /// The heading of the table whose rows measurements are displayed as.
-    pub(crate) const HEADER: &str = "| bad peer | requests | served | lost | median ms | slowest ms | p99 turn ms | longest turn ms | peak memory MB |\n\
-         | --- | --- | --- | --- | --- | --- | --- | --- | --- |";
+    pub(crate) const HEADER: &str = "| bad peer | requests | served | lost | median ms | slowest ms | p99 turn ms | longest turn ms | peak memory MB | shutdown: requests | lost | exit s |\n\
+         | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |";
 }
 
 impl fmt::Display for Measurement {
@@ -55,18 +66,26 @@
             Some(times) => millis(time(times)),
             None => "-".to_owned(),
         };
+        let responses = &self.responses.beside_bad_peer;
+        let exit = match self.shutdown_time {
+            Some(time) => format!("{:.2}", time.as_secs_f64()),
+            None => "-".to_owned(),
+        };
         write!(
             formatter,
-            "| {:?} | {} | {} | {} | {} | {} | {} | {} | {:.1} |",
+            "| {:?} | {} | {} | {} | {} | {} | {} | {} | {:.1} | {} | {} | {} |",
             self.kind,
-            self.responses.requests(),
-            self.responses.served(),
-            self.responses.lost(),
-            millis(self.responses.median()),
-            millis(self.responses.slowest()),
+            responses.requests(),
+            responses.served(),
+            responses.lost(),
+            millis(responses.median()),
+            millis(responses.slowest()),
             turn(|times| times.p99),
             turn(|times| times.longest),
             self.peak_memory_kib as f64 / 1024.0,
+            self.responses.in_shutdown.requests(),
+            self.responses.in_shutdown.lost(),
+            exit,
         )
     }
 }
@@ -74,8 +93,7 @@
 /// What the threads of a measurement tell each other.
 #[derive(Debug, Default)]
 struct Signals {
-    /// Whether requests of usual clients count.
-    measure: AtomicBool,
+    stage: CurrentStage,
     stop: AtomicBool,
     peak_memory_kib: AtomicU64,
 }
@@ -102,27 +120,41 @@
         vrrp_peer: vrrp_peer.local_addr()?,
     })?;
     let signals = Signals::default();
-    let (responses, turn_times) = thread::scope(|scope| {
-        let usual = scope.spawn(|| usual_client::run_all(scheduler.address, &signals.measure, &signals.stop));
+    let (responses, turn_times, shutdown_time) = thread::scope(|scope| {
+        let usual = scope.spawn(|| usual_client::run_all(scheduler.address, &signals.stage));
         scope.spawn(|| watch_memory(&scheduler, &signals));
         thread::sleep(WARM_UP);
-        signals.measure.store(true, Ordering::Relaxed);
+        signals.stage.set(Stage::BadPeer);
         workers_flood.store(kind == BadPeer::WorkerResponses, Ordering::Relaxed);
         discovery_floods.store(kind == BadPeer::EndpointLists, Ordering::Relaxed);
         scope.spawn(|| play(kind, options.connections, &scheduler, &vrrp_peer, &signals.stop));
         thread::sleep(options.length);
         let turn_times = scheduler.turn_times();
+        let shutdown_time = shut_down(&scheduler, &signals.stage);
         signals.stop.store(true, Ordering::Relaxed);
-        (usual.join().expect("the clients do not panic"), turn_times)
+        let responses = usual.join().expect("the clients do not panic");
+        (responses, turn_times, shutdown_time)
     });
     Ok(Measurement {
         kind,
         responses,
         turn_times,
         peak_memory_kib: signals.peak_memory_kib.into_inner(),
+        shutdown_time,
     })
 }
 
+/// Ends the scheduler as a planned restart does, beside the bad peer. Returns the time that it took.
+fn shut_down(scheduler: &Scheduler, stage: &CurrentStage) -> Option<Duration> {
+    let began_at = Instant::now();
+    stage.set(Stage::Shutdown);
+    scheduler.terminate();
+    thread::sleep(LATE_REQUEST_TIME);
+    stage.set(Stage::Stopped);
+    let has_exited = scheduler.wait_for_exit(EXIT_TIMEOUT);
+    has_exited.then(|| began_at.elapsed())
+}
+
 fn watch_memory(scheduler: &Scheduler, signals: &Signals) {
     while !signals.stop.load(Ordering::Relaxed) {
         let kib = scheduler.memory_kib().unwrap_or_default();
--- a/crates/isolation-bench/src/usual_client.rs
+++ b/crates/isolation-bench/src/usual_client.rs
@@ -3,7 +3,7 @@
 use crate::frames::{self, CLASS, FrameType, SERVED};
 use std::io::{self, BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -18,6 +18,9 @@
 /// Time after that at which the response counts as lost, with the slack of the page PROTOCOL, in milliseconds.
 const LOST_AFTER_MS: u64 = 550;
 
+/// Time in which a request may cross the end of its connection (page PROTOCOL).
+const CROSSING_TIME: Duration = Duration::from_millis(50);
+
 /// How the usual requests ended.
 #[derive(Debug, Default)]
 pub(crate) struct Responses {
@@ -53,6 +56,17 @@
         self.times.last().copied().unwrap_or_default()
     }
 
+    /// Records a response with its code and the time that it took, or that there was none.
+    fn record(&mut self, code: Option<u8>, time: Duration) {
+        match code {
+            Some(code) => {
+                self.times.push(time);
+                self.served += usize::from(code == SERVED);
+            }
+            None => self.lost += 1,
+        }
+    }
+
     fn merge(&mut self, other: Responses) {
         self.times.extend(other.times);
         self.times.sort_unstable();
@@ -61,45 +75,88 @@
     }
 }
 
-/// Lets the usual clients send until `stop` is set. Only requests that begin after `measure` is set count.
-pub(crate) fn run_all(address: SocketAddr, measure: &AtomicBool, stop: &AtomicBool) -> Responses {
-    let mut responses = Responses::default();
+/// The part of a measurement in which a request begins.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[repr(u8)]
+pub(crate) enum Stage {
+    /// Requests do not count.
+    WarmUp,
+    /// The bad peer sends.
+    BadPeer,
+    /// The scheduler has been sent SIGTERM, and the bad peer still sends.
+    Shutdown,
+    /// No further request begins.
+    Stopped,
+}
+
+/// The current stage, which the clients look at before each request.
+#[derive(Debug, Default)]
+pub(crate) struct CurrentStage(AtomicU8);
+
+impl CurrentStage {
+    /// Begins a stage.
+    pub(crate) fn set(&self, stage: Stage) {
+        self.0.store(stage as u8, Ordering::Relaxed);
+    }
+
+    fn get(&self) -> Stage {
+        match self.0.load(Ordering::Relaxed) {
+            0 => Stage::WarmUp,
+            1 => Stage::BadPeer,
+            2 => Stage::Shutdown,
+            _ => Stage::Stopped,
+        }
+    }
+}
+
+/// How the usual requests ended that began beside the bad peer, and in the shutdown.
+#[derive(Debug, Default)]
+pub(crate) struct UsualResponses {
+    pub(crate) beside_bad_peer: Responses,
+    pub(crate) in_shutdown: Responses,
+}
+
+/// Lets the usual clients send until the last stage.
+pub(crate) fn run_all(address: SocketAddr, stage: &CurrentStage) -> UsualResponses {
+    let mut responses = UsualResponses::default();
     thread::scope(|scope| {
         let clients: Vec<_> = (0..CLIENTS)
-            .map(|_| scope.spawn(|| run(address, measure, stop)))
+            .map(|_| scope.spawn(|| run(address, stage)))
             .collect();
         for client in clients {
-            responses.merge(client.join().expect("a client does not panic"));
+            let of_client = client.join().expect("a client does not panic");
+            responses.beside_bad_peer.merge(of_client.beside_bad_peer);
+            responses.in_shutdown.merge(of_client.in_shutdown);
         }
     });
     responses
 }
 
-fn run(address: SocketAddr, measure: &AtomicBool, stop: &AtomicBool) -> Responses {
-    let mut responses = Responses::default();
+fn run(address: SocketAddr, current_stage: &CurrentStage) -> UsualResponses {
+    let mut responses = UsualResponses::default();
     let mut connection = Connection::open(address);
-    while !stop.load(Ordering::Relaxed) {
-        let counts = measure.load(Ordering::Relaxed);
+    loop {
+        let stage = current_stage.get();
+        if stage == Stage::Stopped {
+            return responses;
+        }
         let began_at = Instant::now();
-        let code = connection
-            .as_mut()
-            .map_err(|error| error.kind())
-            .and_then(|connection| connection.call().map_err(|error| error.kind()));
+        let code = match &mut connection {
+            Ok(connection) => connection.call(),
+            Err(error) => Err(error.kind().into()),
+        };
         if code.is_err() {
             connection = Connection::open(address);
         }
-        if counts {
-            match code {
-                Ok(code) => {
-                    responses.times.push(began_at.elapsed());
-                    responses.served += usize::from(code == SERVED);
-                }
-                Err(_) => responses.lost += 1,
-            }
+        match stage {
+            Stage::BadPeer => responses.beside_bad_peer.record(code.ok(), began_at.elapsed()),
+            // A request that crosses the end of its connection is sent once more, to another scheduler.
+            Stage::Shutdown if code.is_err() && began_at.elapsed() <= CROSSING_TIME => {}
+            Stage::Shutdown => responses.in_shutdown.record(code.ok(), began_at.elapsed()),
+            Stage::WarmUp | Stage::Stopped => {}
         }
         thread::sleep(PAUSE);
     }
-    responses
 }
 
 /// A connection of a usual client.
--- a/src/scheduler/open_request_share.rs
+++ b/src/scheduler/open_request_share.rs
@@ -13,7 +13,7 @@
 /// Divisor of the free open requests that gives the number that a connection may have.
 const FREE_DIVISOR: usize = 8;
 /// Number of attempts in a row that ended in errors of workers, from which a connection is failing.
-const FAILING_STREAK: u32 = 8;
+const FAILING_STREAK: u32 = 4;
 /// Number of open requests that all failing connections share.
 const MAX_FAILING_OPEN: usize = 16;
 
