Reactor: move what is known of a connection's input into modules of its own

Change: input_state holds what is known of input, connection_input handles it, tests of memory stand together; moved, not changed. Timers expire as of the last poll even if its list of events was full; clients that wait for the next turn to be accepted count as waiting.

--- a/src/net/reactor/connections.rs
+++ b/src/net/reactor/connections.rs
@@ -199,7 +199,7 @@
             return;
         };
         if managed.has_unseen_input() {
-            context.earliest_input_at = managed.unhandled_since();
+            context.earliest_input_at = managed.input.unhandled_since();
         }
         let unsent_before = managed.stream.unsent_bytes();
         let buffered_before = managed.buffered_client_bytes();
--- a/src/net/reactor/input_scheduling.rs
+++ b/src/net/reactor/input_scheduling.rs
@@ -86,8 +86,8 @@
         let Some(managed) = self.connections.get_mut(&id) else {
             return;
         };
-        if managed.has_unhandled_input() && !managed.is_queued {
-            managed.is_queued = true;
+        if managed.has_unhandled_input() && !managed.input.is_queued {
+            managed.input.is_queued = true;
             self.input_queues
                 .queue(PeerKind::of(managed))
                 .sparse
@@ -117,7 +117,7 @@
     /// Lets a connection handle one quantum of its input.
     fn grant_turn(&mut self, id: ConnectionId) {
         if let Some(managed) = self.connections.get_mut(&id) {
-            managed.input_credit.grant();
+            managed.input.credit.grant();
             self.use_credit(id);
         }
     }
@@ -129,8 +129,8 @@
             return;
         };
         let backlogged = &mut self.input_queues.queue(kind).backlogged;
-        managed.is_queued = managed.has_unhandled_input() || was_sparse && !backlogged.is_empty();
-        if managed.is_queued {
+        managed.input.is_queued = managed.has_unhandled_input() || was_sparse && !backlogged.is_empty();
+        if managed.input.is_queued {
             backlogged.push_back(id);
         }
     }
@@ -139,13 +139,13 @@
     fn use_credit(&mut self, id: ConnectionId) {
         let mut now = self.clock.now();
         let may_continue = |managed: &ManagedConnection<S>| {
-            managed.has_unhandled_input() && managed.input_credit.is_positive()
+            managed.has_unhandled_input() && managed.input.credit.is_positive()
         };
         while self.connections.get(&id).is_some_and(may_continue) {
             self.run_callback(id, ManagedConnection::handle_input);
             let ended_at = self.clock.now();
             if let Some(managed) = self.connections.get_mut(&id) {
-                managed.input_credit.charge(ended_at - now);
+                managed.input.credit.charge(ended_at - now);
             }
             now = ended_at;
         }
@@ -165,7 +165,7 @@
         }
         let now = self.clock.now();
         let is_current = |managed: &ManagedConnection<S>| {
-            !managed.has_unseen_input() || now - managed.unhandled_since() <= MAX_INPUT_AGE
+            !managed.has_unseen_input() || now - managed.input.unhandled_since() <= MAX_INPUT_AGE
         };
         self.connections.get(&id).is_none_or(is_current)
     }
--- a/src/net/reactor/managed_connection.rs
+++ b/src/net/reactor/managed_connection.rs
@@ -1,6 +1,6 @@
 //! A connection as managed by the reactor: its stream, its callbacks and the state of its closing.
 
-use super::input_credit::InputCredit;
+use super::input_state::InputState;
 use crate::model::{Span, Time};
 use crate::net::{BufferedStream, CloseCause, Connection, ConnectionFlow, Context, SharedState};
 use mio::Registry;
@@ -8,9 +8,6 @@
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use tracing::{debug, error};
 
-/// Maximum number of bytes that are read and discarded from a closing connection. A peer that sends more is
-/// disconnected, so that it does not keep the processor busy.
-const MAX_DISCARDED_INPUT_BYTES: usize = 1 << 20;
 /// Delay after which a timer is tried again if its connection has input that could not be handled before.
 const TIMER_RETRY_DELAY: Span = Span::from_millis(10);
 /// Delay before a failed registration for a connection's events is retried.
@@ -20,17 +17,8 @@
 pub(super) struct ManagedConnection<S> {
     pub(super) stream: BufferedStream,
     pub(super) connection: Box<dyn Connection<S>>,
-    /// Earliest time at which input that has not been handled may have arrived. Meaningful only while there is
-    /// such input.
-    unhandled_since: Time,
-    /// Time at which the socket was last seen empty.
-    socket_empty_at: Time,
-    /// Whether the buffer may hold messages that the last quantum did not cover.
-    has_buffered_messages: bool,
-    /// Whether the connection is in a queue of connections with input.
-    pub(super) is_queued: bool,
-    /// Processing time that the connection may use for its input.
-    pub(super) input_credit: InputCredit,
+    /// What is known of its input.
+    pub(super) input: InputState,
     /// Time until which the connection's timer waits because input could not be handled before.
     timer_retry_at: Time,
     /// Whether the peer is a client.
@@ -38,11 +26,11 @@
     /// Time to which the connection's timer is set.
     pub(super) timer: Option<Time>,
     /// Whether the connection closes once its output has been written.
-    finishing: bool,
+    pub(super) finishing: bool,
     /// Whether the sending half of the stream is shut down.
     write_shut_down: bool,
     /// Number of bytes read and discarded since the connection started to close.
-    discarded: usize,
+    pub(super) discarded: usize,
     /// Reason for closing the connection; `None` while it is open, or if its peer or the connection itself
     /// ended it.
     close_cause: Option<CloseCause>,
@@ -53,11 +41,7 @@
 impl<S: SharedState + 'static> ManagedConnection<S> {
     pub(super) fn new(stream: BufferedStream, connection: Box<dyn Connection<S>>) -> ManagedConnection<S> {
         ManagedConnection {
-            unhandled_since: Time(0),
-            socket_empty_at: Time(0),
-            has_buffered_messages: false,
-            is_queued: false,
-            input_credit: InputCredit::default(),
+            input: InputState::default(),
             timer_retry_at: Time(0),
             is_client: connection.is_client(),
             stream,
@@ -80,44 +64,11 @@
         deadline.into_iter().chain(self.registration_retry_at).min()
     }
 
-    /// Returns whether the connection has input that it can handle now.
-    pub(super) fn has_unhandled_input(&self) -> bool {
-        self.has_buffered_messages || self.stream.is_readable()
-    }
-
-    /// Returns whether the peer may have sent anything that has not been handled, even if it cannot be read now.
-    pub(super) fn has_unseen_input(&self) -> bool {
-        self.has_buffered_messages || self.stream.may_have_input()
-    }
-
-    /// Returns the earliest time at which input that has not been handled may have arrived. Meaningful only
-    /// while there is such input.
-    pub(super) fn unhandled_since(&self) -> Time {
-        if self.has_buffered_messages {
-            self.unhandled_since
-        } else {
-            self.unhandled_since.max(self.socket_empty_at)
-        }
-    }
-
-    /// Returns whether closing the connection would lose input. A finishing connection ignores its input.
-    pub(super) fn would_lose_input(&self) -> bool {
-        self.has_unseen_input() && !self.finishing
-    }
-
     /// Returns whether timers wait until the input has been handled. A finishing connection ignores its input.
     fn defers_timers(&self) -> bool {
         self.has_unhandled_input() && !self.finishing
     }
 
-    /// Records that the socket may hold input that arrived at `since` at the earliest.
-    pub(super) fn mark_readable(&mut self, since: Time) {
-        if !self.has_unseen_input() {
-            self.unhandled_since = since;
-        }
-        self.stream.mark_readable();
-    }
-
     /// Returns the time since which closing the connection would lose no work.
     pub(super) fn idle_since(&self) -> Option<Time> {
         if self.write_shut_down {
@@ -152,7 +103,7 @@
             let flow = callback(self, context);
             self.flush_output(flow, context)
         }));
-        self.has_buffered_messages |= context.messages.is_exhausted();
+        self.input.has_buffered_messages |= context.messages.is_exhausted();
         flow.unwrap_or_else(|_| {
             context.shared.panic_caught();
             error!(connection = self.stream.id().0, "connection closed after a panic");
@@ -160,24 +111,6 @@
         })
     }
 
-    /// Returns the number of buffered input bytes if the peer is a client.
-    pub(super) fn buffered_client_bytes(&self) -> usize {
-        if self.is_client {
-            self.stream.input.len()
-        } else {
-            0
-        }
-    }
-
-    /// Returns the number of buffered bytes of a message that is not complete.
-    pub(super) fn incomplete_bytes(&self) -> usize {
-        if self.has_buffered_messages || self.finishing {
-            0
-        } else {
-            self.stream.input.len()
-        }
-    }
-
     /// Closes the connection, failing its open requests.
     pub(super) fn fail_open_requests(&mut self, context: &mut Context<S>) -> ConnectionFlow {
         let flow = catch_unwind(AssertUnwindSafe(|| {
@@ -212,15 +145,6 @@
             .unwrap_or_else(|error| self.fail(&error))
     }
 
-    /// Handles one quantum of the connection's input.
-    pub(super) fn handle_input(&mut self, context: &mut Context<S>) -> ConnectionFlow {
-        if !self.stream.is_connected() {
-            return ConnectionFlow::Continue;
-        }
-        self.try_handle_input(context)
-            .unwrap_or_else(|error| self.fail(&error))
-    }
-
     /// Handles an expired timer, after any input that the last poll may have missed.
     ///
     /// A connection that is closed by a timer must not lose a request, a response or a completed connect
@@ -237,7 +161,7 @@
         self.connection.timer_expired(&mut self.stream, context)
     }
 
-    fn fail(&mut self, error: &io::Error) -> ConnectionFlow {
+    pub(super) fn fail(&mut self, error: &io::Error) -> ConnectionFlow {
         self.set_close_cause(CloseCause::Failed(error.kind()));
         ConnectionFlow::Close
     }
@@ -265,38 +189,6 @@
         Ok(ConnectionFlow::Continue)
     }
 
-    /// Reads from the socket, unless messages are left in the buffer, and lets the connection handle what its
-    /// quantum allows.
-    fn try_handle_input(&mut self, context: &mut Context<S>) -> io::Result<ConnectionFlow> {
-        if !self.has_buffered_messages && !self.read_socket(context.now)? {
-            return Ok(ConnectionFlow::Continue);
-        }
-        self.has_buffered_messages = false;
-        if !self.finishing {
-            return Ok(self.connection.received(&mut self.stream, context));
-        }
-        self.discard_input();
-        if self.discarded > MAX_DISCARDED_INPUT_BYTES {
-            return Ok(ConnectionFlow::Close);
-        }
-        Ok(ConnectionFlow::Continue)
-    }
-
-    /// Reads from the socket at `now`. Returns whether there is new input or its end.
-    fn read_socket(&mut self, now: Time) -> io::Result<bool> {
-        self.unhandled_since = self.unhandled_since();
-        let buffered = self.stream.input.len();
-        if self.stream.fill()? {
-            self.socket_empty_at = now;
-        }
-        Ok(self.stream.input.len() > buffered || self.stream.input_ended)
-    }
-
-    fn discard_input(&mut self) {
-        self.discarded += self.stream.input.len();
-        self.stream.input.clear();
-    }
-
     /// Applies the result of a callback. Returns true if the connection is to be closed now.
     ///
     /// If a stream with unread input is closed, the system discards what the peer has not read yet. A
--- a/src/net/reactor/mod.rs
+++ b/src/net/reactor/mod.rs
@@ -2,14 +2,17 @@
 //!
 //! This module holds the reactor's state and its other sockets. `polling` waits for events, `connections`
 //! adds, calls back and closes connections, `input_scheduling` decides which connection handles its input next,
-//! with the `input_credit` of each, `due_writes` lets connections write after the events of a poll,
-//! `idle_connections` closes idle connections, and `managed_connection` holds the state of one connection.
+//! with the `input_state` and `input_credit` of each, `due_writes` lets connections write after the events of a poll,
+//! `idle_connections` closes idle connections, `managed_connection` holds the state of one connection, and
+//! `connection_input` handles its input.
 
+mod connection_input;
 mod connections;
 mod due_writes;
 mod idle_connections;
 mod input_credit;
 mod input_scheduling;
+mod input_state;
 mod listeners;
 mod managed_connection;
 mod pipes;
--- a/src/net/reactor/polling.rs
+++ b/src/net/reactor/polling.rs
@@ -71,10 +71,10 @@
         }
     }
 
-    /// Returns the time as of which timers may expire that end what a peer may have answered or cancelled: now, but
-    /// at most [`MAX_INPUT_AGE`] after the last complete poll. The process may have been stopped since then.
+    /// Returns the time as of which timers may expire that end what a peer may have answered or cancelled: now,
+    /// unless the process was stopped since the last poll.
     pub fn timers_expire_at(&self) -> Time {
-        self.clock.now().min(self.complete_poll_at + MAX_INPUT_AGE)
+        self.clock.now().min(self.polled_at + MAX_INPUT_AGE)
     }
 
     /// Returns whether the last complete poll is too long ago to rely on what it told.
--- a/src/net/reactor/tests/memory.rs
+++ b/src/net/reactor/tests/memory.rs
@@ -1,4 +1,4 @@
-//! Tests of the limits on buffered input.
+//! Tests of the limits on buffered input and output.
 
 use super::*;
 
@@ -71,3 +71,24 @@
     assert_eq!(failed, [false, false, false, true, true, true]);
     assert!(!is_failed(&mut small), "a small one is allowed");
 }
+
+/// A peer that does not read its input must not use unbounded memory.
+#[test]
+fn output_beyond_the_limit_closes_the_connection_that_adds_to_it() {
+    let mut reactor = reactor();
+    reactor.max_unsent_bytes = 8 << 20;
+    let limits = BufferLimits {
+        input: 100,
+        output: usize::MAX,
+    };
+    let (id, _far) = add_echo(&mut reactor, limits);
+    let mut enqueue = |bytes: usize| {
+        reactor.with_connection(id, |_, socket, _| {
+            socket.enqueue(&vec![0; bytes]);
+            ConnectionFlow::Continue
+        });
+        (reactor.connection_count(), reactor.unsent_bytes > 0)
+    };
+    assert_eq!(enqueue(7 << 20), (1, true));
+    assert_eq!(enqueue(7 << 20), (0, false));
+}
--- a/src/net/reactor/tests/mod.rs
+++ b/src/net/reactor/tests/mod.rs
@@ -235,27 +235,6 @@
     assert_eq!(responses.read(&mut [0]).expect("the echo has been written"), 1);
 }
 
-/// A peer that does not read its input must not use unbounded memory.
-#[test]
-fn output_beyond_the_limit_closes_the_connection_that_adds_to_it() {
-    let mut reactor = reactor();
-    reactor.max_unsent_bytes = 8 << 20;
-    let limits = BufferLimits {
-        input: 100,
-        output: usize::MAX,
-    };
-    let (id, _far) = add_echo(&mut reactor, limits);
-    let mut enqueue = |bytes: usize| {
-        reactor.with_connection(id, |_, socket, _| {
-            socket.enqueue(&vec![0; bytes]);
-            ConnectionFlow::Continue
-        });
-        (reactor.connection_count(), reactor.unsent_bytes > 0)
-    };
-    assert_eq!(enqueue(7 << 20), (1, true));
-    assert_eq!(enqueue(7 << 20), (0, false));
-}
-
 #[test]
 fn a_panic_closes_its_connection_and_no_other() {
     let mut reactor = reactor();
--- a/src/server/accept.rs
+++ b/src/server/accept.rs
@@ -115,7 +115,9 @@
                 }
             }
         }
-        self.retry_at = Some(reactor.now());
+        let now = reactor.now();
+        self.blocked_since.get_or_insert(now);
+        self.retry_at = Some(now);
     }
 
     /// Returns whether one more client can be accepted, even if only to reject its requests. Closes an idle
