--- a/src/discovery/tests/mod.rs
+++ b/src/discovery/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod codec;
 mod endpoint_list;
+mod queue;
 mod watch;
 
 use super::event::{EndpointRecord, WatchEvent};
--- a/src/discovery/watch_connection.rs
+++ b/src/discovery/watch_connection.rs
@@ -16,6 +16,9 @@
 
 /// Number of events in the queue from which no more are read from the connection.
 const MAX_QUEUED_EVENTS: usize = 16;
+/// Number of status changes in the queue from which nothing more is read. They are reported once all events have been
+/// applied, so that a service that sends events without an end must wait for that.
+const MAX_QUEUED_STATUS_CHANGES: usize = 64;
 
 /// A status change of the watch and its time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -53,6 +56,11 @@
         }
     }
 
+    /// Returns whether the connection must not be read before the queue has been worked off.
+    pub(super) fn is_full(&self) -> bool {
+        self.events.len() >= MAX_QUEUED_EVENTS || self.status_changes.len() >= MAX_QUEUED_STATUS_CHANGES
+    }
+
     /// Records a status change of the watch.
     pub(super) fn record_status(&mut self, at: Time, status: WatchStatus) {
         self.status_changes.push_back(StatusChange { at, status });
@@ -138,7 +146,7 @@
 
     fn received(&mut self, socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow {
         let mut consumed = 0;
-        if self.queue.borrow().events.len() >= MAX_QUEUED_EVENTS {
+        if self.queue.borrow().is_full() {
             context.messages.exhaust();
         }
         while context.messages.take() {
