Shutdown: do not exit while commands are left for the next turn

Callers saw: a request without a response at the exit after SIGTERM, in 3 of 12 runs of the server suite beside load (6 suites, 12 busy processes): shutdown_with_long_deadlines_ends_before_the_kill and client_that_keeps_sending_does_not_delay_shutdown. Cause: since commands have a part of a turn, a response may be left for the next turn while no request is open any more, and the shutdown counted open requests only. Change: commands that are left count as open.

--- a/src/server/shutdown.rs
+++ b/src/server/shutdown.rs
@@ -77,8 +77,10 @@
 
     fn enter_next_shutdown_phase(&mut self, now: Time) -> Option<ShutdownPhase> {
         let shutdown = self.shutdown.as_mut()?;
+        let scheduler = &self.reactor.shared.scheduler;
         let pending_work = PendingWork {
-            open_requests: self.reactor.shared.scheduler.open_requests(),
+            // A response that the last turn had no time to send is a command that is left.
+            open_requests: scheduler.open_requests() + usize::from(scheduler.has_commands()),
             has_unsent_output: self.reactor.has_unsent_output(),
             last_poll_was_empty: self.reactor.last_poll_was_empty(),
         };
