Do not postpone the attempts of a client that leaves its output unread

Callers saw: requests of a client that does not read its responses were rejected beside load instead of served: late_response_after_sigterm_is_written_before_exit failed in 1 of 18 runs of the server suite (responses_served stays below 280). Cause, by reading: such a client is not read, so its input stays unseen, and its attempts were postponed and given up after 20 ms. Change: only input that can be handled postpones a write, as before.

--- a/src/net/reactor/input_scheduling.rs
+++ b/src/net/reactor/input_scheduling.rs
@@ -153,10 +153,11 @@
 
     /// Returns whether all input of a connection that arrived before the last [`MAX_INPUT_AGE`] has been handled.
     /// Reads the connection again if the last poll is older. Input that waits for its turn is left there.
+    /// A peer that leaves its output unread is not read either; no write waits for its input.
     pub(super) fn is_input_current(&mut self, id: ConnectionId) -> bool {
         let is_outdated = self.is_input_outdated();
-        let has_unseen_input = |managed: &ManagedConnection<S>| managed.has_unseen_input();
-        if !is_outdated && !self.connections.get(&id).is_some_and(has_unseen_input) {
+        let has_unhandled_input = |managed: &ManagedConnection<S>| managed.has_unhandled_input();
+        if !is_outdated && !self.connections.get(&id).is_some_and(has_unhandled_input) {
             return true;
         }
         if is_outdated {
@@ -165,7 +166,7 @@
         }
         let now = self.clock.now();
         let is_current = |managed: &ManagedConnection<S>| {
-            !managed.has_unseen_input() || now - managed.input.unhandled_since() <= MAX_INPUT_AGE
+            !managed.has_unhandled_input() || now - managed.input.unhandled_since() <= MAX_INPUT_AGE
         };
         self.connections.get(&id).is_none_or(is_current)
     }
