Divide the memory for clients' input, so that parts of requests end no usual connection

Cause: above an eighth of the memory limit, the reactor closed the next client whose incomplete message grew over 4 KiB, whoever held the memory. A body of 16 KiB takes two reads, so it counted as incomplete with its rest in the socket.

Change: each client connection may always buffer an equal share of a quarter of the limit, and more only out of a pool of a 32nd. How much is read is bounded before the read. A message without room is rejected with the time to stay away and its rest skipped; its connection goes on. Buffers grow by what they need. Lines of JSON-RPC likewise. At 32 MB and 1,024 descriptors a share of 24,600 bytes holds the largest request on each of 341 connections.

The test of the limit on all clients is replaced: it expected connections to be failed. The new ones check the sum after each write, that messages without room are rejected, and that those within a share never are.

--- a/src/frontend/client_connection.rs
+++ b/src/frontend/client_connection.rs
@@ -38,6 +38,19 @@
         context: &mut Context,
     ) -> Result<ConnectionFlow, Self::Error>;
 
+    /// Rejects the incomplete message at the end of the input, for which there is no memory, and discards it,
+    /// including what comes later.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no further input can be read.
+    fn reject_incomplete_message(
+        &mut self,
+        session: &mut ClientSession<Self::OpenRequest>,
+        socket: &mut BufferedStream,
+        context: &mut Context,
+    ) -> Result<(), Self::Error>;
+
     /// Called when all output has been written.
     fn flushed(
         &mut self,
@@ -118,6 +131,21 @@
         }
     }
 
+    fn reject_incomplete_message(
+        &mut self,
+        socket: &mut BufferedStream,
+        context: &mut Context,
+    ) -> ConnectionFlow {
+        context.shared.scheduler.counters().client_messages_rejected += 1;
+        let result = self
+            .protocol
+            .reject_incomplete_message(&mut self.session, socket, context);
+        match result {
+            Ok(()) => ConnectionFlow::Continue,
+            Err(error) => self.fail(error, socket, context),
+        }
+    }
+
     fn flushed(&mut self, socket: &mut BufferedStream, context: &mut Context) -> ConnectionFlow {
         self.protocol.flushed(&mut self.session, socket, context);
         ConnectionFlow::Continue
--- a/src/frontend/frame_connection.rs
+++ b/src/frontend/frame_connection.rs
@@ -105,7 +105,7 @@
                     self.handle_frame(&frame, session, socket, context)?;
                 }
                 InputFrame::Oversized(header) => {
-                    self.fail_oversized(&header, socket, context)?;
+                    self.respond_to_unread(&header, &Outcome::Failed, socket, context)?;
                     reader.skip(&header);
                 }
             }
@@ -168,17 +168,18 @@
         stream != CONNECTION_STREAM && self.used_streams.insert(stream)
     }
 
-    /// Fails the request of an oversized frame.
-    fn fail_oversized(
+    /// Responds to the request of a frame that is not read.
+    fn respond_to_unread(
         &mut self,
         header: &FrameHeader,
+        outcome: &Outcome,
         socket: &mut BufferedStream,
         context: &mut Context,
     ) -> Result<(), ProtocolError> {
         if header.frame_type != Some(FrameType::Request) || !self.begin_stream(header.stream) {
             return Err(ProtocolError::OversizedFrame);
         }
-        respond_locally(header.stream, &Outcome::Failed, socket, context);
+        respond_locally(header.stream, outcome, socket, context);
         Ok(())
     }
 
@@ -250,6 +251,22 @@
         Ok(ConnectionFlow::Continue)
     }
 
+    fn reject_incomplete_message(
+        &mut self,
+        _session: &mut Session,
+        socket: &mut BufferedStream,
+        context: &mut Context,
+    ) -> Result<(), ProtocolError> {
+        let Some(header) = FrameHeader::decode(&socket.input) else {
+            return Ok(());
+        };
+        let retry_after = context.shared.scheduler.default_retry_after();
+        self.respond_to_unread(&header, &Outcome::Rejected { retry_after }, socket, context)?;
+        self.bytes_to_skip = header.encoded_length() - socket.input.len();
+        socket.consume(socket.input.len());
+        Ok(())
+    }
+
     fn idle_timeout(&self) -> Span {
         if self.admission.has_received_frame() {
             IDLE_TIMEOUT
--- a/src/frontend/jsonrpc_connection.rs
+++ b/src/frontend/jsonrpc_connection.rs
@@ -189,12 +189,11 @@
     /// Rejects a call that is not submitted to the scheduler.
     fn reject_call(&mut self, call: &OpenCall, socket: &mut BufferedStream, context: &mut Context) {
         let retry_after = context.shared.scheduler.default_retry_after();
-        let outcome = Outcome::Rejected { retry_after };
-        context.shared.scheduler.count_frontend_response(&outcome);
-        let response = Response {
-            outcome,
-            expired: false,
-        };
+        let response = rejection(retry_after);
+        context
+            .shared
+            .scheduler
+            .count_frontend_response(&response.outcome);
         self.send(call.batch, encode_response(&call.id, &response), socket);
     }
 
@@ -221,6 +220,13 @@
     session.find(|call| call.id == *id)
 }
 
+fn rejection(retry_after: Span) -> Response {
+    Response {
+        outcome: Outcome::Rejected { retry_after },
+        expired: false,
+    }
+}
+
 /// Reports to the client that a line is invalid.
 fn reject_line(error: RequestError, socket: &mut BufferedStream, context: &mut Context) {
     context.shared.scheduler.counters().client_connections_malformed += 1;
@@ -259,6 +265,22 @@
         Err(RequestError::IncompleteLine)
     }
 
+    fn reject_incomplete_message(
+        &mut self,
+        session: &mut Session,
+        socket: &mut BufferedStream,
+        context: &mut Context,
+    ) -> Result<(), RequestError> {
+        // Lines that waited for the client to read its responses may be complete.
+        self.handle_lines(session, socket, context);
+        if !socket.input.is_empty() && !socket.input.contains(&LINE_FEED) {
+            self.lines.skip_line(&mut socket.input);
+            let retry_after = context.shared.scheduler.default_retry_after();
+            enqueue_line(&encode_response(&Value::Null, &rejection(retry_after)), socket);
+        }
+        Ok(())
+    }
+
     fn flushed(&mut self, session: &mut Session, socket: &mut BufferedStream, context: &mut Context) {
         self.handle_lines(session, socket, context);
     }
--- a/src/frontend/jsonrpc_connection/line_reader.rs
+++ b/src/frontend/jsonrpc_connection/line_reader.rs
@@ -55,16 +55,26 @@
     ///
     /// Returns [`RequestError::LineTooLong`] once for each such line.
     pub(super) fn discard_overlong_line(&mut self, input: &mut Vec<u8>) -> Result<(), RequestError> {
-        if input.len() <= self.limit || input.contains(&LINE_FEED) {
+        if input.contains(&LINE_FEED) {
             return Ok(());
         }
-        input.clear();
-        if std::mem::replace(&mut self.is_skipping_line, true) {
+        if self.is_skipping_line {
+            input.clear();
+            return Ok(());
+        }
+        if input.len() <= self.limit {
             return Ok(());
         }
+        self.skip_line(input);
         Err(RequestError::LineTooLong)
     }
 
+    /// Discards the start of an incomplete line. What follows is skipped up to its line feed.
+    pub(super) fn skip_line(&mut self, input: &mut Vec<u8>) {
+        input.clear();
+        self.is_skipping_line = true;
+    }
+
     /// Returns the state of the incomplete line, if any, after a read whose complete lines have been taken.
     pub(super) fn partial_line(&mut self, input: &[u8]) -> PartialMessage {
         let is_incomplete = self.is_skipping_line || !input.is_empty() && !input.contains(&LINE_FEED);
--- a/src/net/buffered_stream.rs
+++ b/src/net/buffered_stream.rs
@@ -8,10 +8,12 @@
 #[cfg(test)]
 mod tests;
 
-/// Number of bytes read from a socket at a time; also the unused capacity that a buffer may keep.
-const READ_CHUNK_BYTES: usize = 16 << 10;
-/// Number of bytes after which reading stops, so that other connections get their turn.
-const MAX_FILL_BYTES: usize = READ_CHUNK_BYTES;
+/// Maximum number of bytes read from a socket before other connections get their turn.
+const MAX_FILL_BYTES: usize = 16 << 10;
+/// Unused capacity in bytes that an input buffer may have. Hundreds of connections have one each.
+const SPARE_INPUT_BYTES: usize = 1 << 10;
+/// Capacity in bytes above which an empty output buffer is replaced by a smaller one.
+const MAX_EMPTY_OUTPUT_BYTES: usize = 16 << 10;
 /// Capacity in bytes that an empty output buffer keeps.
 const RETAINED_OUTPUT_BYTES: usize = 4096;
 
@@ -89,10 +91,13 @@
     /// Removes the first `count` bytes of the input, which have been processed.
     pub fn consume(&mut self, count: usize) {
         self.input.drain(..count);
-        // If each of hundreds of connections kept the capacity for its largest message, the buffers would use
-        // too much memory.
-        if self.input.capacity() > READ_CHUNK_BYTES + 2 * self.input.len() {
-            self.input.shrink_to(self.input.len());
+    }
+
+    /// Frees the input buffer's capacity beyond its length, except for [`SPARE_INPUT_BYTES`].
+    pub(super) fn trim_input(&mut self) {
+        let needed = self.input.len() + SPARE_INPUT_BYTES;
+        if self.input.capacity() > needed {
+            self.input.shrink_to(needed);
         }
     }
 
@@ -125,7 +130,7 @@
     fn clear_output(&mut self) {
         self.output.clear();
         self.written = 0;
-        if self.output.capacity() > READ_CHUNK_BYTES {
+        if self.output.capacity() > MAX_EMPTY_OUTPUT_BYTES {
             self.output.shrink_to(RETAINED_OUTPUT_BYTES);
         }
     }
@@ -150,29 +155,30 @@
         self.connected && self.may_have_input && !self.reading_paused()
     }
 
-    /// Reads until the socket is empty, a buffer exceeds its limit, or [`MAX_FILL_BYTES`] have been read.
-    /// Returns true if the socket is empty.
+    /// Reads until the socket is empty, a buffer exceeds its limit, or `room` bytes have been read, but at most
+    /// [`MAX_FILL_BYTES`]. Returns true if the socket is empty.
     ///
     /// Events are edge-triggered: the system does not report again what is left in the socket.
-    pub(super) fn fill(&mut self) -> io::Result<bool> {
-        let is_empty = self.read_chunks()?;
+    pub(super) fn fill(&mut self, room: usize) -> io::Result<bool> {
+        let is_empty = self.read_chunks(room.min(MAX_FILL_BYTES))?;
         self.may_have_input = !is_empty;
         Ok(is_empty)
     }
 
-    fn read_chunks(&mut self) -> io::Result<bool> {
-        let mut chunk = [0u8; READ_CHUNK_BYTES];
+    fn read_chunks(&mut self, max_bytes: usize) -> io::Result<bool> {
+        let mut chunk = [0u8; MAX_FILL_BYTES];
         let buffered_before = self.input.len();
         loop {
             if self.input_ended {
                 return Ok(true);
             }
-            if self.reading_paused() || self.input.len() - buffered_before >= MAX_FILL_BYTES {
+            let remaining = max_bytes - (self.input.len() - buffered_before);
+            if self.reading_paused() || remaining == 0 {
                 return Ok(false);
             }
-            match self.stream.read(&mut chunk) {
+            match self.stream.read(&mut chunk[..remaining]) {
                 Ok(0) => self.input_ended = true,
-                Ok(count) => self.input.extend_from_slice(&chunk[..count]),
+                Ok(count) => self.append_input(&chunk[..count]),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(true),
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 // Input received before a reset is processed first, as it is before an orderly end.
@@ -182,6 +188,12 @@
         }
     }
 
+    /// Appends bytes to the input without doubling the capacity of its buffer.
+    fn append_input(&mut self, bytes: &[u8]) {
+        self.input.reserve_exact(bytes.len().max(SPARE_INPUT_BYTES));
+        self.input.extend_from_slice(bytes);
+    }
+
     /// Registers the stream for the events that it needs now.
     ///
     /// # Errors
--- a/src/net/buffered_stream/tests.rs
+++ b/src/net/buffered_stream/tests.rs
@@ -16,13 +16,13 @@
     stream.mark_readable();
     stream.enqueue(b"y");
     assert!(
-        !stream.fill().unwrap() && stream.input.is_empty(),
+        !stream.fill(usize::MAX).unwrap() && stream.input.is_empty(),
         "reading is paused"
     );
     assert!(stream.may_have_input() && !stream.is_readable());
     assert!(stream.flush().unwrap());
     assert!(stream.is_readable());
-    assert!(stream.fill().unwrap());
+    assert!(stream.fill(usize::MAX).unwrap());
     assert_eq!(stream.input, b"x");
     assert!(!stream.may_have_input());
 }
@@ -37,11 +37,11 @@
     };
     let mut stream = BufferedStream::new(Stream::Unix(near), Token(1), true, limits);
     let mut sent = 0;
-    while let Ok(count) = far.write(&[0; READ_CHUNK_BYTES]) {
+    while let Ok(count) = far.write(&[0; MAX_FILL_BYTES]) {
         sent += count;
     }
-    assert!(sent > MAX_FILL_BYTES + READ_CHUNK_BYTES, "{sent}");
-    assert!(!stream.fill().unwrap());
-    assert!(stream.input.len() < MAX_FILL_BYTES + READ_CHUNK_BYTES);
+    assert!(sent > 2 * MAX_FILL_BYTES, "{sent}");
+    assert!(!stream.fill(usize::MAX).unwrap());
+    assert!(stream.input.len() <= MAX_FILL_BYTES);
     assert!(stream.is_readable());
 }
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -102,6 +102,15 @@
     /// Called when there is new input in the stream's buffer or the peer has closed its half.
     fn received(&mut self, socket: &mut BufferedStream, context: &mut Context<S>) -> ConnectionFlow;
 
+    /// Called when the buffer ends within a message, and there is no memory for the rest of it. The connection must reject that message and discard it, including what comes later.
+    fn reject_incomplete_message(
+        &mut self,
+        _socket: &mut BufferedStream,
+        _context: &mut Context<S>,
+    ) -> ConnectionFlow {
+        ConnectionFlow::Close
+    }
+
     /// Returns whether output that the system did not accept immediately may still be sent. If not, the
     /// connection is closed.
     fn may_write_remaining(&self, _context: &mut Context<S>) -> bool {
--- a/src/net/reactor/connection_input.rs
+++ b/src/net/reactor/connection_input.rs
@@ -42,13 +42,12 @@
         }
     }
 
-    /// Returns the number of buffered bytes of a message that is not complete.
-    pub(super) fn incomplete_bytes(&self) -> usize {
-        if self.input.has_buffered_messages || self.finishing {
-            0
-        } else {
-            self.stream.input.len()
-        }
+    /// Returns whether the buffer ends within a message, the socket may hold more of it, and there is no room for
+    /// that.
+    fn lacks_room_for_message(&self) -> bool {
+        let is_incomplete =
+            !self.input.has_buffered_messages && !self.finishing && !self.stream.input.is_empty();
+        is_incomplete && self.stream.is_readable() && self.input.room == 0
     }
 
     /// Handles one quantum of the connection's input.
@@ -63,6 +62,11 @@
     /// Reads from the socket, unless messages are left in the buffer, and lets the connection handle what its
     /// quantum allows.
     fn try_handle_input(&mut self, context: &mut Context<S>) -> io::Result<ConnectionFlow> {
+        if self.lacks_room_for_message() {
+            return Ok(self
+                .connection
+                .reject_incomplete_message(&mut self.stream, context));
+        }
         if !self.input.has_buffered_messages && !self.read_socket(context.now)? {
             return Ok(ConnectionFlow::Continue);
         }
@@ -81,7 +85,7 @@
     fn read_socket(&mut self, now: Time) -> io::Result<bool> {
         self.input.begin_read();
         let buffered = self.stream.input.len();
-        if self.stream.fill()? {
+        if self.stream.fill(self.input.room)? {
             self.input.record_empty_socket(now);
         }
         Ok(self.stream.input.len() > buffered || self.stream.input_ended)
--- a/src/net/reactor/connections.rs
+++ b/src/net/reactor/connections.rs
@@ -11,8 +11,6 @@
 use std::any::Any;
 use tracing::debug;
 
-/// Number of bytes of incomplete input that every client may have regardless of the total of all clients.
-const GUARANTEED_BUFFERED_BYTES: usize = 4 << 10;
 /// Number of unsent bytes that every connection may have regardless of the total of all connections.
 const GUARANTEED_UNSENT_BYTES: usize = 64 << 10;
 
@@ -158,9 +156,7 @@
             "connection closed"
         );
         self.unsent_bytes = self.unsent_bytes.saturating_sub(managed.stream.unsent_bytes());
-        self.buffered_bytes = self
-            .buffered_bytes
-            .saturating_sub(managed.buffered_client_bytes());
+        self.input_memory.update(managed.buffered_client_bytes(), 0);
         self.timers.reschedule(id, managed.timer, None);
         managed.notify_closed(&mut self.context());
         managed.stream.deregister(self.poll.registry());
@@ -203,16 +199,14 @@
         }
         let unsent_before = managed.stream.unsent_bytes();
         let buffered_before = managed.buffered_client_bytes();
+        if managed.is_client {
+            managed.input.room = self.input_memory.room(buffered_before, self.clients);
+        }
         let mut flow = managed.run_callback(&mut context, callback);
         let unsent_bytes = managed.stream.unsent_bytes();
         self.unsent_bytes = (self.unsent_bytes + unsent_bytes).saturating_sub(unsent_before);
-        let buffered_bytes = managed.buffered_client_bytes();
-        self.buffered_bytes = (self.buffered_bytes + buffered_bytes).saturating_sub(buffered_before);
-        // Bounds the memory for messages that clients do not complete.
-        let grew = buffered_bytes > buffered_before && managed.incomplete_bytes() > GUARANTEED_BUFFERED_BYTES;
-        if grew && self.buffered_bytes > self.max_buffered_bytes {
-            flow = flow.and(managed.fail_open_requests(&mut context));
-        }
+        self.input_memory
+            .update(buffered_before, managed.buffered_client_bytes());
         // Bounds the memory for output that peers do not read.
         let grew = unsent_bytes > unsent_before && unsent_bytes > GUARANTEED_UNSENT_BYTES;
         if grew && self.unsent_bytes > self.max_unsent_bytes {
--- a/src/net/reactor/input_state.rs
+++ b/src/net/reactor/input_state.rs
@@ -4,7 +4,7 @@
 use crate::model::Time;
 
 /// The input of a connection between its arrival and its handling.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct InputState {
     /// Earliest time at which input that has not been handled may have arrived. Meaningful only while there is
     /// such input.
@@ -17,6 +17,21 @@
     pub(super) is_queued: bool,
     /// Processing time that the connection may use for its input.
     pub(super) credit: InputCredit,
+    /// Number of bytes that the connection may add to its buffered input in the current callback.
+    pub(super) room: usize,
+}
+
+impl Default for InputState {
+    fn default() -> InputState {
+        InputState {
+            unhandled_since: Time(0),
+            socket_empty_at: Time(0),
+            has_buffered_messages: false,
+            is_queued: false,
+            credit: InputCredit::default(),
+            room: usize::MAX,
+        }
+    }
 }
 
 impl InputState {
--- a/src/net/reactor/managed_connection.rs
+++ b/src/net/reactor/managed_connection.rs
@@ -104,6 +104,7 @@
             self.flush_output(flow, context)
         }));
         self.input.has_buffered_messages |= context.messages.is_exhausted();
+        self.stream.trim_input();
         flow.unwrap_or_else(|_| {
             context.shared.panic_caught();
             error!(connection = self.stream.id().0, "connection closed after a panic");
--- a/src/net/reactor/mod.rs
+++ b/src/net/reactor/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! This module holds the reactor's state and its other sockets. `polling` waits for events, `connections`
 //! adds, calls back and closes connections, `input_scheduling` decides which connection handles its input next,
-//! with the `input_state` and `input_credit` of each, `due_writes` lets connections write after the events of a poll,
+//! with the `input_state` and `input_credit` of each, `input_memory` divides the memory for input among clients, `due_writes` lets connections write after the events of a poll,
 //! `idle_connections` closes idle connections, `managed_connection` holds the state of one connection, and
 //! `connection_input` handles its input.
 
@@ -11,6 +11,7 @@
 mod due_writes;
 mod idle_connections;
 mod input_credit;
+mod input_memory;
 mod input_scheduling;
 mod input_state;
 mod listeners;
@@ -22,6 +23,7 @@
 mod token;
 mod udp_sockets;
 
+pub use input_memory::InputMemoryLimits;
 pub use listeners::ListenerId;
 pub use pipes::PipeId;
 pub use udp_sockets::UdpSocketId;
@@ -29,6 +31,7 @@
 use super::{SharedState, Stream, SystemClock, TimeBudget, TurnPart, TurnTimes};
 use crate::collections::TimerQueue;
 use crate::model::{ConnectionId, Span, Time};
+use input_memory::InputMemory;
 use input_scheduling::InputQueues;
 use listeners::Listeners;
 use managed_connection::ManagedConnection;
@@ -93,11 +96,8 @@
     /// Time of the last poll that reported everything that had happened until then.
     complete_poll_at: Time,
     turn_times: TurnTimes,
-    /// Number of buffered input bytes of all clients together.
-    buffered_bytes: usize,
-    /// Limit on the buffered input of all clients together, in bytes. While it is exceeded, a client whose
-    /// incomplete input grows is closed after its open requests were failed, unless that input is small.
-    pub max_buffered_bytes: usize,
+    /// The memory for the buffered input of clients.
+    input_memory: InputMemory,
     /// Number of unsent output bytes on all connections together.
     unsent_bytes: usize,
     /// Limit on the unsent output of all connections together, in bytes. While it is exceeded, a connection
@@ -134,8 +134,7 @@
             earliest_input_at: clock.now(),
             complete_poll_at: clock.now(),
             turn_times: TurnTimes::default(),
-            buffered_bytes: 0,
-            max_buffered_bytes: usize::MAX,
+            input_memory: InputMemory::new(InputMemoryLimits::UNLIMITED),
             unsent_bytes: 0,
             max_unsent_bytes: usize::MAX,
         })
@@ -156,6 +155,21 @@
         &self.turn_times
     }
 
+    /// Limits the buffered input of clients. A connection whose incomplete message has no room left is told to
+    /// reject it; see [`Connection::reject_incomplete_message`](super::Connection::reject_incomplete_message).
+    pub fn limit_input_memory(&mut self, limits: InputMemoryLimits) {
+        let buffered = self
+            .connections
+            .values()
+            .map(ManagedConnection::buffered_client_bytes);
+        self.input_memory.set_limits(limits, buffered);
+    }
+
+    /// Returns the number of buffered input bytes of all clients.
+    pub fn buffered_input_bytes(&self) -> usize {
+        self.input_memory.buffered_bytes()
+    }
+
     /// Adds the time since `began_at` to a part of the current turn. Returns the current time.
     pub fn record_part(&mut self, part: TurnPart, began_at: Time) -> Time {
         let now = self.now();
--- a/src/scheduler/counters.rs
+++ b/src/scheduler/counters.rs
@@ -109,6 +109,8 @@
     /// Clients whose connections were read again before an attempt was written, because the last poll was too
     /// old.
     clients_rechecked,
+    /// Messages of clients that were rejected before they were complete, for lack of memory for input.
+    client_messages_rejected,
     /// Invariant violations at run time; the log has the kind of each.
     violations,
 }
--- a/src/scheduler/tests/counters.rs
+++ b/src/scheduler/tests/counters.rs
@@ -14,7 +14,7 @@
         writes_denied_unconfirmed=0 client_connections_accepted=0 worker_connections_opened=0 \
         client_connections_malformed=0 log_lines_suppressed=0 decode_errors=0 panics=0 \
         vrrp_advertisements_dropped=0 requests_failed_with_connection=0 event_registrations_failed=0 \
-        clients_shed=0 clients_rechecked=0 violations=0";
+        clients_shed=0 clients_rechecked=0 client_messages_rejected=0 violations=0";
     assert_eq!(Counters::default().to_string(), expected);
 }
 
--- a/src/server/reload.rs
+++ b/src/server/reload.rs
@@ -144,8 +144,10 @@
     fn apply_limits(&mut self) {
         let worker_limits = limits::worker_limits(&self.config);
         self.pool.configure(worker_limits, &mut self.reactor);
-        MemoryBudget::new(self.config.memory_mb).apply(&mut self.reactor);
-        self.acceptor.set_limits(limits::client_limits(&self.config));
+        let client_limits = limits::client_limits(&self.config);
+        let budget = MemoryBudget::new(self.config.memory_mb);
+        budget.apply(client_limits.guaranteed, &mut self.reactor);
+        self.acceptor.set_limits(client_limits);
     }
 
     /// Returns the current values of the settings that take effect only at startup.
--- a/src/server/startup.rs
+++ b/src/server/startup.rs
@@ -85,14 +85,15 @@
             .map(|config| join_election(config, &mut reactor))
             .transpose()?;
         reactor.shared.active = leader_election.is_none();
-        MemoryBudget::new(config.memory_mb).apply(&mut reactor);
+        let client_limits = limits::client_limits(&config);
+        MemoryBudget::new(config.memory_mb).apply(client_limits.guaranteed, &mut reactor);
         let mut pool = Pool::new(limits::worker_limits(&config));
         let configured = assign_jsonrpc_worker_addresses(&operator, &config.site, &mut pool);
         let known_events = std::mem::take(&mut config.known_events);
         Ok(Server {
             sources: sources.clone(),
             discovery: Discovery::new(config.discovery_service, known_events, configured, reactor.now()),
-            acceptor: Acceptor::new(limits::client_limits(&config), jsonrpc),
+            acceptor: Acceptor::new(client_limits, jsonrpc),
             reactor,
             pool,
             config,
--- a/tests/server/main.rs
+++ b/tests/server/main.rs
@@ -9,6 +9,7 @@
 mod frame_frontend;
 mod frontend_equivalence;
 mod generated_ids;
+mod input_memory;
 mod jsonrpc_frontend;
 mod jsonrpc_workers;
 mod log;
