Let new and backlogged input take turns, so that reconnecting peers keep nobody waiting

Change: the two queues take turns. A connection with input then has its turn after at most 10 (n + 1) turns of others, n being the number of connections.

--- a/src/net/reactor/fair_queue.rs
+++ b/src/net/reactor/fair_queue.rs
@@ -1,8 +1,12 @@
 //! The order in which connections handle their input.
 //!
 //! A deficit round robin over the time that messages take. As in FQ-CoDel (RFC 8290), connections whose input has
-//! just arrived, the sparse ones, come before those that always have more, so that a client that sends now and then
-//! is not delayed by these.
+//! just arrived, the sparse ones, wait in a queue of their own, so that a client that sends now and then is not
+//! delayed by those that always have more. The two queues take turns: connections that are sparse again and again,
+//! such as those of peers that reconnect for ever, do not keep the others waiting.
+//!
+//! A connection that waits therefore has its turn after a bounded number of turns of others, whoever they are: see
+//! the tests.
 
 use super::input_credit::InputCredit;
 use crate::model::{ConnectionId, Span};
@@ -17,6 +21,15 @@
     Backlogged,
 }
 
+impl Standing {
+    fn other(self) -> Standing {
+        match self {
+            Standing::Sparse => Standing::Backlogged,
+            Standing::Backlogged => Standing::Sparse,
+        }
+    }
+}
+
 /// A connection whose turn it is. It must be passed to [`FairQueue::end_turn`].
 #[derive(Debug)]
 #[must_use]
@@ -40,6 +53,8 @@
     members: HashMap<ConnectionId, Member>,
     sparse: VecDeque<ConnectionId>,
     backlogged: VecDeque<ConnectionId>,
+    /// The queue that had the last turn.
+    last: Option<Standing>,
 }
 
 impl FairQueue {
@@ -77,6 +92,7 @@
                 member.is_queued = false;
                 continue;
             }
+            self.last = Some(turn.standing);
             member.credit.grant();
             if member.credit.is_positive() {
                 return Some(turn);
@@ -106,10 +122,11 @@
         }
     }
 
-    /// Removes the connection whose turn it is.
+    /// Removes the first connection of the queue whose turn it is.
     fn pop(&mut self) -> Option<InputTurn> {
-        self.pop_from(Standing::Sparse)
-            .or_else(|| self.pop_from(Standing::Backlogged))
+        let standing = self.last.map_or(Standing::Sparse, Standing::other);
+        self.pop_from(standing)
+            .or_else(|| self.pop_from(standing.other()))
     }
 
     fn pop_from(&mut self, standing: Standing) -> Option<InputTurn> {
--- a/src/net/reactor/tests/input_scheduling.rs
+++ b/src/net/reactor/tests/input_scheduling.rs
@@ -174,6 +174,28 @@
     assert!(since <= 110, "{since} messages of ten others came first");
 }
 
+/// Guards against peers that reconnect for ever with input, which is handled before that of any client that has more
+/// than it can handle at once.
+#[test]
+fn a_backlogged_client_is_read_beside_clients_that_connect_anew() {
+    let mut reactor = reactor();
+    let mut peers = Vec::new();
+    let backlogged = add_busy(&mut reactor, EXPENSIVE, &mut peers);
+    reactor.poll(None).unwrap();
+    let before = backlogged.get();
+    for _ in 0..20 {
+        for _ in 0..8 {
+            let (consumer, _) = Consumer::client(EXPENSIVE);
+            let (_, mut far) = add(consumer, &mut reactor, LIMITS);
+            far.write_all(b"x").unwrap();
+            peers.push(far);
+        }
+        reactor.poll(None).unwrap();
+    }
+    let since = backlogged.get() - before;
+    assert!(since >= 3, "{since} messages handled");
+}
+
 /// Guards against input of clients that delays what ends their requests.
 #[test]
 fn the_input_of_workers_comes_before_that_of_clients() {
