Free written output although more is unsent, so that a peer that lags keeps no old bytes

A client or worker that reads, but is always a little behind, kept everything that it was ever sent; only the unsent part is counted.

Change: the written part is freed once it is 16 KiB and at least as much as the unsent part, so that the cost of moving stays proportional to what is written.

--- a/src/net/buffered_stream.rs
+++ b/src/net/buffered_stream.rs
@@ -14,6 +14,8 @@
 const SPARE_INPUT_BYTES: usize = 1 << 10;
 /// Capacity in bytes above which an empty output buffer is replaced by a smaller one.
 const MAX_EMPTY_OUTPUT_BYTES: usize = 16 << 10;
+/// Number of written bytes that an output buffer with unsent bytes may keep, unless more are unsent.
+const MAX_WRITTEN_BYTES: usize = 16 << 10;
 /// Capacity in bytes that an empty output buffer keeps.
 const RETAINED_OUTPUT_BYTES: usize = 4096;
 
@@ -123,6 +125,8 @@
         }
         if self.unsent_bytes() == 0 {
             self.clear_output();
+        } else if self.written >= self.unsent_bytes().max(MAX_WRITTEN_BYTES) {
+            self.discard_written();
         }
         Ok(self.unsent_bytes() == 0 && self.connected)
     }
@@ -135,6 +139,14 @@
         }
     }
 
+    /// Frees what has been written although more is unsent. A peer that is always behind would otherwise keep all
+    /// that it was ever sent.
+    fn discard_written(&mut self) {
+        self.output.drain(..self.written);
+        self.written = 0;
+        self.output.shrink_to(self.output.len() + RETAINED_OUTPUT_BYTES);
+    }
+
     /// Shuts down the sending half, so that the peer sees the end of the stream.
     pub(super) fn shutdown_write(&self) {
         self.stream.shutdown_write();
--- a/src/net/buffered_stream/tests.rs
+++ b/src/net/buffered_stream/tests.rs
@@ -1,6 +1,6 @@
 use super::*;
 use mio::net::UnixStream;
-use std::io::Write;
+use std::io::{Read, Write};
 
 /// Epoll reports input once. Input that stays in the socket because unsent output pauses reading must not be
 /// forgotten: it is readable again as soon as the output is written.
@@ -45,3 +45,28 @@
     assert!(stream.input.len() <= MAX_FILL_BYTES);
     assert!(stream.is_readable());
 }
+
+/// Guards against an output buffer that keeps all that was ever written, because its peer is always a little behind
+/// (second review, case 8: bytes that no budget counts).
+#[test]
+fn output_of_a_peer_that_is_always_behind_does_not_grow() {
+    let (near, mut far) = UnixStream::pair().unwrap();
+    let limits = BufferLimits {
+        input: 100,
+        output: usize::MAX,
+    };
+    let mut stream = BufferedStream::new(Stream::Unix(near), Token(1), true, limits);
+    let mut chunk = vec![0; 64 << 10];
+    for _ in 0..2 {
+        while stream.flush().unwrap() {
+            stream.enqueue(&chunk);
+        }
+    }
+    for _ in 0..200 {
+        let count = far.read(&mut chunk).unwrap();
+        stream.enqueue(&chunk[..count]);
+        assert!(!stream.flush().unwrap(), "the peer is behind");
+    }
+    let capacity = stream.output.capacity();
+    assert!(capacity < 1 << 20, "{capacity} bytes");
+}
