Let clients that waited to be accepted wait their turn, and date their requests no earlier than need be

While bad clients connect without a pause, requests of new usual clients were dated from then and refused as overdue. Such clients were also read when they were accepted, up to 32 in a turn, outside of the queue that bounds the wait of all others; and a listener without waiting clients reset the time of the other listener.

What a client has sent while it waited joins the queue like all other input, dated as before.

--- a/src/net/reactor/connections.rs
+++ b/src/net/reactor/connections.rs
@@ -62,12 +62,12 @@
         self.has_connection(id).then_some(id)
     }
 
-    /// Reads the available input of a connection, which may have been waiting since the given time.
-    pub fn read_pending_input(&mut self, id: ConnectionId, since: Time) {
+    /// Lets a connection handle its input when its turn comes. The input may have been waiting since the given time.
+    pub fn queue_pending_input(&mut self, id: ConnectionId, since: Time) {
         if let Some(managed) = self.connections.get_mut(&id) {
             managed.mark_readable(since);
         }
-        self.read_unreported_input(id);
+        self.queue_input(id);
     }
 
     /// Lets a connection handle the input that is available without waiting for a poll to report it.
--- a/src/server/accept.rs
+++ b/src/server/accept.rs
@@ -1,5 +1,6 @@
 //! Accepts clients within the connection limits.
 
+use super::accept_wait::AcceptWait;
 use super::jsonrpc_listener::{JsonRpcListener, JsonRpcUpdate};
 use super::limits::ClientLimits;
 use crate::config::JsonRpcConfig;
@@ -7,7 +8,7 @@
 use crate::model::{ConnectionId, Span, Time};
 use crate::net::{ListenerId, Stream};
 use crate::runtime::Reactor;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use tracing::warn;
 
@@ -26,8 +27,8 @@
     jsonrpc: Option<JsonRpcListener>,
     /// Connections of the JSON-RPC frontend. Closed ones are removed when its next client is accepted.
     jsonrpc_clients: BTreeSet<ConnectionId>,
-    /// Time since which clients may have been waiting because accepting failed or a limit was reached.
-    blocked_since: Option<Time>,
+    /// Since when clients may have been waiting at each listener.
+    waits: BTreeMap<ListenerId, AcceptWait>,
     /// Time at which to accept again from all listeners. The listeners are edge-triggered: a waiting client
     /// is reported only once.
     retry_at: Option<Time>,
@@ -40,7 +41,7 @@
             limits,
             jsonrpc,
             jsonrpc_clients: BTreeSet::new(),
-            blocked_since: None,
+            waits: BTreeMap::new(),
             retry_at: None,
         }
     }
@@ -95,12 +96,11 @@
         let mut accepted = 0;
         while accepted < MAX_ACCEPTED_PER_TURN {
             if !self.may_accept(reactor) {
-                return self.schedule_retry("no descriptors left", reactor);
+                return self.schedule_retry(listener, "no descriptors left", reactor);
             }
             match reactor.accept(listener) {
                 Ok(None) => {
-                    self.blocked_since = None;
-                    return;
+                    return self.wait(listener).record_empty();
                 }
                 Ok(Some(stream)) => {
                     failures = 0;
@@ -111,15 +111,19 @@
                 // clients by RETRY_DELAY. The limit keeps persistent failures from blocking the event loop.
                 Err(_) if failures < MAX_CONSECUTIVE_FAILURES => failures += 1,
                 Err(error) => {
-                    return self.schedule_retry(&error.to_string(), reactor);
+                    return self.schedule_retry(listener, &error.to_string(), reactor);
                 }
             }
         }
         let now = reactor.now();
-        self.blocked_since.get_or_insert(now);
+        self.wait(listener).record_interruption(now);
         self.retry_at = Some(now);
     }
 
+    fn wait(&mut self, listener: ListenerId) -> &mut AcceptWait {
+        self.waits.entry(listener).or_default()
+    }
+
     /// Returns whether one more client can be accepted, even if only to reject its requests. Closes an idle
     /// connection if that is necessary.
     fn may_accept(&self, reactor: &mut Reactor) -> bool {
@@ -134,25 +138,30 @@
             || reactor.close_longest_idle()
     }
 
-    fn schedule_retry(&mut self, cause: &str, reactor: &mut Reactor) {
+    fn schedule_retry(&mut self, listener: ListenerId, cause: &str, reactor: &mut Reactor) {
         let now = reactor.now();
         if reactor.shared.scheduler.admits_log_line(now) {
             warn!(cause, "accept failed");
         }
-        self.blocked_since.get_or_insert(now);
+        self.wait(listener).record_interruption(now);
         self.retry_at = Some(now + RETRY_DELAY);
     }
 
     fn add_client(&mut self, listener: ListenerId, stream: Stream, reactor: &mut Reactor) {
+        let waited_since = self.wait(listener).record_accepted();
         let is_jsonrpc = |jsonrpc: &JsonRpcListener| jsonrpc.id() == listener;
-        if self.jsonrpc.as_ref().is_some_and(is_jsonrpc) {
-            self.add_jsonrpc_client(stream, reactor);
+        let client = if self.jsonrpc.as_ref().is_some_and(is_jsonrpc) {
+            self.add_jsonrpc_client(stream, reactor)
         } else {
-            self.add_frame_client(stream, reactor);
+            self.add_frame_client(stream, reactor)
+        };
+        // Less time is left for what a client has sent while it waited.
+        if let (Some(client), Some(since)) = (client, waited_since) {
+            reactor.queue_pending_input(client, since);
         }
     }
 
-    fn add_frame_client(&self, stream: Stream, reactor: &mut Reactor) {
+    fn add_frame_client(&self, stream: Stream, reactor: &mut Reactor) -> Option<ConnectionId> {
         let connection = if self.may_serve(reactor) {
             FrameConnection::new(reactor.now())
         } else {
@@ -160,22 +169,11 @@
             FrameConnection::shedding(reactor.now())
         };
         let limits = FrameConnection::buffer_limits();
-        let client = reactor.add_connected(stream, Box::new(connection), limits);
-        self.read_pending_input(client, reactor);
+        reactor.add_connected(stream, Box::new(connection), limits)
     }
 
-    /// Reads immediately what a client sent while it waited to be accepted, because less time is left for
-    /// its requests.
-    fn read_pending_input(&self, client: Option<ConnectionId>, reactor: &mut Reactor) {
-        if let (Some(client), Some(since)) = (client, self.blocked_since) {
-            reactor.read_pending_input(client, since);
-        }
-    }
-
-    fn add_jsonrpc_client(&mut self, stream: Stream, reactor: &mut Reactor) {
-        let Some(jsonrpc) = &self.jsonrpc else {
-            return;
-        };
+    fn add_jsonrpc_client(&mut self, stream: Stream, reactor: &mut Reactor) -> Option<ConnectionId> {
+        let jsonrpc = self.jsonrpc.as_ref()?;
         let max_line = jsonrpc.config().max_line_bytes;
         let max_clients = jsonrpc.config().max_clients;
         let now = reactor.now();
@@ -183,13 +181,13 @@
             if reactor.shared.scheduler.admits_log_line(now) {
                 warn!(cause = "max_clients", "client dropped");
             }
-            return;
+            return None;
         }
         let connection = Box::new(JsonRpcConnection::new(now, max_line));
         let limits = JsonRpcConnection::buffer_limits(max_line);
         let client = reactor.add_connected(stream, connection, limits);
-        self.read_pending_input(client, reactor);
         self.jsonrpc_clients.extend(client);
+        client
     }
 
     /// Makes room for one more JSON-RPC client, if necessary by closing the client that has been idle for
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -7,6 +7,7 @@
 //! decides by VRRP which of several servers accepts requests on the JSON-RPC frontend.
 
 mod accept;
+mod accept_wait;
 mod endpoints;
 mod error;
 mod jsonrpc_listener;
--- a/src/server/tests/mod.rs
+++ b/src/server/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Unit tests of the server's modules that work without sockets.
 
+mod accept_wait;
 mod memory_budget;
 mod reload;
 mod shutdown;
