Beyond the limit on unsent output, close the connection with the most of it

Now the one with the most unread output is closed, until the sum is within the limit. Every connection may have 16 KiB in any case, in place of 64 KiB: at 341 clients these would have been 21 MB, beyond the limit.

Before: output_beyond_the_limit_closes_the_connection_with_the_most_unread fails on the parent (the usual connection is closed, the other stays). After: it passes.

--- a/src/net/reactor/connections.rs
+++ b/src/net/reactor/connections.rs
@@ -13,7 +13,7 @@
 use tracing::debug;
 
 /// Number of unsent bytes that every connection may have regardless of the total of all connections.
-const GUARANTEED_UNSENT_BYTES: usize = 64 << 10;
+const GUARANTEED_UNSENT_BYTES: usize = 16 << 10;
 
 impl<S: SharedState + 'static> Reactor<S> {
     /// Adds a connection whose stream is connected. Returns its id, or `None` if it closed immediately.
@@ -204,17 +204,11 @@
         if managed.is_client {
             managed.input.room = self.input_memory.room(buffered_before, self.clients);
         }
-        let mut flow = managed.run_callback(&mut context, callback);
+        let flow = managed.run_callback(&mut context, callback);
         let unsent_bytes = managed.stream.unsent_bytes();
         self.unsent_bytes = (self.unsent_bytes + unsent_bytes).saturating_sub(unsent_before);
         self.input_memory
             .update(buffered_before, managed.buffered_client_bytes());
-        // Bounds the memory for output that peers do not read.
-        let grew = unsent_bytes > unsent_before && unsent_bytes > GUARANTEED_UNSENT_BYTES;
-        if grew && self.unsent_bytes > self.max_unsent_bytes {
-            managed.set_close_cause(CloseCause::OutputLimitExceeded);
-            flow = ConnectionFlow::Close;
-        }
         if managed.apply_flow(flow) {
             return self.remove_connection(id);
         }
@@ -230,5 +224,22 @@
             managed.timer = deadline;
         }
         self.queue_input(id);
+        if unsent_bytes > unsent_before {
+            self.limit_unsent_output();
+        }
+    }
+
+    /// Closes the connections whose peers have left the most output unread, while all together exceed the limit.
+    fn limit_unsent_output(&mut self) {
+        while self.unsent_bytes > self.max_unsent_bytes {
+            let unsent = self
+                .connections
+                .iter()
+                .map(|(id, managed)| (managed.stream.unsent_bytes(), *id));
+            let Some((_, id)) = unsent.max().filter(|(bytes, _)| *bytes > GUARANTEED_UNSENT_BYTES) else {
+                return;
+            };
+            self.close_connection(id, CloseCause::OutputLimitExceeded);
+        }
     }
 }
--- a/src/net/reactor/mod.rs
+++ b/src/net/reactor/mod.rs
@@ -105,8 +105,8 @@
     input_memory: InputMemory,
     /// Number of unsent output bytes on all connections together.
     unsent_bytes: usize,
-    /// Limit on the unsent output of all connections together, in bytes. While it is exceeded, a connection
-    /// whose unsent output grows is closed, unless that output is small.
+    /// Limit on the unsent output of all connections together, in bytes. While it is exceeded, the connection with
+    /// the most unsent output is closed, unless that output is small.
     pub max_unsent_bytes: usize,
 }
 
--- a/src/net/reactor/tests/memory.rs
+++ b/src/net/reactor/tests/memory.rs
@@ -203,3 +203,21 @@
     assert_eq!(enqueue(7 << 20), (1, true));
     assert_eq!(enqueue(7 << 20), (0, false));
 }
+
+/// Guards against a connection that is closed because others leave their output unread (second review, case 6, on
+/// output): the one that has left the most pays, and not the one that grows next.
+#[test]
+fn output_beyond_the_limit_closes_the_connection_with_the_most_unread() {
+    let mut reactor = reactor();
+    reactor.max_unsent_bytes = 8 << 20;
+    let (unread, _unread_peer) = add_echo(&mut reactor, WIDE_LIMITS);
+    let (usual, _usual_peer) = add_echo(&mut reactor, WIDE_LIMITS);
+    for (id, bytes) in [(unread, 7 << 20), (usual, 2 << 20)] {
+        reactor.with_connection(id, |_, socket, _| {
+            socket.enqueue(&vec![0; bytes]);
+            ConnectionFlow::Continue
+        });
+    }
+    assert!(reactor.has_connection(usual));
+    assert!(!reactor.has_connection(unread));
+}
