--- a/src/frontend/jsonrpc_codec/tests.rs
+++ b/src/frontend/jsonrpc_codec/tests.rs
@@ -183,7 +183,7 @@
 
 /// The texts and codes of errors are sent to clients.
 #[test]
-fn errors_keep_their_texts_and_codes() {
+fn errors_of_requests_keep_their_texts_and_codes() {
     let errors = [
         (RequestError::NotJson, -32700, "not JSON"),
         (RequestError::IncompleteLine, -32700, "incomplete line"),
@@ -214,6 +214,14 @@
         ),
         (RequestError::IdInUse, -32600, "id is in use"),
         (RequestError::UnknownMethod, -32601, "no such method"),
+    ];
+    assert_texts_and_codes(&errors);
+    assert_eq!(encode_cancelled(&json!(7))["error"]["code"], json!(-32004));
+}
+
+#[test]
+fn errors_of_params_keep_their_texts_and_codes() {
+    let errors = [
         (
             ParamsError::Positional.into(),
             -32602,
@@ -239,9 +247,12 @@
         (ParamsError::BodyNotBase64.into(), -32602, "body is not base64"),
         (ParamsError::BodyTooLarge.into(), -32602, "body too large"),
     ];
+    assert_texts_and_codes(&errors);
+}
+
+fn assert_texts_and_codes(errors: &[(RequestError, i64, &str)]) {
     for (error, code, text) in errors {
         let expected = json!({"jsonrpc": "2.0", "id": 7, "error": {"code": code, "message": text}});
-        assert_eq!(encode_error(&json!(7), error), expected);
+        assert_eq!(encode_error(&json!(7), *error), expected);
     }
-    assert_eq!(encode_cancelled(&json!(7))["error"]["code"], json!(-32004));
 }
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -5,8 +5,7 @@
 //! this scheduler no further request there. [`Policy::queue_or_shed`] handles requests for which no worker
 //! is below its limit.
 
-use super::placement::RETRY_DELAY;
-use super::{Policy, Timer};
+use super::{Policy, RETRY_DELAY, Timer};
 use crate::cluster::{Attempt, Worker};
 use crate::collections::AimdBounds;
 use crate::model::{AttemptOutcome, AttemptStatus, RejectionCause, RequestId, Span, Time};
--- a/src/policy/candidates.rs
+++ b/src/policy/candidates.rs
@@ -1,8 +1,7 @@
 //! Candidates of a placement: the workers that a request may be sent to, and the properties they are
 //! compared by.
 
-use super::Policy;
-use super::outcomes::LATENCY_RATIO;
+use super::{LATENCY_RATIO, Policy};
 use crate::cluster::{Function, Request, Worker};
 use crate::collections::retain_unless_few;
 use crate::model::{FunctionId, RequestId, Span, WorkerId};
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -52,7 +52,7 @@
 use crate::model::{
     Action, DiscoveryMode, EndpointUpdateKind, Event, RejectionCause, RequestId, Settings, Span, Time,
 };
-use crate::stats::DecayingAverage;
+use crate::stats::{DecayingAverage, RatioBounds};
 use endpoint_lease::ListLease;
 use rand_core::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -75,6 +75,16 @@
 /// Backoff of a worker that failed, and of load orders for an instance whose load failed: the initial delay
 /// and the number of doublings.
 const BACKOFF: ExponentialBackoff = ExponentialBackoff::new(Span::from_millis(400), 4);
+/// Delay before a request that found no worker is placed again.
+const RETRY_DELAY: Span = Span::from_millis(40);
+/// Bounds of the ratio of the latency of a worker to the baseline of the class.
+const LATENCY_RATIO: RatioBounds = RatioBounds {
+    min: 0.5,
+    max: 12.0,
+    max_sample: 24.0,
+    sample_weight: 0.15,
+    half_life: Span::from_millis(4000),
+};
 
 /// The purpose of a timer. Timers that expire at the same time fire in the order of the variants.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
--- a/src/policy/outcomes.rs
+++ b/src/policy/outcomes.rs
@@ -2,10 +2,10 @@
 //! all workers.
 
 use super::admission::{CONCURRENCY_LIMIT, WORKER_SATURATION, objective_used};
-use super::{BACKOFF, Policy};
+use super::{BACKOFF, LATENCY_RATIO, Policy};
 use crate::cluster::{Attempt, Worker};
 use crate::model::{AttemptOutcome, AttemptStatus, InstanceState, LoadMetric, Span, Time};
-use crate::stats::{RatioBounds, ThresholdBounds};
+use crate::stats::ThresholdBounds;
 
 /// Time for which a worker that rejected a request is sent no further request if it was saturated, and
 /// otherwise no request that starts a load.
@@ -28,14 +28,6 @@
     reset_value: 0.25,
     recovery_threshold: 0.125,
 };
-/// Bounds of the ratio of the latency of a worker to the baseline of the class.
-pub(super) const LATENCY_RATIO: RatioBounds = RatioBounds {
-    min: 0.5,
-    max: 12.0,
-    max_sample: 24.0,
-    sample_weight: 0.15,
-    half_life: Span::from_millis(4000),
-};
 
 impl Worker {
     /// Records whether a loaded instance served an attempt, and ejects a worker on which too many attempts
--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -4,14 +4,12 @@
 //! first, so that requests for the function find its instances there.
 
 use super::candidates::{Candidate, Placement};
-use super::{Policy, Timer};
+use super::{Policy, RETRY_DELAY, Timer};
 use crate::cluster::Request;
 use crate::collections::least_by_cost;
 use crate::model::{Action, OnMiss, RejectionCause, RequestId, Span, WorkerId};
 use rand_core::RngCore;
 
-/// Delay before a request that found no worker is placed again.
-pub(super) const RETRY_DELAY: Span = Span::from_millis(40);
 /// Longest wait of a request for a load order before it is placed again.
 pub(super) const LOAD_ORDER_MAX_WAIT: Span = Span::from_millis(3000);
 /// Number of workers that a function may be loaded on if it is loaded nowhere.
--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -1,7 +1,6 @@
 //! Requests from receipt to final response: whether they may be retried, and how they end.
 
-use super::placement::RETRY_DELAY;
-use super::{Policy, Timer};
+use super::{Policy, RETRY_DELAY, Timer};
 use crate::cluster::{Attempt, Request, Worker};
 use crate::model::{
     Action, AttemptOutcome, AttemptStatus, IncomingRequest, RejectionCause, RequestId, Span, Time, WorkerId,
