Show what each owner of memory holds on SIGUSR1

The line `memory use` gives the capacity of the buffers of clients, and of workers and discovery, open requests and their bodies, functions, hash orders and retired correlation ids. The server's log lines of itself move into a module of their own.

--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -71,6 +71,11 @@
         }
     }
 
+    /// Returns the number of retired correlation ids that all connections keep.
+    pub fn retired_id_count(&self) -> usize {
+        self.retired_ids.kept()
+    }
+
     /// Sets new limits, which also apply to open connections.
     pub fn configure(&mut self, limits: Limits, reactor: &mut Reactor) {
         self.limits.set(limits);
--- a/src/backend/retired_id_budget.rs
+++ b/src/backend/retired_id_budget.rs
@@ -39,6 +39,11 @@
         self.shared.kept.get() > self.shared.limit.get()
     }
 
+    /// Returns the number of ids that are kept.
+    pub(super) fn kept(&self) -> usize {
+        self.shared.kept.get()
+    }
+
     /// Records that an id is kept.
     pub(super) fn add(&self) {
         self.shared.kept.set(self.shared.kept.get() + 1);
--- a/src/cluster/function_memory.rs
+++ b/src/cluster/function_memory.rs
@@ -47,6 +47,11 @@
 }
 
 impl Cluster {
+    /// Returns the number of hash orders that are cached.
+    pub(crate) fn cached_hash_orders(&self) -> usize {
+        self.hash_orders.len()
+    }
+
     /// Forgets the least requested functions if more are known than the memory allows. Functions that are gold or
     /// that an open request is for are kept.
     pub(crate) fn limit_functions(&mut self, now: Time, keep_alive: Span) {
--- a/src/net/buffered_stream.rs
+++ b/src/net/buffered_stream.rs
@@ -85,6 +85,11 @@
         self.output.len() - self.written
     }
 
+    /// Returns the capacity of the output buffer, in bytes.
+    pub(super) fn output_capacity(&self) -> usize {
+        self.output.capacity()
+    }
+
     /// Appends bytes to the output.
     pub fn enqueue(&mut self, bytes: &[u8]) {
         self.output.extend_from_slice(bytes);
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -23,7 +23,7 @@
 pub use connection::{CloseCause, Connection, ConnectionFlow, Context, SharedState};
 pub use message_deadline::{MessageDeadline, PartialMessage};
 pub use message_quantum::MessageQuantum;
-pub use reactor::{InputMemoryLimits, ListenerId, PipeId, Reactor, ReactorEvent, UdpSocketId};
+pub use reactor::{BufferMemory, InputMemoryLimits, ListenerId, PipeId, Reactor, ReactorEvent, UdpSocketId};
 pub use stream::Stream;
 pub use time_budget::TimeBudget;
 pub use turn_times::{LongTurn, TimeSummary, TurnPart, TurnTimes};
--- a/src/net/reactor/mod.rs
+++ b/src/net/reactor/mod.rs
@@ -3,10 +3,11 @@
 //! This module holds the reactor's state and its other sockets. `polling` waits for events, `connections`
 //! adds, calls back and closes connections, `input_scheduling` lets them handle their input in the order of a
 //! `fair_queue`, with the `input_state` and `input_credit` of each, `input_memory` divides the memory for input among
-//! clients, `deferred_output` writes what several callbacks have added to a connection, `due_writes` lets connections write after the events of a poll,
+//! clients, `buffer_memory` sums up all buffers, `deferred_output` writes what several callbacks have added to a connection, `due_writes` lets connections write after the events of a poll,
 //! `idle_connections` closes idle connections, `managed_connection` holds the state of one connection, and
 //! `connection_input` handles its input.
 
+mod buffer_memory;
 mod connection_input;
 mod connections;
 mod deferred_output;
@@ -26,6 +27,7 @@
 mod token;
 mod udp_sockets;
 
+pub use buffer_memory::BufferMemory;
 pub use input_memory::InputMemoryLimits;
 pub use listeners::ListenerId;
 pub use pipes::PipeId;
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -147,6 +147,16 @@
         self.cluster.function_memory.set_limit(bytes);
     }
 
+    /// Returns the number of functions that are known.
+    pub fn known_functions(&self) -> usize {
+        self.cluster.functions.len()
+    }
+
+    /// Returns the number of hash orders that are cached.
+    pub fn cached_hash_orders(&self) -> usize {
+        self.cluster.cached_hash_orders()
+    }
+
     /// Handles an event that happened at `now` and appends the resulting actions to `out`.
     pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
         self.now = self.now.max(now);
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -79,6 +79,7 @@
     ClientRequest, LoadResult, Outcome, ReportedMetric, RequestParameters, RequestPayload, Response,
     WorkerResponse,
 };
+pub use settings::MemoryUse;
 
 use crate::collections::TimerQueue;
 use crate::model::{Action, AttemptStatus, Event, Site, Time};
--- a/src/scheduler/request_table.rs
+++ b/src/scheduler/request_table.rs
@@ -151,6 +151,11 @@
         self.requests.len()
     }
 
+    /// Returns the number of bytes of the bodies of all open requests.
+    pub(super) fn body_bytes(&self) -> usize {
+        self.body_bytes
+    }
+
     /// Returns whether another request with a body of this size fits.
     pub(super) fn has_capacity(&self, body_bytes: usize, max_open_requests: usize) -> bool {
         self.requests.len() < max_open_requests && self.body_bytes + body_bytes <= self.max_body_bytes
--- a/src/scheduler/settings.rs
+++ b/src/scheduler/settings.rs
@@ -1,8 +1,21 @@
-//! Site settings and process limits.
+//! Site settings, process limits and the use of memory.
 
 use super::Scheduler;
 use crate::model::{Site, Span, Time};
 
+/// How much the scheduler holds of what clients can cause.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct MemoryUse {
+    /// Number of open requests.
+    pub open_requests: usize,
+    /// Number of bytes of their bodies.
+    pub body_bytes: usize,
+    /// Number of functions that the policy knows.
+    pub functions: usize,
+    /// Number of hash orders that it has cached.
+    pub hash_orders: usize,
+}
+
 impl Scheduler {
     /// Returns the site's settings.
     pub fn site(&self) -> &Site {
@@ -32,6 +45,16 @@
         self.policy.limit_function_memory(bytes);
     }
 
+    /// Returns how much is held of what clients can cause.
+    pub fn memory_use(&self) -> MemoryUse {
+        MemoryUse {
+            open_requests: self.requests.len(),
+            body_bytes: self.requests.body_bytes(),
+            functions: self.policy.known_functions(),
+            hash_orders: self.policy.cached_hash_orders(),
+        }
+    }
+
     /// Returns the retry-after for responses that the policy does not decide on; zero gives no advice.
     pub fn default_retry_after(&self) -> Span {
         self.site.settings.permissions.max_retry_after.unwrap_or_default()
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -3,7 +3,7 @@
 //!
 //! [`run`] serves until a signal stops it. Each iteration of the loop waits for sockets, signals and timers,
 //! and then handles everything that is due. `startup` sets up the server, `accept` accepts clients,
-//! `endpoints` applies endpoint updates, `reload` and `shutdown` handle SIGHUP and SIGTERM, and `leader`
+//! `endpoints` applies endpoint updates, `reload` and `shutdown` handle SIGHUP and SIGTERM, `report` logs counters, and `leader`
 //! decides by VRRP which of several servers accepts requests on the JSON-RPC frontend.
 
 mod accept;
@@ -15,6 +15,7 @@
 mod limits;
 mod memory_budget;
 mod reload;
+mod report;
 mod shutdown;
 mod shutdown_phases;
 mod signals;
@@ -31,9 +32,8 @@
 use crate::config::{ConfigSources, SchedulerConfig};
 use crate::discovery::Discovery;
 use crate::frontend;
-use crate::logging;
 use crate::model::{Span, Time};
-use crate::net::{PipeId, ReactorEvent, TimeBudget, TimeSummary, TurnPart, UdpSocketId};
+use crate::net::{PipeId, ReactorEvent, TimeBudget, TurnPart, UdpSocketId};
 use crate::runtime::Reactor;
 use crate::scheduler::Command;
 use crate::vrrp::Event;
@@ -167,25 +167,6 @@
         }
     }
 
-    fn print_counters(&mut self) {
-        let counters = self.reactor.shared.scheduler.counters();
-        info!(
-            log_lines_dropped = logging::log_lines_dropped(),
-            log_lines_failed = logging::log_lines_failed(),
-            "{counters}"
-        );
-        self.print_turn_times();
-    }
-
-    /// Logs how long the turns of the event loop have taken, and their parts.
-    fn print_turn_times(&self) {
-        let times = self.reactor.turn_times();
-        print_time_summary("turn", times.turns());
-        for part in TurnPart::ALL {
-            print_time_summary(part.name(), times.part(part));
-        }
-    }
-
     fn receive_advertisements(&mut self, socket: UdpSocketId) {
         if let Some(election) = &mut self.leader_election {
             election.receive(socket, &mut self.reactor);
@@ -270,15 +251,3 @@
         }
     }
 }
-
-/// Logs the distribution of the time of a turn or of one of its parts.
-fn print_time_summary(part: &str, summary: TimeSummary) {
-    info!(
-        part,
-        turns = summary.count,
-        p50_us = summary.p50_micros,
-        p99_us = summary.p99_micros,
-        max_us = summary.max_micros,
-        "time in the event loop"
-    );
-}
