Keep memory for one largest body on each client connection

Cause: all bodies share a sixth of the memory limit (5.3 MB), and whoever comes next is rejected. The share of the open requests lets 330 connections have three each, 16 MB of bodies.

Change: BodyMemory. A connection without a body in memory may have one as long as any memory is left; more only out of an 18th of the limit, half of what is free of it at a time. Two ninths of the limit then hold the largest body for each of 341 clients, whatever some of them have beyond that.

Before, on the base without its last assertion: every_client_may_have_a_largest_body_beside_any_number_of_greedy_ones failed for client 310 beside one greedy client. After: it passes for 0 to 340 greedy ones. The test of the sixth now tests two ninths, and that a second body of a connection comes out of the smaller part.

--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -43,6 +43,7 @@
 
 mod attempt_table;
 mod attempts;
+mod body_memory;
 mod command;
 mod counters;
 mod endpoint_updates;
--- a/src/scheduler/request_admission.rs
+++ b/src/scheduler/request_admission.rs
@@ -70,10 +70,11 @@
     if parameters.deadline <= now {
         return Err(RequestDenied::DeadlinePassed);
     }
-    if !requests.has_capacity(parameters.body.len(), site.max_open_requests) {
+    let connection = request.origin.connection;
+    if !requests.has_capacity(connection, parameters.body.len(), site.max_open_requests) {
         return Err(RequestDenied::TooManyOpen);
     }
-    if !requests.share_allows(request.origin.connection) {
+    if !requests.share_allows(connection) {
         return Err(RequestDenied::ShareExceeded);
     }
     if requests.id_at(request.origin).is_some() {
--- a/src/scheduler/request_table.rs
+++ b/src/scheduler/request_table.rs
@@ -1,5 +1,6 @@
 //! The table of open requests, which still await their final response.
 
+use super::body_memory::BodyMemory;
 use super::open_request_share::OpenRequestShare;
 use super::{RequestOrigin, RequestPayload};
 use crate::model::{ConnectionId, Idempotency, RequestId, Span, Time};
@@ -10,9 +11,6 @@
 /// The client is guaranteed a final response whatever the policy does, and allows 50 ms beyond the deadline.
 const OVERDUE_GRACE: Span = Span::from_millis(20);
 
-/// Divisor of the memory limit; the quotient is the memory that the bodies of open requests may take.
-const BODY_MEMORY_DIVISOR: usize = 6;
-
 /// Memory limit in bytes until [`RequestTable::set_memory_limit`] is called.
 const DEFAULT_MEMORY_LIMIT: usize = 192 << 20;
 
@@ -96,8 +94,7 @@
     ids_by_origin: HashMap<RequestOrigin, RequestId>,
     correlation_ids: HashSet<String>,
     share: OpenRequestShare,
-    body_bytes: usize,
-    max_body_bytes: usize,
+    bodies: BodyMemory,
 }
 
 impl RequestTable {
@@ -109,14 +106,13 @@
             ids_by_origin: HashMap::new(),
             correlation_ids: HashSet::new(),
             share: OpenRequestShare::default(),
-            body_bytes: 0,
-            max_body_bytes: DEFAULT_MEMORY_LIMIT / BODY_MEMORY_DIVISOR,
+            bodies: BodyMemory::new(DEFAULT_MEMORY_LIMIT),
         }
     }
 
     /// Sets the memory limit of the process, in bytes. Bodies of open requests may take a fraction of it.
     pub(super) fn set_memory_limit(&mut self, bytes: usize) {
-        self.max_body_bytes = bytes / BODY_MEMORY_DIVISOR;
+        self.bodies.set_memory_limit(bytes);
     }
 
     /// Sets the number of open requests that the client connections share.
@@ -153,12 +149,17 @@
 
     /// Returns the number of bytes of the bodies of all open requests.
     pub(super) fn body_bytes(&self) -> usize {
-        self.body_bytes
+        self.bodies.bytes()
     }
 
-    /// Returns whether another request with a body of this size fits.
-    pub(super) fn has_capacity(&self, body_bytes: usize, max_open_requests: usize) -> bool {
-        self.requests.len() < max_open_requests && self.body_bytes + body_bytes <= self.max_body_bytes
+    /// Returns whether another request fits that a connection sends with a body of this size.
+    pub(super) fn has_capacity(
+        &self,
+        connection: ConnectionId,
+        body_bytes: usize,
+        max_open_requests: usize,
+    ) -> bool {
+        self.requests.len() < max_open_requests && self.bodies.allows(connection, body_bytes)
     }
 
     /// Returns whether an open request has this correlation id.
@@ -208,7 +209,8 @@
     pub(super) fn insert(&mut self, request: OpenRequest) -> RequestId {
         let id = self.next_id;
         self.next_id = RequestId(id.0.wrapping_add(1));
-        self.body_bytes += request.payload.body.len();
+        self.bodies
+            .add(request.origin.connection, request.payload.body.len());
         self.correlation_ids
             .insert(request.payload.correlation_id.clone());
         self.ids_by_origin.insert(request.origin, id);
@@ -220,7 +222,8 @@
     /// Removes a request and frees its correlation id, origin and memory.
     pub(super) fn remove(&mut self, id: RequestId) -> Option<OpenRequest> {
         let request = self.requests.remove(&id)?;
-        self.body_bytes -= request.payload.body.len();
+        self.bodies
+            .remove(request.origin.connection, request.payload.body.len());
         self.correlation_ids.remove(&request.payload.correlation_id);
         self.ids_by_origin.remove(&request.origin);
         self.share.close(request.origin.connection);
--- a/src/scheduler/settings.rs
+++ b/src/scheduler/settings.rs
@@ -29,7 +29,7 @@
         self.run_policy(now);
     }
 
-    /// Sets the memory limit of the process, in bytes. Bodies of open requests may take a sixth of it.
+    /// Sets the memory limit of the process, in bytes. Bodies of open requests may take a part of it.
     pub fn set_memory_limit(&mut self, bytes: usize) {
         self.requests.set_memory_limit(bytes);
     }
--- a/src/scheduler/tests/mod.rs
+++ b/src/scheduler/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of the scheduler that need its private state, one file for each concern, and their support code.
 
 mod attempts;
+mod body_memory;
 mod counters;
 mod endpoint_updates;
 mod final_response;
