Let clients wait for left-over commands for four turns in a row at most

Found while the bound on a connection's wait was written down: clients are not read while commands of the scheduler are left over, and workers that send at full speed can leave some in every turn. Nothing bounded that wait.

--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -8,6 +8,7 @@
 
 mod accept;
 mod accept_wait;
+mod client_pause;
 mod endpoints;
 mod error;
 mod jsonrpc_listener;
@@ -38,6 +39,7 @@
 use crate::scheduler::Command;
 use crate::vrrp::Event;
 use accept::Acceptor;
+use client_pause::ClientPause;
 use leader::LeaderElection;
 use reload::ReloadRetry;
 use shutdown_phases::Shutdown;
@@ -75,6 +77,7 @@
     config: SchedulerConfig,
     discovery: Discovery,
     acceptor: Acceptor,
+    client_pause: ClientPause,
     /// The leader election, if configured. Without it, this server always accepts requests on the JSON-RPC
     /// frontend.
     leader_election: Option<LeaderElection>,
@@ -198,8 +201,7 @@
         if !has_commands {
             self.pool.remove_ended_attempts(&self.reactor.shared.scheduler);
         }
-        // What has been accepted goes on before new requests are read.
-        self.reactor.clients_paused = has_commands;
+        self.reactor.clients_paused = self.client_pause.update(has_commands);
     }
 
     /// Fires the scheduler's timers as of the last poll, if the process was stopped since then: the next poll may
--- a/src/server/startup.rs
+++ b/src/server/startup.rs
@@ -1,6 +1,7 @@
 //! Startup of the server: creates its sockets and state from the configuration, retrying transient failures.
 
 use super::accept::Acceptor;
+use super::client_pause::ClientPause;
 use super::endpoints::assign_jsonrpc_worker_addresses;
 use super::error::ServerError;
 use super::jsonrpc_listener::JsonRpcListener;
@@ -94,6 +95,7 @@
             sources: sources.clone(),
             discovery: Discovery::new(config.discovery_service, known_events, configured, reactor.now()),
             acceptor: Acceptor::new(client_limits, jsonrpc),
+            client_pause: ClientPause::default(),
             reactor,
             pool,
             config,
