--- a/crates/isolation-bench/src/bad_client.rs
+++ b/crates/isolation-bench/src/bad_client.rs
@@ -1,7 +1,7 @@
 //! Clients that send at full speed on many connections.
 
 use crate::bad_peer::BadPeer;
-use crate::frames::{self, CLASS, FrameType, HEADER_BYTES, MAX_LENGTH};
+use crate::frames::{self, CLASS, FrameType, HEADER_BYTES, LARGEST_BODY, MAX_LENGTH};
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::os::unix::net::UnixStream;
@@ -14,6 +14,8 @@
 const THREADS: usize = 3;
 /// Number of messages that a connection sends in one go.
 const MESSAGES_AT_ONCE: u32 = 50;
+/// Number of requests with large bodies that a connection sends in one go.
+const LARGE_REQUESTS_AT_ONCE: u32 = 200;
 /// Number of requests that a client may have open on a connection.
 const MAX_OPEN_REQUESTS: u32 = 32;
 /// The high digits of functions that no worker knows.
@@ -32,17 +34,19 @@
 trait Stream: Read + Write {}
 impl<S: Read + Write> Stream for S {}
 
-/// Keeps `connections` connections of a kind full until `stop` is set.
-pub(crate) fn run_all(kind: BadPeer, frontend: Frontend, connections: usize, stop: &AtomicBool) {
+/// Keeps `connections` connections of a kind full until `stop` is set. What is random follows from the seed.
+pub(crate) fn run_all(kind: BadPeer, frontend: Frontend, connections: usize, seed: u64, stop: &AtomicBool) {
     thread::scope(|scope| {
         for thread in 0..THREADS {
             let count = connections / THREADS + usize::from(thread < connections % THREADS);
-            scope.spawn(move || run(kind, frontend, count, stop));
+            let seed = seed.wrapping_add(thread as u64);
+            scope.spawn(move || run(kind, frontend, count, seed, stop));
         }
     });
 }
 
-fn run(kind: BadPeer, frontend: Frontend, count: usize, stop: &AtomicBool) {
+fn run(kind: BadPeer, frontend: Frontend, count: usize, seed: u64, stop: &AtomicBool) {
+    fastrand::seed(seed);
     let open = || BadClient::open(kind, frontend).ok();
     let mut clients: Vec<Option<BadClient>> = (0..count).map(|_| open()).collect();
     let mut buffer = vec![0; READ_BUFFER_BYTES];
@@ -87,7 +91,7 @@
             }
         };
         Ok(BadClient {
-            kind,
+            kind: kind.of_connection(),
             stream,
             output: Vec::new(),
             written: 0,
@@ -133,7 +137,17 @@
 
     /// Adds the next messages to the output.
     fn enqueue(&mut self) {
-        if self.kind == BadPeer::UnknownFunctions {
+        if self.sends_once() {
+            if self.last_stream == 0 {
+                self.enqueue_message();
+            }
+        } else if self.kind == BadPeer::LargeWithdrawals {
+            self.enqueue_withdrawals();
+        } else if self.kind == BadPeer::LargeRequests {
+            (0..LARGE_REQUESTS_AT_ONCE).for_each(|_| self.enqueue_message());
+        } else if self.kind == BadPeer::SlowPartialRequests && self.last_stream > 0 {
+            self.output.push(0);
+        } else if self.kind == BadPeer::UnknownFunctions {
             while self.open_requests < MAX_OPEN_REQUESTS {
                 self.open_requests += 1;
                 self.enqueue_message();
@@ -145,6 +159,26 @@
         }
     }
 
+    /// Returns whether the client sends a single message and then waits until it is closed.
+    fn sends_once(&self) -> bool {
+        matches!(
+            self.kind,
+            BadPeer::PartialRequests
+                | BadPeer::SmallPartialRequests
+                | BadPeer::PartialBesideOpen
+                | BadPeer::ImpossibleLengths
+        ) || self.kind == BadPeer::SlowPartialRequests && self.last_stream == 0
+    }
+
+    /// Adds hundreds of requests, and then the cancellation of each.
+    fn enqueue_withdrawals(&mut self) {
+        let first = self.last_stream + 1;
+        (0..LARGE_REQUESTS_AT_ONCE).for_each(|_| self.enqueue_message());
+        for stream in first..=self.last_stream {
+            self.output.extend(frames::encode(FrameType::Cancel, stream, &[]));
+        }
+    }
+
     fn enqueue_message(&mut self) {
         self.last_stream += 1;
         let stream = self.last_stream;
@@ -157,6 +191,17 @@
             BadPeer::Cancellations => cancelled_request(stream),
             BadPeer::LongFrames => long_frame(stream),
             BadPeer::HalfFrames => half_frame(stream),
+            BadPeer::PartialRequests | BadPeer::SlowPartialRequests => {
+                part_of_request(stream, 32_700, 31_000)
+            }
+            BadPeer::SmallPartialRequests => part_of_request(stream, 16_300, 15_500),
+            BadPeer::PartialBesideOpen => {
+                let mut open = frames::encode_request(stream, CLASS, fastrand::u64(..20), 3_000);
+                open.extend(part_of_request(stream + 1, 32_700, 31_000));
+                open
+            }
+            BadPeer::ImpossibleLengths => vec![0; 4],
+            BadPeer::LargeWithdrawals | BadPeer::LargeRequests => large_request(stream),
             BadPeer::JsonRpcBatches => jsonrpc_batch(stream),
             BadPeer::JsonRpcShortLines => b"1\n".to_vec(),
             BadPeer::JsonRpcManyMembers => jsonrpc_many_members(),
@@ -208,6 +253,19 @@
     frame
 }
 
+/// Returns the first `sent` bytes of a request whose frame says that it has `length`.
+fn part_of_request(stream: u32, length: usize, sent: usize) -> Vec<u8> {
+    let body = vec![7; length];
+    let mut frame = frames::encode_request_with_body(stream, CLASS, unknown_function(), 3_000, &body);
+    frame[..4].copy_from_slice(&(length as u32).to_be_bytes());
+    frame.truncate(sent);
+    frame
+}
+
+fn large_request(stream: u32) -> Vec<u8> {
+    frames::encode_request_with_body(stream, CLASS, unknown_function(), 3_000, &[4; LARGEST_BODY])
+}
+
 fn jsonrpc_batch(number: u32) -> Vec<u8> {
     let call = |index: u32| {
         let id = number.wrapping_mul(64).wrapping_add(index);
--- a/crates/isolation-bench/src/deployment.rs
+++ b/crates/isolation-bench/src/deployment.rs
@@ -32,6 +32,7 @@
     pub(crate) discovery: SocketAddr,
     pub(crate) descriptors: u32,
     pub(crate) memory_mb: u32,
+    pub(crate) cores: f64,
     /// The address of its VRRP peer.
     pub(crate) vrrp_peer: SocketAddr,
 }
@@ -51,7 +52,7 @@
     pub(crate) vrrp_address: SocketAddr,
     folder: TempDir,
     process: Mutex<Child>,
-    process_id: u32,
+    pub(crate) process_id: u32,
     log: Mutex<Receiver<String>>,
 }
 
@@ -207,7 +208,7 @@
     json!({
         "name": "n0", "listen": listen.to_string(), "seed": "1",
         "limits": {
-            "cores": 1.0, "memory_mb": configuration.memory_mb, "sockets": configuration.descriptors,
+            "cores": configuration.cores, "memory_mb": configuration.memory_mb, "sockets": configuration.descriptors,
         },
         "bus": configuration.discovery.to_string(), "known": {"offset": 0, "batch": []},
         "settings": {
--- a/crates/isolation-bench/src/frames.rs
+++ b/crates/isolation-bench/src/frames.rs
@@ -8,6 +8,8 @@
 pub(crate) const SERVED: u8 = 79;
 /// Longest value of a frame's length field.
 pub(crate) const MAX_LENGTH: usize = 262_144;
+/// Size of the largest body of a request, in bytes.
+pub(crate) const LARGEST_BODY: usize = 16 << 10;
 /// Number of bytes before a frame's payload.
 pub(crate) const HEADER_BYTES: usize = 9;
 
@@ -53,6 +55,17 @@
 
 /// Encodes a well-formed request with a new id.
 pub(crate) fn encode_request(stream: u32, class: &str, function: u64, allow_ms: u64) -> Vec<u8> {
+    encode_request_with_body(stream, class, function, allow_ms, b"a body")
+}
+
+/// Encodes a well-formed request with a new id and this body.
+pub(crate) fn encode_request_with_body(
+    stream: u32,
+    class: &str,
+    function: u64,
+    allow_ms: u64,
+    body: &[u8],
+) -> Vec<u8> {
     let fields = [
         ("service", class),
         ("ref", &format!("{:016x}", fastrand::u64(..))),
@@ -61,7 +74,7 @@
         ("spec", "memory_mb:512;lanes:2;load_ms:640"),
     ];
     let mut payload = encode_fields(&fields);
-    payload.extend(b"a body");
+    payload.extend(body);
     encode(FrameType::Request, stream, &payload)
 }
 
--- a/crates/isolation-bench/src/main.rs
+++ b/crates/isolation-bench/src/main.rs
@@ -6,6 +6,7 @@
 //! bad peer still sends. Compare the rows with that of `none`. Everything runs on loopback.
 //!
 //! - [`deployment`] starts and watches the scheduler's process.
+//! - [`core_share`] gives it a share of a core.
 //! - [`worker`] and [`discovery`] are the stand-ins that the scheduler connects to.
 //! - [`usual_client`] sends requests and measures the responses.
 //! - [`bad_peer`] lists the kinds of bad peers, [`bad_client`], [`connector`] and [`advertiser`] play them.
@@ -15,6 +16,7 @@
 mod bad_client;
 mod bad_peer;
 mod connector;
+mod core_share;
 mod deployment;
 mod discovery;
 mod frames;
@@ -54,6 +56,12 @@
     /// Limit on the scheduler's memory, in MB.
     #[arg(long, default_value_t = 192)]
     memory_mb: u32,
+    /// Share of a core that the scheduler gets, in periods of 50 ms.
+    #[arg(long, default_value_t = 1.0, value_parser = core_share::parse)]
+    cores: f64,
+    /// Seed of what the bad clients send; by default a random one, which is printed.
+    #[arg(long)]
+    seed: Option<u64>,
     /// Time for which the bad peer sends, in seconds.
     #[arg(long, default_value_t = 6, value_parser = clap::value_parser!(u16).range(1..=600))]
     seconds: u16,
@@ -81,12 +89,15 @@
         connections: usize::from(arguments.connections),
         descriptors: arguments.descriptors,
         memory_mb: arguments.memory_mb,
+        cores: arguments.cores,
+        seed: arguments.seed.unwrap_or_else(|| fastrand::u64(..)),
         length: Duration::from_secs(u64::from(arguments.seconds)),
     };
     let peers = match &arguments.peers[..] {
         [] => BadPeer::value_variants(),
         peers => peers,
     };
+    println!("cores {}, seed {}", options.cores, options.seed);
     println!("{}", Measurement::HEADER);
     let mut lost = 0;
     for peer in peers {
--- a/crates/isolation-bench/src/scenario.rs
+++ b/crates/isolation-bench/src/scenario.rs
@@ -4,7 +4,7 @@
 use crate::bad_peer::BadPeer;
 use crate::deployment::{Configuration, Scheduler, TurnTimes};
 use crate::usual_client::{self, CurrentStage, Stage, UsualResponses};
-use crate::{advertiser, connector, discovery, worker};
+use crate::{advertiser, connector, core_share, discovery, worker};
 use anyhow::Result;
 use std::fmt;
 use std::net::UdpSocket;
@@ -34,6 +34,9 @@
     pub(crate) connections: usize,
     pub(crate) descriptors: u32,
     pub(crate) memory_mb: u32,
+    /// Share of a core that the scheduler gets.
+    pub(crate) cores: f64,
+    pub(crate) seed: u64,
     pub(crate) length: Duration,
 }
 
@@ -117,17 +120,19 @@
         discovery: discovery::start(addresses?, Arc::clone(&discovery_floods))?,
         descriptors: options.descriptors,
         memory_mb: options.memory_mb,
+        cores: options.cores,
         vrrp_peer: vrrp_peer.local_addr()?,
     })?;
     let signals = Signals::default();
     let (responses, turn_times, shutdown_time) = thread::scope(|scope| {
         let usual = scope.spawn(|| usual_client::run_all(scheduler.address, &signals.stage));
         scope.spawn(|| watch_memory(&scheduler, &signals));
+        scope.spawn(|| core_share::limit(scheduler.process_id, options.cores, &signals.stop));
         thread::sleep(WARM_UP);
         signals.stage.set(Stage::BadPeer);
         workers_flood.store(kind == BadPeer::WorkerResponses, Ordering::Relaxed);
         discovery_floods.store(kind == BadPeer::EndpointLists, Ordering::Relaxed);
-        scope.spawn(|| play(kind, options.connections, &scheduler, &vrrp_peer, &signals.stop));
+        scope.spawn(|| play(kind, options, &scheduler, &vrrp_peer, &signals.stop));
         thread::sleep(options.length);
         let turn_times = scheduler.turn_times();
         let shutdown_time = shut_down(&scheduler, &signals.stage);
@@ -164,15 +169,22 @@
 }
 
 /// Plays a bad peer until `stop` is set. Workers and discovery play theirs themselves.
-fn play(kind: BadPeer, connections: usize, scheduler: &Scheduler, vrrp_peer: &UdpSocket, stop: &AtomicBool) {
+fn play(
+    kind: BadPeer,
+    options: &ScenarioOptions,
+    scheduler: &Scheduler,
+    vrrp_peer: &UdpSocket,
+    stop: &AtomicBool,
+) {
+    let run = |frontend| bad_client::run_all(kind, frontend, options.connections, options.seed, stop);
     match kind {
         BadPeer::None | BadPeer::WorkerResponses | BadPeer::EndpointLists => {}
         BadPeer::Connects => connector::run_all(scheduler.address, stop),
         BadPeer::Advertisements => advertiser::run(vrrp_peer, scheduler.vrrp_address, stop),
         kind if kind.is_jsonrpc_client() => {
             let socket = scheduler.jsonrpc_socket();
-            bad_client::run_all(kind, Frontend::JsonRpc(&socket), connections, stop);
+            run(Frontend::JsonRpc(&socket));
         }
-        kind => bad_client::run_all(kind, Frontend::Frames(scheduler.address), connections, stop),
+        _ => run(Frontend::Frames(scheduler.address)),
     }
 }
--- a/crates/isolation-bench/src/usual_client.rs
+++ b/crates/isolation-bench/src/usual_client.rs
@@ -1,6 +1,7 @@
-//! Usual clients, which send one request after another and measure how long each response takes.
+//! Usual clients, which send one request after another, every second one as large as the page PROTOCOL allows, and
+//! measure how long each response takes.
 
-use crate::frames::{self, CLASS, FrameType, SERVED};
+use crate::frames::{self, CLASS, FrameType, LARGEST_BODY, SERVED};
 use std::io::{self, BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicU8, Ordering};
@@ -180,7 +181,14 @@
     fn call(&mut self) -> io::Result<u8> {
         self.last_stream += 1;
         let function = fastrand::u64(..FUNCTIONS);
-        let request = frames::encode_request(self.last_stream, CLASS, function, ALLOW_MS);
+        let body = [5; LARGEST_BODY];
+        let length = if self.last_stream.is_multiple_of(2) {
+            LARGEST_BODY
+        } else {
+            1
+        };
+        let request =
+            frames::encode_request_with_body(self.last_stream, CLASS, function, ALLOW_MS, &body[..length]);
         self.input.get_mut().write_all(&request)?;
         loop {
             let frame = frames::read(&mut self.input)?;
