Reduce the parts of functions and unsent output, so that all parts fit into the limit

With a quarter for input and two ninths for bodies, the parts of the memory limit would sum up to more than all of it. Functions and unsent output have an eighth each now (a quarter and a sixth before), and the unsent output that a connection may have in any case is 8 KiB.

--- a/src/net/reactor/connections.rs
+++ b/src/net/reactor/connections.rs
@@ -13,7 +13,7 @@
 use tracing::debug;
 
 /// Number of unsent bytes that every connection may have regardless of the total of all connections.
-const GUARANTEED_UNSENT_BYTES: usize = 16 << 10;
+const GUARANTEED_UNSENT_BYTES: usize = 8 << 10;
 
 impl<S: SharedState + 'static> Reactor<S> {
     /// Adds a connection whose stream is connected. Returns its id, or `None` if it closed immediately.
--- a/src/server/memory_budget.rs
+++ b/src/server/memory_budget.rs
@@ -8,7 +8,7 @@
 
 const BYTES_PER_MEGABYTE: usize = 1 << 20;
 /// Divisor of the memory limit for output that peers have not read; the reactor bounds it.
-const UNSENT_OUTPUT_DIVISOR: usize = 6;
+const UNSENT_OUTPUT_DIVISOR: usize = 8;
 /// Divisor of the memory limit for the shares that client connections have in the memory for input; the reactor
 /// bounds them. With 32 MB, each of the 341 clients of 1,024 descriptors can buffer the largest request.
 const GUARANTEED_INPUT_DIVISOR: usize = 4;
@@ -22,7 +22,7 @@
 /// for each other.
 const MAX_SHARED_OPEN_REQUESTS: usize = 1024;
 /// Divisor of the memory limit for what the policy knows of functions; the cluster bounds it.
-const FUNCTION_DIVISOR: usize = 4;
+const FUNCTION_DIVISOR: usize = 8;
 /// Divisor of the memory limit for retired correlation ids; the pool of connections bounds it.
 const RETIRED_ID_DIVISOR: usize = 16;
 /// Memory of a retired correlation id, in bytes.
